--- /dev/null
+++ b/moorusher/__main__.py
@@ -0,0 +1,5 @@
+import sys
+
+from .cli import main
+
+sys.exit(main())
--- /dev/null
+++ b/moorusher/cli.py
@@ -0,0 +1,46 @@
+"""The command line."""
+
+from __future__ import annotations
+
+import argparse
+import logging
+import sys
+
+from . import __version__
+from .config import Config, ConfigError, load
+
+
+def _serve(config: Config) -> int:
+    from . import loop  # the loop is installed before any module can import Twisted's default one
+
+    reactor = loop.install()
+    from twisted.python.log import PythonLoggingObserver
+
+    PythonLoggingObserver("moorusher.loop").start()  # type: ignore[no-untyped-call]
+    from . import service
+
+    service.serve(config, reactor)
+    return 0
+
+
+def main(argv: list[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="moorusher", description=__doc__)
+    commands = parser.add_subparsers(dest="command")
+    commands.add_parser("serve", help="run one runner in the foreground (the default)")
+    commands.add_parser("check-config", help="read the configuration and say what it holds")
+    commands.add_parser("version", help="print the version")
+    args = parser.parse_args(argv)
+    logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(levelname)s %(message)s")
+    if args.command == "version":
+        print(f"moorusher {__version__}")
+        return 0
+    try:
+        config = load()
+    except ConfigError as exc:
+        print(f"moorusher: {exc}", file=sys.stderr)
+        return 2
+    if args.command == "check-config":
+        print(f"{config.name}: listens on {config.listen[0]}:{config.listen[1]}, "
+              f"{len(config.settings.classes)} classes, {len(config.settings.tenants)} tenants")
+        return 0
+    return _serve(config)
--- /dev/null
+++ b/moorusher/config.py
@@ -0,0 +1,193 @@
+"""The one place where configuration is read, checked and given defaults.
+
+GW_CONFIG names a JSON file with everything; GW_NAME and GW_LISTEN stand in where it lacks them or is absent.
+`deploy/fronts.toml` says what listens besides the platform's front. Every message names the faulty key.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import json
+import os
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, TypeVar, cast
+
+from peattack import interface as api
+from peattack.wire import WireError, parse_settings
+
+T = TypeVar("T")
+Address = tuple[str, int]
+FRONTS_FILE = Path(__file__).resolve().parent.parent / "deploy" / "fronts.toml"
+
+
+class ConfigError(ValueError):
+    """The configuration can't be used; the text names the key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    cores: float = 1.0
+    memory_mb: float = 192.0
+    sockets: int = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class UwsgiConfig:
+    listen: Address | None = None
+    below: Address | None = None  # a uwsgi peer for calls, in place of the database
+    health: Address | None = None
+    agent: Address | None = None
+    body_bytes: int = 2048
+    idle_s: float = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class AdminConfig:
+    listen: Address | None = None
+    token: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: Address
+    kernel: Address
+    announce: Address | None
+    db: Address | None
+    stop_ms: float
+    limits: Limits
+    settings: api.Settings
+    uwsgi: UwsgiConfig = field(default_factory=UwsgiConfig)
+    admin: AdminConfig = field(default_factory=AdminConfig)
+
+
+class Section:
+    """One object of the configuration; its errors carry the full path of the key."""
+
+    def __init__(self, data: Any, path: str) -> None:
+        if not isinstance(data, Mapping):
+            raise ConfigError(f"{path or 'configuration'}: expected an object, got {type(data).__name__}")
+        self.data, self.path = data, path
+
+    def key(self, name: str) -> str:
+        return f"{self.path}.{name}" if self.path else name
+
+    def get(self, name: str, default: T) -> T:
+        value: Any = self.data.get(name)
+        if value is None:
+            return default
+        kind = type(default)
+        wanted = (int, float) if kind is float else (kind,)
+        if not isinstance(value, wanted) or (isinstance(value, bool) and kind is not bool):
+            raise ConfigError(f"{self.key(name)}: expected {kind.__name__}, got {value!r}")
+        return cast(T, float(value) if kind is float else value)
+
+    def positive(self, name: str, default: T) -> T:
+        value = self.get(name, default)
+        if not cast(float, value) > 0:
+            raise ConfigError(f"{self.key(name)}: expected more than 0, got {value!r}")
+        return value
+
+    def section(self, name: str) -> Section:
+        return Section(self.data.get(name, {}), self.key(name))
+
+    def address(self, name: str) -> Address | None:
+        text = self.get(name, "")
+        return parse_address(text, self.key(name)) if text else None
+
+    def unknown(self, known: set[str]) -> None:
+        if odd := sorted(set(self.data) - known):
+            raise ConfigError(f"{self.key(odd[0])}: no such key; known are {', '.join(sorted(known))}")
+
+
+def parse_address(text: str, key: str) -> Address:
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ConfigError(f"{key}: expected HOST:PORT, got {text!r}")
+    return host.strip("[]"), int(port)
+
+
+def _loopback(address: Address | None, key: str) -> Address | None:
+    if address is not None:
+        try:
+            inside = ipaddress.ip_address(address[0]).is_loopback
+        except ValueError:
+            inside = address[0] == "localhost"
+        if not inside:
+            raise ConfigError(f"{key}: expected a loopback address, got {address[0]}")
+    return address
+
+
+def read_fronts(path: Path) -> tuple[UwsgiConfig, AdminConfig]:
+    """The second front and what goes with it: all off where the file or its keys are missing."""
+    try:
+        raw = tomllib.loads(path.read_text())
+    except FileNotFoundError:
+        return UwsgiConfig(), AdminConfig()
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as exc:
+        raise ConfigError(f"{path.name}: {exc}") from exc
+    root = Section(raw, "")
+    root.unknown({"uwsgi", "health", "agent", "admin"})
+    uwsgi, health, agent, admin = (root.section(n) for n in ("uwsgi", "health", "agent", "admin"))
+    uwsgi.unknown({"listen", "below", "body_bytes", "idle_s"})
+    admin.unknown({"listen", "token", "token_file"})
+    for one in (health, agent):
+        one.unknown({"listen"})
+    token = admin.get("token", "")
+    if name := admin.get("token_file", ""):
+        try:
+            token = (path.parent / name).read_text().strip()
+        except OSError as exc:
+            raise ConfigError(f"admin.token_file: {exc}") from exc
+    d = UwsgiConfig()
+    return (
+        UwsgiConfig(
+            uwsgi.address("listen"), uwsgi.address("below"), health.address("listen"), agent.address("listen"),
+            uwsgi.positive("body_bytes", d.body_bytes), uwsgi.positive("idle_s", d.idle_s)),
+        AdminConfig(_loopback(admin.address("listen"), "admin.listen"), token),
+    )
+
+
+def load(env: Mapping[str, str] = os.environ, fronts: Path | None = None) -> Config:
+    path = env.get("GW_CONFIG")
+    if not path:
+        raise ConfigError("GW_CONFIG: not set; it names the JSON file of the configuration")
+    try:
+        raw = json.loads(Path(path).read_text())
+    except OSError as exc:
+        raise ConfigError(f"GW_CONFIG: {exc}") from exc
+    except (ValueError, RecursionError) as exc:
+        raise ConfigError(f"GW_CONFIG: {path} is not valid JSON: {exc}") from exc
+    root = Section(raw, "")
+    name = root.get("name", "") or env.get("GW_NAME", "")
+    if not name or not all(c.isalnum() or c in "-_." for c in name):
+        raise ConfigError(f"name: expected letters, digits, '-', '_' and '.', got {name!r} (or set GW_NAME)")
+    listen_text = env.get("GW_LISTEN") or root.get("listen", "")
+    listen = parse_address(listen_text, "listen") if listen_text else None
+    if listen is None:
+        raise ConfigError("listen: required, as HOST:PORT (or set GW_LISTEN)")
+    kernel = root.address("kernel")
+    if kernel is None:
+        raise ConfigError("kernel: required, as HOST:PORT")
+    limits, d = root.section("limits"), Limits()
+    seed_text = root.get("seed", "0")
+    try:
+        seed = int(seed_text, 16)
+    except ValueError:
+        raise ConfigError(f"seed: expected hexadecimal digits, got {seed_text!r}") from None
+    try:
+        settings = parse_settings(json.dumps(root.section("settings").data).encode(), seed)
+    except WireError as exc:
+        raise ConfigError(f"settings: {exc}") from exc
+    except ValueError as exc:  # the interface's own checks name the setting too
+        raise ConfigError(f"settings: {exc}") from exc
+    uwsgi, admin = read_fronts(fronts or FRONTS_FILE)
+    return Config(
+        name, listen, kernel, root.address("announce"), root.address("db"),
+        root.positive("stop_ms", 3000.0),
+        Limits(limits.positive("cores", d.cores), limits.positive("memory_mb", d.memory_mb),
+               limits.positive("sockets", d.sockets)),
+        settings, uwsgi, admin)
--- /dev/null
+++ b/moorusher/core/answer.py
@@ -0,0 +1,40 @@
+"""The final answer of a request, and who gets it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+
+class Verdict(Enum):
+    SERVED = "served"
+    REFUSED = "refused"  # the try never ran
+    FAILED = "failed"
+
+
+class Cause(Enum):
+    """Why a request was not served, for counters and for fronts that tell these apart."""
+
+    NONE = "none"
+    TURNED_AWAY = "turned away"
+    GIVEN_UP = "given up by the decision module"
+    RUN_FAILED = "the run failed"
+    NO_RESULT = "the try that it repeats gave no result"
+    FAULT = "fault in this runner"
+    STOPPING = "the runner stops"
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    verdict: Verdict
+    content: bytes = b""
+    cause: Cause = Cause.NONE
+    backoff_ms: float = 0.0
+    final: bool = False
+
+
+class Reply(Protocol):
+    """The connection that a request came on. It is told once, or never where the caller has gone."""
+
+    def answer(self, tag: int, answer: Answer, hint: float | None) -> None: ...
--- /dev/null
+++ b/moorusher/core/call.py
@@ -0,0 +1,65 @@
+"""Calls below: one for each run that waits, given up when its time is over."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from .clock import MS, Alarm, Alarms, Clock
+from .endings import Ending
+
+
+class Calls(Protocol):
+    """A link to what lies below. It reports each call's end once, through `Decider.call_over`."""
+
+    def call(self, number: int, rid: str, body: bytes, timeout_ms: int) -> None: ...
+    def give_up(self, number: int) -> None: ...
+
+
+class NoCalls:
+    """The last tier has nothing below it."""
+
+    def call(self, number: int, rid: str, body: bytes, timeout_ms: int) -> None:
+        raise ValueError("a call was to be made, and no address for calls is configured")
+
+    def give_up(self, number: int) -> None:
+        return None
+
+
+@dataclass(slots=True)
+class _Open:
+    since: int
+    alarm: Alarm
+
+
+class OpenCalls:
+    def __init__(self, calls: Calls, clock: Clock, alarms: Alarms) -> None:
+        self._calls, self._clock, self._alarms = calls, clock, alarms
+        self._open: dict[int, _Open] = {}
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def make(self, number: int, rid: str, body: bytes, timeout_ms: float, timed_out: _TimedOut) -> None:
+        self.drop(number)  # a second call for a request ends the first
+        until = self._clock.now + max(1, round(timeout_ms * MS))
+        alarm = self._alarms.at(until, lambda: timed_out.call_over(number, Ending.CALL_GIVEN_UP, b""))
+        self._open[number] = _Open(self._clock.now, alarm)
+        self._calls.call(number, rid, body, max(1, round(timeout_ms)))
+
+    def end(self, number: int, ending: Ending) -> float | None:
+        """How long the call took in ms; None where it was over already."""
+        if (call := self._open.pop(number, None)) is None:
+            return None
+        call.alarm.cancel()
+        if ending is Ending.CALL_GIVEN_UP:
+            self._calls.give_up(number)
+        return (self._clock.now - call.since) / MS
+
+    def drop(self, number: int) -> None:
+        """Nobody needs the call any more."""
+        self.end(number, Ending.CALL_GIVEN_UP)
+
+
+class _TimedOut(Protocol):
+    def call_over(self, number: int, ending: Ending, body: bytes) -> None: ...
--- /dev/null
+++ b/moorusher/core/decide.py
@@ -0,0 +1,338 @@
+"""One turn: gather its events, ask the module once, carry out its actions in their order."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from peattack import interface as api
+from peattack.balance import Balancer
+
+from .answer import Answer, Cause, Reply, Verdict
+from .call import Calls, OpenCalls
+from .clock import MS, Alarms, Clock
+from .counters import Counters
+from .endings import OUTCOMES, Ending
+from .intake import Fault, Intake
+from .keys import Keys
+from .requests import Arrival, Request, Stage, Table
+from .run import Kernel, Runs
+
+log = logging.getLogger("moorusher")
+
+GAUGE_LEAD = 25 * MS  # gauges are asked for so long before a timer is due, to be fresh when it is
+
+
+class Decider:
+    """The core: fronts hand in requests, links report what became of runs and calls.
+
+    `soon` has the loop call `turn_over` once, after what else is ready in this turn has been read.
+    """
+
+    def __init__(self, settings: api.Settings, clock: Clock, alarms: Alarms, kernel: Kernel, calls: Calls,
+                 soon: Callable[[Callable[[], None]], None],
+                 make: Callable[[api.Settings], Balancer] = Balancer) -> None:
+        self.settings, self.clock, self.alarms = settings, clock, alarms
+        self.counters, self.table, self.keys = Counters(), Table(), Keys()
+        self.intake = Intake(settings, clock, self.table, self.keys)
+        self.runs = Runs(kernel, [c.name for c in settings.classes])
+        self.calls = OpenCalls(calls, clock, alarms)
+        self._kernel, self._soon, self._make = kernel, soon, make
+        self._balancer: Balancer | None = None
+        self._events: list[api.Event] = []
+        self._turning = False
+        self._gauges: tuple[float, ...] = ()
+        self._names = [t.name for t in settings.tenants]
+        self._stop_at: int | None = None
+        self.healthy, self.hint = True, None  # type: bool, float | None
+        self.trim: Callable[[int], None] = lambda idle: None  # set by the fronts' owner
+        self.settled: Callable[[], None] = lambda: None  # called after each turn while draining
+        self._carry_out: dict[type, Callable[[Any], None]] = {
+            api.Start: self._start, api.Stop: lambda a: self.runs.stop(a.id), api.Reject: self._reject,
+            api.Fail: self._fail, api.Call: self._call, api.SkipCall: self._skip_call,
+            api.Remember: self._remember, api.Forget: lambda a: self._unheld(a.id),
+            api.ShareResult: self._share, api.SetHealth: self._set_health, api.Signal: self._signal,
+            api.TrimConnections: lambda a: self.trim(round(a.idle_ms * MS)), api.SetTimer: self._set_timer,
+            api.Log: lambda a: log.info("module: %s", a.text),
+        }
+
+    # ---- turns ----
+
+    def touch(self) -> None:
+        """Something has happened: the first in a turn reads the clock and sees to the turn's end."""
+        if not self._turning:
+            self._turning = True
+            self.clock.read()
+            self._soon(self.turn_over)
+
+    def ring(self) -> None:
+        """The loop's timer is due."""
+        self.touch()
+        self.alarms.ring()
+
+    def turn_over(self) -> None:
+        self._turning = False
+        events, self._events = self._events, []
+        if self._balancer is not None and events:
+            try:
+                actions = self._balancer.step(self.clock.module_ms(), events)
+            except Exception:
+                log.exception("the decision module failed on %s", events)
+                self._start_afresh()
+                actions = []
+            for action in actions:
+                try:
+                    self._carry_out[type(action)](action)
+                except Exception:
+                    log.exception("%s could not be carried out", action)
+                    self._fail_all_of(getattr(action, "id", 0))
+        if self._stop_at is not None:
+            self.settled()
+
+    def _start_afresh(self) -> None:
+        """After a fault in a step nothing that the module knew can be trusted: all that is owed is failed, and
+        a new instance goes on. Keys stay, so nothing runs twice; runs that go on end unheard."""
+        self.counters.add("faults")
+        for request in list(self.table.by_number.values()):
+            self._fail_all_of(request.number)
+        self._open_module(warm=True)
+
+    def _fail_all_of(self, number: int) -> None:
+        if (request := self.table.by_number.get(number)) is None:
+            return
+        self._answer(request, Answer(Verdict.FAILED, cause=Cause.FAULT))
+        if request.stage is not Stage.RUNNING:
+            self._unheld(number)
+        elif self.settings.classes[request.klass].effect is api.Effect.SAFE:
+            self.runs.stop(number)
+
+    def _open_module(self, warm: bool, age_ms: float = 0.0) -> None:
+        self._balancer = self._make(self.settings)
+        now = self.clock.module_ms()
+        opened = self._balancer.open(now if warm else now - age_ms)
+        for action in opened:
+            self._carry_out[type(action)](action)
+        if self._stop_at is not None:
+            self._events.append(api.DrainNotice(max(0.0, (self._stop_at - self.clock.now) / MS)))
+
+    # ---- what fronts tell ----
+
+    @property
+    def ready(self) -> bool:
+        return self._balancer is not None
+
+    @property
+    def draining(self) -> bool:
+        return self._stop_at is not None
+
+    @property
+    def owed(self) -> int:
+        return sum(r.reply is not None for r in self.table.by_number.values())
+
+    def take(self, arrival: Arrival, reply: Reply, tag: int) -> Request | Fault:
+        """A request has been read whole. A fault is answered by the front, in the words of its protocol."""
+        self.touch()
+        if self._balancer is None:
+            self.counters.add("faulty")
+            return Fault.NOT_READY
+        taken = self.intake.take(arrival, reply, tag)
+        if isinstance(taken, Fault):
+            self.counters.add("faulty")
+            return taken
+        request, event = taken
+        self.counters.add("taken", self._tenant(request))
+        self._events.append(event)
+        return request
+
+    def gone(self, request: Request) -> None:
+        """Its caller waits no longer, or the connection is lost: no answer is owed."""
+        if request.reply is None:
+            return
+        self.touch()
+        request.reply = None
+        self.counters.add("gone", self._tenant(request))
+        self._events.append(api.CallerGone(request.number))
+        if request.stage is not Stage.RUNNING:
+            self._unheld(request.number)
+
+    def drain(self, stop_ms: float) -> None:
+        if self._stop_at is None:
+            self.touch()
+            self._stop_at = self.clock.now + round(stop_ms * MS)
+            self._events.append(api.DrainNotice(stop_ms))
+
+    # ---- what links tell ----
+
+    def kernel_up(self, cold: bool, age_ms: float) -> None:
+        """The first word of the kernel. Warming counts from its start, which may lie long before or after ours."""
+        self.touch()
+        if self._balancer is None:
+            self._open_module(warm=not cold, age_ms=age_ms)
+            self._kernel.ask_gauges()
+
+    def kernel_read_again(self) -> None:
+        self.touch()
+        self.runs.say_again()
+
+    def gauges(self, values: tuple[float, ...]) -> None:
+        self._gauges = values
+
+    def run_over(self, rid: str, ending: Ending, body: bytes) -> None:
+        self.touch()
+        request = self.table.by_rid.get(rid)
+        if request is None or (run := self.runs.over(request.number)) is None:
+            return  # told twice
+        if ending is Ending.RUN_NOT_ACCEPTED and run.known:
+            log.error("the kernel takes back a run that it had begun: %s", rid)
+        self.calls.drop(request.number)
+        passed = ending is Ending.RUN_PASSED
+        self.counters.add("runs " + ("passed" if passed else "not passed"), self._tenant(request))
+        self._answer(request, Answer(Verdict.SERVED, body) if passed
+                     else Answer(Verdict.FAILED, cause=Cause.RUN_FAILED))
+        self._over(request, ending)
+        for waiter in self.keys.settle(request.number, body if passed else None):
+            self._shared(waiter, body if passed else None)
+
+    def command_refused(self, command: str, rid: str) -> None:
+        """EINVAL. Only a run that the kernel never took up ends by it; other commands came too late."""
+        self.counters.add("commands refused")
+        request = self.table.by_rid.get(rid)
+        run = self.runs.get(request.number) if request else None
+        log.warning("the kernel refused %s for %s", command, rid)
+        if command == "SCHED" and run is not None and not run.known:
+            self.run_over(rid, Ending.RUN_NOT_ACCEPTED, b"")
+
+    def call_needed(self, rid: str, notice: int, body: bytes) -> None:
+        self.touch()
+        request = self.table.by_rid.get(rid)
+        if request is not None and self.runs.needs_call(request.number, notice, body):
+            self.calls.drop(request.number)
+            self._events.append(api.CallNeeded(request.number))
+
+    def call_over(self, number: int, ending: Ending, body: bytes) -> None:
+        self.touch()
+        took = self.calls.end(number, ending)
+        if took is None:
+            return  # given up before
+        outcome = OUTCOMES[ending]
+        self.counters.add("calls " + ("answered" if outcome is api.Outcome.OK else ending.value))
+        if outcome is api.Outcome.OK:
+            self.runs.go_on(number, body)
+        self._events.append(api.CallEnded(number, outcome, took))
+
+    # ---- actions ----
+
+    def _start(self, a: api.Start) -> None:
+        request = self.table.by_number.get(a.id)
+        if request is None or request.stage is not Stage.HELD:
+            self._events.append(api.RunEnded(a.id, api.Outcome.MOOT))
+            self.touch()
+            return
+        if request.key is not None:
+            window = self.settings.classes[request.klass].window_ms
+            if not self.keys.runs(request.number, request.came, window):
+                # Never twice by one key, whatever the module says.
+                log.error("request %s was to run, and another try holds its key", request.rid)
+                self._answer(request, Answer(Verdict.FAILED, cause=Cause.FAULT))
+                self._over(request, Ending.RUN_NOT_ACCEPTED)
+                return
+        request.stage = Stage.RUNNING
+        self.counters.add("runs", self._tenant(request))
+        self.runs.start(request)
+
+    def _reject(self, a: api.Reject) -> None:
+        if (request := self.table.by_number.get(a.id)) is None:
+            return
+        if request.stage is Stage.HELD:
+            self._answer(request, Answer(Verdict.REFUSED, b"", Cause.TURNED_AWAY, a.retry_after_ms, a.final))
+            self._unheld(a.id)
+        else:  # it has run, or waits for one that may have: the promise of a refusal can't be given
+            log.error("request %s was to be refused after a run", request.rid)
+            self._fail(api.Fail(a.id))
+
+    def _fail(self, a: api.Fail) -> None:
+        if (request := self.table.by_number.get(a.id)) is None:
+            return
+        self._answer(request, Answer(Verdict.FAILED, cause=Cause.GIVEN_UP))
+        if request.stage is not Stage.RUNNING:
+            self._unheld(a.id)
+
+    def _unheld(self, number: int) -> None:
+        """Over without a run of its own."""
+        request = self.table.by_number.get(number)
+        if request is None or request.stage is Stage.RUNNING:
+            return
+        if request.reply is not None and request.stage is Stage.HELD:
+            return  # a key is forgotten before its request is over: the table keeps it until then
+        self.table.remove(request)
+        for waiter in self.keys.drop(number):
+            self._shared(waiter, None)
+
+    def _call(self, a: api.Call) -> None:
+        run = self.runs.get(a.id)
+        if run is not None and run.notice:
+            self.counters.add("calls")
+            self.calls.make(a.id, run.request.rid, run.call, a.timeout_ms, self)
+
+    def _skip_call(self, a: api.SkipCall) -> None:
+        self.counters.add("calls left out")
+        self.calls.drop(a.id)
+        self.runs.go_on(a.id, None)
+
+    def _remember(self, a: api.Remember) -> None:
+        self.keys.keep_until(a.id, self.clock.now + round(a.ttl_ms * MS))
+
+    def _share(self, a: api.ShareResult) -> None:
+        """From the result of the try that holds the key, or once that has one."""
+        if (request := self.table.by_number.get(a.id)) is None:
+            return
+        entry = None if request.repeats is None else self.keys.of_try(request.repeats)
+        request.stage = Stage.SHARING
+        if entry is not None and not entry.over:
+            entry.waiters.append(a.id)
+        else:
+            self._shared(a.id, entry.result if entry is not None else None)
+
+    def _shared(self, number: int, result: bytes | None) -> None:
+        request = self.table.by_number.get(number)
+        if request is None:
+            return
+        self.touch()
+        self._answer(request, Answer(Verdict.FAILED, cause=Cause.NO_RESULT) if result is None
+                     else Answer(Verdict.SERVED, result))
+        self._over(request, Ending.RUN_FAILED if result is None else Ending.RUN_PASSED)
+
+    def _over(self, request: Request, ending: Ending) -> None:
+        took = (self.clock.now - request.came) / MS
+        self._events.append(api.RunEnded(request.number, OUTCOMES[ending], took))
+        self.touch()
+        self.table.remove(request)
+
+    def _set_health(self, a: api.SetHealth) -> None:
+        self.healthy = a.healthy
+
+    def _signal(self, a: api.Signal) -> None:
+        self.hint = a.value
+
+    def _set_timer(self, a: api.SetTimer) -> None:
+        due = self.clock.now + max(0, round(a.delay_ms * MS))
+        if due - self.clock.now <= GAUGE_LEAD:
+            self._kernel.ask_gauges()
+        else:
+            self.alarms.at(due - GAUGE_LEAD, self._kernel.ask_gauges)
+        self.alarms.at(due, lambda: self._events.append(api.Timer(a.token, self._gauges)))
+
+    # ---- answers ----
+
+    def _answer(self, request: Request, answer: Answer) -> None:
+        """The one place where an answer is given: once, as the way back is taken off the request."""
+        reply, request.reply = request.reply, None
+        if reply is not None:
+            self.counters.add(answer.verdict.value, self._tenant(request))
+            if answer.verdict is Verdict.FAILED:
+                self.counters.add("failed: " + answer.cause.value)
+            reply.answer(request.tag, answer, self.hint)
+
+    def _tenant(self, request: Request) -> str | None:
+        return None if request.tenant is None else self._names[request.tenant]
--- /dev/null
+++ b/moorusher/core/endings.py
@@ -0,0 +1,55 @@
+"""Every way in which a connection, or what was asked over one, can end; mapped to the module's outcome here."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from peattack.interface import Outcome
+
+
+class Ending(Enum):
+    # A run, as the kernel reports it.
+    RUN_PASSED = "run passed"
+    RUN_FAILED = "run failed"
+    RUN_KILLED = "run killed"
+    RUN_NEVER_BEGAN = "run never began"
+    RUN_NOT_ACCEPTED = "run not accepted by the kernel"
+    # A call below.
+    CALL_ANSWERED = "call answered"
+    CALL_FAILED = "call failed"
+    CALL_TURNED_AWAY = "call turned away"
+    CALL_STRAY = "no run waits for the call"
+    CALL_OUT_OF_TIME = "call out of time"
+    CALL_GIVEN_UP = "call given up"
+    CALL_NOT_CONNECTED = "no connection for the call"
+    CALL_CUT_OFF = "connection lost during the call"
+    CALL_GARBLED = "reply to the call could not be read"
+    # A connection.
+    CLOSED_BY_PEER = "closed by the other side"
+    CLOSED_BY_US = "closed by us"
+    LOST = "lost"
+    REFUSED = "refused"
+    LINE_TOO_LONG = "line too long"
+    BAD_FRAME = "framing lost"
+    READS_TOO_SLOWLY = "other side reads too slowly"
+    TOO_MANY = "too many connections"
+    IDLE = "idle for too long"
+
+
+# Only what stands here is ever told to the module: the other endings are those of connections alone.
+OUTCOMES: dict[Ending, Outcome] = {
+    Ending.RUN_PASSED: Outcome.OK,
+    Ending.RUN_FAILED: Outcome.ERROR,
+    Ending.RUN_KILLED: Outcome.CANCELLED,
+    Ending.RUN_NEVER_BEGAN: Outcome.MOOT,
+    Ending.RUN_NOT_ACCEPTED: Outcome.ERROR,
+    Ending.CALL_ANSWERED: Outcome.OK,
+    Ending.CALL_FAILED: Outcome.ERROR,
+    Ending.CALL_TURNED_AWAY: Outcome.FULL,
+    Ending.CALL_STRAY: Outcome.MOOT,
+    Ending.CALL_OUT_OF_TIME: Outcome.TIMEOUT,
+    Ending.CALL_GIVEN_UP: Outcome.TIMEOUT,
+    Ending.CALL_NOT_CONNECTED: Outcome.CONNECT_FAILED,
+    Ending.CALL_CUT_OFF: Outcome.RESET,  # proves nothing: the call may have run
+    Ending.CALL_GARBLED: Outcome.ERROR,
+}
--- /dev/null
+++ b/moorusher/core/intake.py
@@ -0,0 +1,69 @@
+"""What comes in: checked against the settings, numbered, and tied to the try that it repeats."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from peattack import interface as api
+
+from .answer import Reply
+from .clock import MS, Clock
+from .keys import Keys
+from .requests import Arrival, Request, Table
+
+# A held request takes its body, 2 KiB, and small change; the module refuses long before by its own memory.
+MOST_REQUESTS = 10_000
+
+
+class Fault(Enum):
+    """Why something that was read is no request: the sender's mistake, except for the last two."""
+
+    NO_SUCH_CLASS = "no such class"
+    NO_SUCH_TENANT = "no such tenant"
+    TOKEN_MISSING = "a request of this class needs a token"
+    RID_IN_USE = "a request with this rid is open"
+    TOO_MANY = "too many requests are open"
+    KEYS_FULL = "no room for a further key"
+    NOT_READY = "the kernel is not up yet"
+
+
+class Intake:
+    def __init__(self, settings: api.Settings, clock: Clock, table: Table, keys: Keys) -> None:
+        self.settings, self._clock, self._table, self._keys = settings, clock, table, keys
+        self.classes = {c.name: i for i, c in enumerate(settings.classes)}
+        self.tenants = {t.name: i for i, t in enumerate(settings.tenants)}
+
+    def take(self, a: Arrival, reply: Reply, tag: int) -> tuple[Request, api.Request] | Fault:
+        """The request, in the table, and the event that tells the module of it."""
+        klass, tenant, now = self.classes.get(a.klass), None, self._clock.now
+        if klass is None:
+            return Fault.NO_SUCH_CLASS
+        if a.tenant is not None and self.tenants:
+            tenant = self.tenants.get(a.tenant)
+            if tenant is None:
+                return Fault.NO_SUCH_TENANT
+        keyed = self.settings.classes[klass].effect is api.Effect.KEYED
+        if keyed and not a.token:
+            return Fault.TOKEN_MISSING
+        if a.rid in self._table.by_rid:
+            return Fault.RID_IN_USE
+        if len(self._table) >= MOST_REQUESTS:
+            return Fault.TOO_MANY
+        came = now if a.t0_unix_ms is None else min(now, self._clock.from_unix_ms(a.t0_unix_ms))
+        request = Request(self._table.number(), a.rid, klass, tenant, a.body, came, reply, tag)
+        if keyed and a.token:
+            request.key = (klass, tenant, a.token)
+            entry = self._keys.find(request.key, now)
+            if entry is not None:
+                request.repeats = entry.number
+            elif self._keys.full():
+                return Fault.KEYS_FULL  # without its key remembered it could run twice
+            else:
+                self._keys.hold(request.key, request.number)
+        self._table.add(request)
+        waited = (now - came) / MS
+        left = None if a.budget_ms is None else max(0.0, a.budget_ms - waited)
+        return request, api.Request(
+            request.number, klass, a.memory_kb, waited, left, a.caller, tenant, a.is_retry, keyed,
+            request.repeats, a.rank, a.subject, a.hint_ms,
+        )
--- /dev/null
+++ b/moorusher/core/keys.py
@@ -0,0 +1,107 @@
+"""Keys of requests that must not run twice: the try that holds each key, its window, its kept result."""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import dataclass, field
+
+from .clock import MS, SECOND
+
+Key = tuple[int, int | None, str]
+
+# The rule counts from t0 of the try that ran to the writing of a repeat, with 50 ms on top; a repeat may
+# also lie unread for a while. Serving a kept result late is allowed, a second run is not.
+MARGIN = 2 * SECOND
+# Results of up to 4 KiB in a process of 192 MB: 8,000 of them are 32 MB, some 180 runs a second for 44 s.
+MOST_ENTRIES = 8_000
+MOST_BYTES = 40_000_000
+
+
+@dataclass(slots=True, eq=False)
+class Entry:
+    key: Key
+    number: int  # the try that holds the key
+    until: int | None = None  # None while that try is open and has no window yet
+    ran: bool = False
+    over: bool = False
+    result: bytes | None = None  # kept where the run passed
+    waiters: list[int] = field(default_factory=list)
+
+
+class Keys:
+    """Entries go when their time has run out, looked at as new ones come: no timer sweeps them."""
+
+    def __init__(self) -> None:
+        self._by_key: dict[Key, Entry] = {}
+        self._by_number: dict[int, Entry] = {}
+        self._ends: list[tuple[int, int]] = []  # (until, number of the try); stale where the entry says otherwise
+        self.bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._by_key)
+
+    def full(self) -> bool:
+        return len(self._by_key) >= MOST_ENTRIES or self.bytes >= MOST_BYTES
+
+    def find(self, key: Key, now: int) -> Entry | None:
+        self._expire(now)
+        return self._by_key.get(key)
+
+    def of_try(self, number: int) -> Entry | None:
+        return self._by_number.get(number)
+
+    def hold(self, key: Key, number: int) -> Entry:
+        """From the moment that it is read, so that a repeat in the same turn is known as one."""
+        entry = self._by_key[key] = self._by_number[number] = Entry(key, number)
+        return entry
+
+    def keep_until(self, number: int, until: int) -> None:
+        entry = self._by_number.get(number)
+        if entry is not None and (entry.until is None or until > entry.until):
+            entry.until = until
+            heapq.heappush(self._ends, (until, number))
+
+    def runs(self, number: int, came: int, window_ms: float) -> bool:
+        """The try is about to run. False where it may not: its key is another's, or it has run already."""
+        entry = self._by_number.get(number)
+        if entry is None or entry.ran:
+            return False
+        entry.ran = True
+        self.keep_until(number, came + round(window_ms * MS) + MARGIN)
+        return True
+
+    def settle(self, number: int, result: bytes | None) -> list[int]:
+        """The run is over; those that wait for its result are returned once."""
+        entry = self._by_number.get(number)
+        if entry is None:
+            return []
+        entry.over = True
+        if result is not None and entry.result is None:
+            entry.result = result
+            self.bytes += len(result)
+        waiters, entry.waiters = entry.waiters, []
+        return waiters
+
+    def drop(self, number: int) -> list[int]:
+        """The try is over and never ran: its key is free again. Those that waited for it get no result."""
+        entry = self._by_number.get(number)
+        if entry is None or entry.ran:
+            return []
+        self._remove(entry)
+        return entry.waiters
+
+    def _expire(self, now: int) -> None:
+        while self._ends and self._ends[0][0] <= now:
+            entry = self._by_number.get(heapq.heappop(self._ends)[1])
+            # An open try keeps its key however long it takes: else a repeat would run beside it.
+            if entry is not None and entry.until is not None and entry.until <= now:
+                if entry.over:
+                    self._remove(entry)
+                else:
+                    entry.until = now + SECOND
+                    heapq.heappush(self._ends, (entry.until, entry.number))
+
+    def _remove(self, entry: Entry) -> None:
+        del self._by_key[entry.key]
+        del self._by_number[entry.number]
+        self.bytes -= len(entry.result or b"")
--- /dev/null
+++ b/moorusher/core/requests.py
@@ -0,0 +1,74 @@
+"""The table of requests and the life of one: held, running or sharing, then over."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from .answer import Reply
+
+
+class Stage(Enum):
+    HELD = "held"
+    RUNNING = "running"  # from the command to the kernel until its end is known, calls included
+    SHARING = "sharing"  # waits for the result of another try
+
+
+@dataclass(slots=True, frozen=True)
+class Arrival:
+    """What a front has read: checked in form, not yet against the settings."""
+
+    rid: str
+    klass: str
+    body: bytes
+    t0_unix_ms: float | None = None
+    budget_ms: float | None = None
+    tenant: str | None = None
+    caller: int = 0
+    memory_kb: float = 0.0
+    rank: float = 0.0
+    token: str | None = None
+    subject: int | None = None
+    is_retry: bool = False
+    hint_ms: float | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    number: int  # the module's id of it
+    rid: str  # the kernel's
+    klass: int
+    tenant: int | None
+    body: bytes
+    came: int  # when it came to the machine, in microseconds of the monotonic clock
+    reply: Reply | None  # None once it is answered or the caller has gone
+    tag: int
+    key: tuple[int, int | None, str] | None = None  # class, tenant and token: tenants never share results
+    stage: Stage = Stage.HELD
+    repeats: int | None = None
+
+
+class Table:
+    """Requests that are owed an answer or whose run is not over, by both of their names."""
+
+    def __init__(self) -> None:
+        self.by_number: dict[int, Request] = {}
+        self.by_rid: dict[str, Request] = {}
+        self._next = 1
+
+    def number(self) -> int:
+        n = self._next
+        self._next = n % 0xFFFF_FFFF + 1
+        return n
+
+    def add(self, request: Request) -> None:
+        self.by_number[request.number] = request
+        self.by_rid[request.rid] = request
+
+    def remove(self, request: Request) -> None:
+        self.by_number.pop(request.number, None)
+        if self.by_rid.get(request.rid) is request:
+            del self.by_rid[request.rid]
+
+    def __len__(self) -> int:
+        return len(self.by_number)
--- /dev/null
+++ b/moorusher/core/run.py
@@ -0,0 +1,87 @@
+"""Runs in the kernel: what was asked for, what the kernel is known to have read, what to say again."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from .requests import Request
+
+
+class Kernel(Protocol):
+    """A link to the kernel. It may drop what it is given while it is down: `Runs.say_again` makes up for it."""
+
+    def run(self, rid: str, route: str, body: bytes) -> None: ...
+    def stop(self, rid: str) -> None: ...
+    def call_done(self, rid: str, body: bytes) -> None: ...
+    def call_left_out(self, rid: str, notice: int) -> None: ...
+    def ask_gauges(self) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    request: Request
+    route: str
+    known: bool = False  # the kernel has told something of it, so it has read the command
+    stopped: bool = False
+    notice: int = 0  # of the call that it waits for; 0 where it waits for none
+    call: bytes = b""
+    told: tuple[int, bytes | None] | None = None  # last notice answered, with the reply or None for 'left out'
+
+
+class Runs:
+    def __init__(self, kernel: Kernel, routes: list[str]) -> None:
+        self._kernel, self._routes = kernel, routes
+        self._runs: dict[int, Run] = {}
+
+    def __len__(self) -> int:
+        return len(self._runs)
+
+    def get(self, number: int) -> Run | None:
+        return self._runs.get(number)
+
+    def start(self, request: Request) -> None:
+        run = self._runs[request.number] = Run(request, self._routes[request.klass])
+        self._kernel.run(request.rid, run.route, request.body)
+
+    def stop(self, number: int) -> None:
+        if (run := self._runs.get(number)) is not None and not run.stopped:
+            run.stopped = True
+            self._kernel.stop(run.request.rid)
+
+    def needs_call(self, number: int, notice: int, body: bytes) -> bool:
+        """False where that notice was read before."""
+        run = self._runs.get(number)
+        if run is None or notice <= run.notice or (run.told is not None and notice <= run.told[0]):
+            return False
+        run.known, run.notice, run.call, run.told = True, notice, body, None
+        return True
+
+    def go_on(self, number: int, reply: bytes | None) -> None:
+        """With the reply to its call, or without the call."""
+        run = self._runs.get(number)
+        if run is None or not run.notice:
+            return  # it waits for no call: the kernel would take this for a fault
+        run.told, run.notice, run.call = (run.notice, reply), 0, b""
+        self._tell(run)
+
+    def _tell(self, run: Run) -> None:
+        if run.told is None:
+            return
+        notice, reply = run.told
+        if reply is None:
+            self._kernel.call_left_out(run.request.rid, notice)
+        else:
+            self._kernel.call_done(run.request.rid, reply)
+
+    def over(self, number: int) -> Run | None:
+        return self._runs.pop(number, None)
+
+    def say_again(self) -> None:
+        """After a broken link, once the kernel's replay has been read: whatever it may not have got."""
+        for run in list(self._runs.values()):
+            if not run.known:
+                self._kernel.run(run.request.rid, run.route, run.request.body)
+            self._tell(run)
+            if run.stopped:
+                self._kernel.stop(run.request.rid)
--- /dev/null
+++ b/moorusher/fronts/jsonrpc.py
@@ -0,0 +1,282 @@
+"""The platform's protocol: JSON-RPC 2.0, a message a line. Framing only."""
+
+from __future__ import annotations
+
+import binascii
+import json
+import math
+from typing import Any
+
+from twisted.internet.protocol import Factory
+from twisted.protocols.basic import LineOnlyReceiver
+from twisted.python.failure import Failure
+
+from ..core.answer import Answer, Verdict
+from ..core.decide import Decider
+from ..core.endings import Ending
+from ..core.intake import Fault
+from ..core.requests import Arrival, Request
+
+PARSE, INVALID, NO_METHOD, BAD_PARAMS, FAILED, REFUSED = -32700, -32600, -32601, -32602, -32000, -32014
+MOST_OPEN = 32  # requests on one connection
+MOST_BODY = 2048
+MOST_LINE = 8192  # a body in base64 takes 2,732 of it
+MOST_UNSENT = 256 * 1024  # 32 answers of 4 KiB in base64 are two thirds of it
+FAULT_CODES = {Fault.NO_SUCH_CLASS: NO_METHOD, Fault.NO_SUCH_TENANT: BAD_PARAMS,
+               Fault.TOKEN_MISSING: BAD_PARAMS, Fault.RID_IN_USE: BAD_PARAMS}
+
+
+class BadParams(ValueError):
+    pass
+
+
+def _number(params: dict[str, Any], key: str, least: float, most: float = math.inf) -> float | None:
+    value = params.get(key)
+    if value is None:
+        return None
+    # Not by isinstance alone: JSON as Python reads it has NaN and Infinity, and True is an int.
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not least <= value <= most \
+            or value == math.inf:
+        raise BadParams(f"{key}: expected a number from {least:g}")
+    return value
+
+
+def _text(params: dict[str, Any], key: str, most: int) -> str | None:
+    value = params.get(key)
+    if value is None:
+        return None
+    if not isinstance(value, str) or not 0 < len(value) <= most:
+        raise BadParams(f"{key}: expected a string of 1 to {most} characters")
+    return value
+
+
+def _hex(text: str | None, key: str) -> int | None:
+    if text is None:
+        return None
+    try:
+        return int(text, 16)
+    except ValueError:
+        raise BadParams(f"{key}: expected hex digits") from None
+
+
+def read_arrival(method: str, params: Any) -> Arrival:
+    if not isinstance(params, dict):
+        raise BadParams("params: expected an object")
+    rid = _text(params, "rid", 64)
+    if rid is None:
+        raise BadParams("rid: required")
+    content = params.get("content", "")
+    if not isinstance(content, str):
+        raise BadParams("content: expected base64")
+    try:
+        body = binascii.a2b_base64(content, strict_mode=True)
+    except (binascii.Error, ValueError):
+        raise BadParams("content: expected base64") from None
+    if len(body) > MOST_BODY:
+        raise BadParams(f"content: more than {MOST_BODY} bytes")
+    return Arrival(
+        rid, method, body, _number(params, "t0", 0, 1e15), _number(params, "budget", 0),
+        _text(params, "acct", 256), int(_number(params, "peer", 0, 2**32) or 0),
+        _number(params, "mem", 0, 1e9) or 0.0, _number(params, "prio", 0, 1) or 0.0,
+        _text(params, "token", 128), _hex(_text(params, "obj", 32), "obj"),
+        bool(params.get("again")), _number(params, "est", 0))
+
+
+def _error(tag: object, code: int, message: str, hint: float | None = None, **data: object) -> bytes:
+    if hint is not None:
+        data["hint"] = hint
+    error: dict[str, object] = {"code": code, "message": message}
+    if data:
+        error["data"] = data
+    return json.dumps({"jsonrpc": "2.0", "id": tag, "error": error}).encode() + b"\n"
+
+
+class JsonRpcConnection(LineOnlyReceiver):
+    """One connection of a front end, and the way back for the requests that came on it."""
+
+    transport: Any  # zope's interfaces mean nothing to mypy
+    delimiter = b"\n"
+    MAX_LENGTH = MOST_LINE
+
+    def __init__(self, owner: JsonRpcFront) -> None:
+        self.owner, self.core = owner, owner.core
+        self.open: dict[int, Request] = {}
+        self.by_rid: dict[str, int] = {}
+        self.used = self.active = 0  # the highest id so far; when something last came
+        self.leaving = False
+        self.unsent = 0  # since the other side stopped reading; 0 where it reads
+        self.ending: Ending | None = None
+
+    # ---- the connection ----
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        # A front end that does not read is not read either; what is already owed is bounded in `_send`.
+        self.transport.registerProducer(self, True)
+        self.owner.joined(self)
+        if self.owner.draining:
+            self.leave()
+
+    def pauseProducing(self) -> None:
+        self.unsent = 1
+        self.transport.pauseProducing()
+
+    def resumeProducing(self) -> None:
+        self.unsent = 0
+        self.transport.resumeProducing()
+
+    def stopProducing(self) -> None:
+        self.end(Ending.LOST)
+
+    def connectionLost(self, reason: Failure | None = None) -> None:
+        self.transport.unregisterProducer()
+        self.owner.left(self, self.ending or Ending.CLOSED_BY_PEER)
+        requests, self.open = list(self.open.values()), {}
+        self.by_rid.clear()
+        for request in requests:
+            self.core.gone(request)
+
+    def end(self, ending: Ending) -> None:
+        if self.ending is None:
+            self.ending = ending
+            if ending is Ending.READS_TOO_SLOWLY:
+                self.transport.abortConnection()
+            else:
+                self.transport.loseConnection()
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        self._send(_error(None, PARSE, f"a line of more than {self.MAX_LENGTH} bytes"))
+        self.end(Ending.LINE_TOO_LONG)  # where the next message starts is not known
+
+    def leave(self) -> None:
+        if not self.leaving:
+            self.leaving = True
+            self._send(b'{"jsonrpc":"2.0","method":"leaving"}\n')
+
+    def _send(self, line: bytes) -> None:
+        self.transport.write(line)  # the transport writes once a turn, whatever was added to it
+        if self.unsent:
+            self.unsent += len(line)
+            if self.unsent > MOST_UNSENT:
+                self.end(Ending.READS_TOO_SLOWLY)
+
+    # ---- what comes ----
+
+    def lineReceived(self, line: bytes) -> None:
+        if self.ending is not None:
+            return
+        if not line.strip():
+            return
+        self.active = self.core.clock.now
+        try:
+            message = json.loads(line)
+        except (ValueError, RecursionError):
+            return self._fault(None, PARSE, "not valid JSON")
+        if not isinstance(message, dict) or message.get("jsonrpc") != "2.0":
+            return self._fault(None, INVALID, "expected one JSON-RPC 2.0 message")
+        method, tag, params = message.get("method"), message.get("id"), message.get("params")
+        if isinstance(tag, bool) or not isinstance(tag, int | None):
+            return self._fault(None, INVALID, "id: expected a whole number")
+        if not isinstance(method, str):
+            return self._fault(tag, INVALID, "method: expected a string")
+        if method == "revoke":
+            return self._revoke(tag, params)
+        if method == "heartbeat":
+            return self._heartbeat(tag)
+        if tag is None:
+            return  # a notification of a method that we don't know: JSON-RPC has no answer to it
+        if method not in self.core.intake.classes:
+            return self._fault(tag, NO_METHOD, "no such method")
+        if tag < 1 or tag in self.open:
+            return self._fault(tag, INVALID, "id: expected one from 1 on that is not in use")
+        if len(self.open) >= MOST_OPEN:
+            return self._fault(tag, INVALID, f"more than {MOST_OPEN} requests open on one connection")
+        try:
+            arrival = read_arrival(method, params)
+        except BadParams as exc:
+            return self._fault(tag, BAD_PARAMS, str(exc))
+        taken = self.core.take(arrival, self, tag)
+        if isinstance(taken, Fault):
+            return self._send(_error(tag, FAULT_CODES.get(taken, FAILED), taken.value))
+        self.open[tag] = taken
+        self.by_rid[taken.rid] = tag
+
+    def _fault(self, tag: int | None, code: int, text: str) -> None:
+        self.core.counters.add("faulty")
+        self._send(_error(tag, code, text))
+
+    def _heartbeat(self, tag: int | None) -> None:
+        fit = self.core.ready and self.core.healthy
+        result: dict[str, object] = {"fit": fit}
+        if self.core.hint is not None:
+            result["hint"] = self.core.hint
+        self.core.counters.add("health checks")
+        self._send(json.dumps({"jsonrpc": "2.0", "id": tag, "result": result}).encode() + b"\n")
+
+    def _revoke(self, tag: int | None, params: Any) -> None:
+        """Names the request by its rid, or by its id on this connection."""
+        named = params if isinstance(params, dict) else {}
+        number = named.get("id")
+        rid = named.get("rid")
+        if isinstance(rid, str):
+            number = self.by_rid.get(rid)
+        request = self.open.pop(number, None) if isinstance(number, int) else None
+        if request is not None:
+            self.by_rid.pop(request.rid, None)
+            self.core.gone(request)
+        if tag is not None and tag not in self.open:
+            self._send(json.dumps({"jsonrpc": "2.0", "id": tag, "result": {}}).encode() + b"\n")
+
+    # ---- what goes back ----
+
+    def answer(self, tag: int, answer: Answer, hint: float | None) -> None:
+        request = self.open.pop(tag, None)
+        if request is not None:
+            self.by_rid.pop(request.rid, None)
+        if answer.verdict is Verdict.SERVED:
+            content = binascii.b2a_base64(answer.content, newline=False)
+            more = b"" if hint is None else b',"hint":%s' % json.dumps(hint).encode()
+            self._send(b'{"jsonrpc":"2.0","id":%d,"result":{"content":"%s"%s}}\n' % (tag, content, more))
+        elif answer.verdict is Verdict.REFUSED:
+            data: dict[str, object] = {"backoff": answer.backoff_ms}
+            if answer.final:
+                data["final"] = 1
+            self._send(_error(tag, REFUSED, answer.cause.value, hint, **data))
+        else:
+            self._send(_error(tag, FAILED, answer.cause.value, hint))
+
+
+class JsonRpcFront(Factory):
+    """The listening side: its connections, their bound, and leaving."""
+
+    noisy = False
+
+    def __init__(self, core: Decider, most: int) -> None:
+        self.core, self.most = core, most
+        self.connections: set[JsonRpcConnection] = set()
+        self.draining = False
+
+    def buildProtocol(self, addr: object) -> JsonRpcConnection | None:
+        if len(self.connections) >= self.most:
+            self.core.counters.add("connections: " + Ending.TOO_MANY.value)
+            return None
+        return JsonRpcConnection(self)
+
+    def joined(self, connection: JsonRpcConnection) -> None:
+        self.connections.add(connection)
+        self.core.counters.add("connections")
+
+    def left(self, connection: JsonRpcConnection, ending: Ending) -> None:
+        self.connections.discard(connection)
+        self.core.counters.add("connections: " + ending.value)
+
+    def leave(self) -> None:
+        self.draining = True
+        for connection in list(self.connections):
+            connection.leave()
+
+    def trim(self, idle: int) -> None:
+        """Ask front ends to close what has carried nothing for so long: our own close could cross a request."""
+        for connection in list(self.connections):
+            if not connection.open and self.core.clock.now - connection.active >= idle:
+                connection.leave()
--- /dev/null
+++ b/moorusher/links/database.py
@@ -0,0 +1,159 @@
+"""Calls below over HTTP/1.1: a pool of connections with one call at a time on each. Framing only."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Any
+
+from twisted.internet.protocol import ClientFactory
+from twisted.python.failure import Failure
+
+from ..config import Address
+from ..core.clock import SECOND, Alarm
+from ..core.decide import Decider
+from ..core.endings import Ending
+from .http import HttpClient
+
+IDLE = 7 * SECOND  # the other side closes after 10 s: a call must not cross that close
+MOST_IDLE = 32
+
+
+def ending_of(status: int, headers: dict[bytes, bytes]) -> Ending:
+    never = headers.get(b"never-started") == b"1"
+    if status == 200:
+        return Ending.CALL_ANSWERED
+    if status == 503 and never:
+        return Ending.CALL_TURNED_AWAY
+    if status == 409 and never:
+        return Ending.CALL_STRAY
+    if status == 504:
+        return Ending.CALL_OUT_OF_TIME
+    return Ending.CALL_FAILED  # without the proof it may have had its effect
+
+
+class DatabaseConnection(HttpClient):
+    def __init__(self, pool: DatabasePool, first: tuple[int, str, bytes, int]) -> None:
+        super().__init__()
+        self.pool, self.first = pool, first
+        self.number: int | None = None  # the request whose call is on it
+        self.idle_since = 0
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.send(*self.first)
+
+    def send(self, number: int, rid: str, body: bytes, timeout_ms: int) -> None:
+        self.number = number
+        self.transport.write(
+            b"POST /v1/exec HTTP/1.1\r\nHost: db\r\nRequest-Ref: %s\r\nStatement-Timeout-Ms: %d\r\n"
+            b"Content-Length: %d\r\n\r\n%s" % (rid.encode(), timeout_ms, len(body), body))
+
+    def replied(self, status: int, headers: dict[bytes, bytes], body: bytes, keep: bool) -> None:
+        number, self.number = self.number, None
+        if number is None or not keep:
+            self.transport.loseConnection()
+        else:
+            self.pool.spare(self)
+        if number is not None:
+            self.pool.over(number, ending_of(status, headers), body)
+
+    def garbled(self, why: str) -> None:
+        number, self.number = self.number, None
+        self.transport.abortConnection()
+        if number is not None:
+            self.pool.over(number, Ending.CALL_GARBLED, b"")
+
+    def connectionLost(self, reason: Failure | None = None) -> None:
+        self.pool.lost(self)
+        number, self.number = self.number, None
+        if number is not None:
+            self.pool.over(number, Ending.CALL_CUT_OFF, b"")
+
+
+class _Dial(ClientFactory):
+    """A connection that is being made for one call; the call is written as it comes up."""
+
+    noisy = False
+
+    def __init__(self, pool: DatabasePool, number: int, rid: str, body: bytes, timeout_ms: int) -> None:
+        self.pool, self.number, self.given_up = pool, number, False
+        self.call = (number, rid, body, timeout_ms)
+        self.connector: Any = None
+
+    def buildProtocol(self, addr: object) -> DatabaseConnection | None:
+        if self.given_up:
+            return None
+        connection = DatabaseConnection(self.pool, self.call)
+        self.pool.connected(self.number, connection)
+        return connection
+
+    def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
+        if not self.given_up:
+            self.pool.over(self.number, Ending.CALL_NOT_CONNECTED, b"")
+
+
+class DatabasePool:
+    def __init__(self, reactor: Any, address: Address) -> None:
+        self.reactor, self._address = reactor, address
+        self.core: Decider  # set by the owner
+        self._idle: deque[DatabaseConnection] = deque()  # oldest first; the newest is used first
+        self._dialling: dict[int, _Dial] = {}
+        self._busy: dict[int, DatabaseConnection] = {}
+        self._alarm: Alarm | None = None
+
+    # ---- from the core ----
+
+    def call(self, number: int, rid: str, body: bytes, timeout_ms: int) -> None:
+        self._close_old()
+        if self._idle:
+            connection = self._busy[number] = self._idle.pop()
+            connection.send(number, rid, body, timeout_ms)
+            return
+        dial = self._dialling[number] = _Dial(self, number, rid, body, timeout_ms)
+        dial.connector = self.reactor.connectTCP(*self._address, dial, timeout=30)
+
+    def give_up(self, number: int) -> None:
+        """By closing its connection: that is how the other side hears of it."""
+        if (dial := self._dialling.pop(number, None)) is not None:
+            dial.given_up = True
+            if dial.connector is not None:
+                dial.connector.disconnect()
+        if (connection := self._busy.pop(number, None)) is not None:
+            connection.number = None
+            connection.transport.abortConnection()
+
+    # ---- from the connections ----
+
+    def connected(self, number: int, connection: DatabaseConnection) -> None:
+        self._dialling.pop(number, None)
+        self._busy[number] = connection
+
+    def over(self, number: int, ending: Ending, body: bytes) -> None:
+        self._dialling.pop(number, None)
+        self._busy.pop(number, None)
+        self.core.call_over(number, ending, body)
+
+    def spare(self, connection: DatabaseConnection) -> None:
+        connection.idle_since = self.core.clock.now
+        self._idle.append(connection)
+        if len(self._idle) > MOST_IDLE:
+            self._idle.popleft().transport.loseConnection()
+        self._watch()
+
+    def lost(self, connection: DatabaseConnection) -> None:
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+    def _close_old(self) -> None:
+        while self._idle and self.core.clock.now - self._idle[0].idle_since >= IDLE:
+            self._idle.popleft().transport.loseConnection()
+
+    def _watch(self) -> None:
+        """One alarm for the connection that has been idle longest."""
+        if self._alarm is None and self._idle:
+            self._alarm = self.core.alarms.at(self._idle[0].idle_since + IDLE, self._aged)
+
+    def _aged(self) -> None:
+        self._alarm = None
+        self._close_old()
+        self._watch()
--- /dev/null
+++ b/moorusher/links/kernel.py
@@ -0,0 +1,161 @@
+"""The link to the kernel: JSON, a message a line. It is kept open, and reads on where a broken one ended."""
+
+from __future__ import annotations
+
+import binascii
+import json
+import logging
+from typing import Any
+
+from twisted.internet.protocol import ClientFactory
+from twisted.protocols.basic import LineOnlyReceiver
+from twisted.python.failure import Failure
+
+from ..config import Address
+from ..core.clock import MS
+from ..core.decide import Decider
+from ..core.endings import Ending
+
+log = logging.getLogger("moorusher")
+
+RUN_ENDS = {"PASS": Ending.RUN_PASSED, "FAIL": Ending.RUN_FAILED, "KILLED": Ending.RUN_KILLED,
+            "NOOP": Ending.RUN_NEVER_BEGAN}
+RETRY, RETRY_MOST = 20 * MS, 400 * MS
+SYNC = "replayed"
+
+
+class KernelConnection(LineOnlyReceiver):
+    transport: Any  # zope's interfaces mean nothing to mypy
+    delimiter = b"\n"
+    MAX_LENGTH = 65_536
+
+    def __init__(self, link: KernelLink) -> None:
+        self.link = link
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.say({"t": "OPEN", "no": self.link.last})  # before anything else
+
+    def say(self, message: dict[str, object]) -> None:
+        self.transport.write(json.dumps(message, separators=(",", ":")).encode() + b"\n")
+
+    def lineReceived(self, line: bytes) -> None:
+        if self.link.connection is not self:
+            return  # a newer link has taken over
+        try:
+            self.link.read(json.loads(line))
+        except Exception:  # one notice that can't be read must not end the program, nor be skipped over
+            log.exception("the kernel sent %r", line[:200])
+            self.link.core.counters.add("kernel lines unread")
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        self.link.core.counters.add("kernel link: " + Ending.LINE_TOO_LONG.value)
+        self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure | None = None) -> None:
+        self.link.lost(self)
+
+
+class KernelLink(ClientFactory):
+    """Holds what outlives a connection: the number of the last notice. Commands for a link that is down are
+    dropped; `Runs` says them again once the replay has been read."""
+
+    noisy = False
+
+    def __init__(self, reactor: Any, address: Address) -> None:
+        self._reactor, self._address = reactor, address
+        self.core: Decider  # set by the owner: core and link need each other
+        self.connection: KernelConnection | None = None
+        self.last = 0
+        self._up = False  # BOOTED has come on this link
+        self._was_up = False
+        self._pause = RETRY
+        self._closing = False
+
+    def start(self) -> None:
+        self._reactor.connectTCP(*self._address, self, timeout=5)
+
+    def close(self) -> None:
+        self._closing = True
+        if self.connection is not None:
+            self.connection.transport.loseConnection()
+
+    def buildProtocol(self, addr: object) -> KernelConnection:
+        self._up = False
+        self.connection = KernelConnection(self)
+        return self.connection
+
+    def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
+        self._again()
+
+    def lost(self, connection: KernelConnection) -> None:
+        if connection is self.connection:
+            self.connection, self._up = None, False
+            self.core.counters.add("kernel link: " + Ending.LOST.value)
+            self._again()
+
+    def _again(self) -> None:
+        if not self._closing:
+            self.core.alarms.at(self.core.clock.read() + self._pause, self.start)
+            self._pause = min(RETRY_MOST, self._pause * 2)
+
+    # ---- notices ----
+
+    def read(self, message: dict[str, Any]) -> None:
+        kind = message.get("t")
+        if kind == "INFO":
+            if message.get("mark") == SYNC:
+                self.core.kernel_read_again()
+            self.core.gauges(tuple(float(v) for v in message.get("v", ())))
+        elif kind == "BOOTED":
+            self._booted(message)
+        elif kind == "EINVAL":
+            self.core.command_refused(str(message.get("status")), str(message.get("rid")))
+        elif kind in ("REAP", "IOREQ", "DMESG"):
+            number = int(message["no"])
+            if number <= self.last:
+                return  # replayed, and read before
+            self.last = number
+            rid = str(message.get("rid", ""))
+            body = binascii.a2b_base64(message.get("b64") or "")
+            if kind == "IOREQ":
+                self.core.call_needed(rid, number, body)
+            elif kind == "REAP":
+                self.core.run_over(rid, RUN_ENDS.get(str(message.get("status")), Ending.RUN_FAILED), body)
+        else:
+            log.warning("the kernel sent an unknown message %r", kind)
+
+    def _booted(self, message: dict[str, Any]) -> None:
+        self._up, self._pause = True, RETRY
+        state, age_ms = message.get("status"), float(message.get("time_ms") or 0)
+        log.info("kernel up: %s, started %.0f ms ago", state, age_ms)
+        if self._was_up:
+            # The answer to this comes after the replay: only then is it known what to say again.
+            self._say({"t": "SYSINFO", "mark": SYNC})
+        self._was_up = True
+        self.core.kernel_up(cold=state == "EMPTY", age_ms=age_ms)
+
+    # ---- commands ----
+
+    def _say(self, message: dict[str, object]) -> None:
+        if self._up and self.connection is not None:
+            self.connection.say(message)
+
+    def run(self, rid: str, route: str, body: bytes) -> None:
+        self._say({"t": "SCHED", "rid": rid, "route": route, "b64": _b64(body)})
+
+    def stop(self, rid: str) -> None:
+        self._say({"t": "PREEMPT", "rid": rid})
+
+    def call_done(self, rid: str, body: bytes) -> None:
+        self._say({"t": "IODONE", "rid": rid, "b64": _b64(body)})
+
+    def call_left_out(self, rid: str, notice: int) -> None:
+        self._say({"t": "NOIO", "rid": rid, "no": notice})
+
+    def ask_gauges(self) -> None:
+        self._say({"t": "SYSINFO", "mark": "g"})
+
+
+def _b64(body: bytes) -> str:
+    return binascii.b2a_base64(body, newline=False).decode()
