--- a/moorusher/config.py
+++ b/moorusher/config.py
@@ -83,7 +83,7 @@
         wanted = (int, float) if kind is float else (kind,)
         if not isinstance(value, wanted) or (isinstance(value, bool) and kind is not bool):
             raise ConfigError(f"{self.key(name)}: expected {kind.__name__}, got {value!r}")
-        return cast(T, float(value) if kind is float else value)
+        return cast(T, float(cast(float, value)) if kind is float else value)
 
     def positive(self, name: str, default: T) -> T:
         value = self.get(name, default)
