uwsgi front, uwsgi calls below, agent check, HTTP health and administration API

Off unless deploy/fronts.toml says otherwise. Calls are described to the links by one object (rid, class, tenant, token, body, time), so that both links stand behind one Protocol.

--- a/moorusher/cli.py
+++ b/moorusher/cli.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import argparse
+import json
 import logging
 import sys
 
 from . import __version__
-from .config import Config, ConfigError, load
+from .config import FRONTS_FILE, Config, ConfigError, load, parse_address, read_fronts
 
 
 def _serve(config: Config) -> int:
@@ -23,18 +24,38 @@
     return 0
 
 
+def _stats(what: str, address: str | None) -> int:
+    from urllib.request import urlopen
+
+    where = parse_address(address, "--address") if address else read_fronts(FRONTS_FILE)[1].listen
+    if where is None:
+        raise ConfigError("admin.listen: not set in deploy/fronts.toml; name the API with --address")
+    try:
+        with urlopen(f"http://{where[0]}:{where[1]}/{what}", timeout=5) as reply:
+            print(json.dumps(json.load(reply), indent=2, sort_keys=True))
+    except OSError as exc:
+        print(f"moorusher: {where[0]}:{where[1]}: {exc}", file=sys.stderr)
+        return 1
+    return 0
+
+
 def main(argv: list[str] | None = None) -> int:
     parser = argparse.ArgumentParser(prog="moorusher", description=__doc__)
     commands = parser.add_subparsers(dest="command")
     commands.add_parser("serve", help="run one runner in the foreground (the default)")
     commands.add_parser("check-config", help="read the configuration and say what it holds")
     commands.add_parser("version", help="print the version")
+    stats = commands.add_parser("stats", help="ask a running runner's administration API")
+    stats.add_argument("what", nargs="?", default="status", choices=["status", "counters", "tenants"])
+    stats.add_argument("--address", help="HOST:PORT of the API (default: admin.listen of deploy/fronts.toml)")
     args = parser.parse_args(argv)
     logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(levelname)s %(message)s")
     if args.command == "version":
         print(f"moorusher {__version__}")
         return 0
     try:
+        if args.command == "stats":
+            return _stats(args.what, args.address)
         config = load()
     except ConfigError as exc:
         print(f"moorusher: {exc}", file=sys.stderr)
--- a/moorusher/core/call.py
+++ b/moorusher/core/call.py
@@ -9,17 +9,29 @@
 from .endings import Ending
 
 
+@dataclass(slots=True, frozen=True)
+class Asked:
+    """A call as the links need it. A keyed request's calls carry keys too, the same for all of its tries."""
+
+    rid: str
+    klass: str
+    tenant: str | None
+    token: str | None
+    body: bytes
+    timeout_ms: int
+
+
 class Calls(Protocol):
     """A link to what lies below. It reports each call's end once, through `Decider.call_over`."""
 
-    def call(self, number: int, rid: str, body: bytes, timeout_ms: int) -> None: ...
+    def call(self, number: int, asked: Asked) -> None: ...
     def give_up(self, number: int) -> None: ...
 
 
 class NoCalls:
     """The last tier has nothing below it."""
 
-    def call(self, number: int, rid: str, body: bytes, timeout_ms: int) -> None:
+    def call(self, number: int, asked: Asked) -> None:
         raise ValueError("a call was to be made, and no address for calls is configured")
 
     def give_up(self, number: int) -> None:
@@ -40,12 +52,12 @@
     def __len__(self) -> int:
         return len(self._open)
 
-    def make(self, number: int, rid: str, body: bytes, timeout_ms: float, timed_out: _TimedOut) -> None:
+    def make(self, number: int, asked: Asked, timed_out: _TimedOut) -> None:
         self.drop(number)  # a second call for a request ends the first
-        until = self._clock.now + max(1, round(timeout_ms * MS))
+        until = self._clock.now + asked.timeout_ms * MS
         alarm = self._alarms.at(until, lambda: timed_out.call_over(number, Ending.CALL_GIVEN_UP, b""))
         self._open[number] = _Open(self._clock.now, alarm)
-        self._calls.call(number, rid, body, max(1, round(timeout_ms)))
+        self._calls.call(number, asked)
 
     def end(self, number: int, ending: Ending) -> float | None:
         """How long the call took in ms; None where it was over already."""
--- a/moorusher/core/decide.py
+++ b/moorusher/core/decide.py
@@ -4,13 +4,14 @@
 
 import logging
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from peattack import interface as api
 from peattack.balance import Balancer
 
 from .answer import Answer, Cause, Reply, Verdict
-from .call import Calls, OpenCalls
+from .call import Asked, Calls, OpenCalls
 from .clock import MS, Alarms, Clock
 from .counters import Counters
 from .endings import OUTCOMES, Ending
@@ -45,6 +46,7 @@
         self._gauges: tuple[float, ...] = ()
         self._names = [t.name for t in settings.tenants]
         self._stop_at: int | None = None
+        self._cold, self._born = False, 0  # the kernel's state and time when it started
         self.healthy, self.hint = True, None  # type: bool, float | None
         self.trim: Callable[[int], None] = lambda idle: None  # set by the fronts' owner
         self.settled: Callable[[], None] = lambda: None  # called after each turn while draining
@@ -96,7 +98,7 @@
         self.counters.add("faults")
         for request in list(self.table.by_number.values()):
             self._fail_all_of(request.number)
-        self._open_module(warm=True)
+        self._open_module()
 
     def _fail_all_of(self, number: int) -> None:
         if (request := self.table.by_number.get(number)) is None:
@@ -107,10 +109,10 @@
         elif self.settings.classes[request.klass].effect is api.Effect.SAFE:
             self.runs.stop(number)
 
-    def _open_module(self, warm: bool, age_ms: float = 0.0) -> None:
-        self._balancer = self._make(self.settings)
-        now = self.clock.module_ms()
-        opened = self._balancer.open(now if warm else now - age_ms)
+    def _open_module(self) -> None:
+        """Cold or warm is the kernel's word: the settings tell how things stood when they were written."""
+        self._balancer = self._make(replace(self.settings, cold=self._cold))
+        opened = self._balancer.open(self.clock.module_ms(self._born))
         for action in opened:
             self._carry_out[type(action)](action)
         if self._stop_at is not None:
@@ -156,6 +158,11 @@
         if request.stage is not Stage.RUNNING:
             self._unheld(request.number)
 
+    def load(self) -> float:
+        """How busy the cores are, as the kernel last said: 0 where it says nothing of that."""
+        told = dict(zip(self.settings.gauges, self._gauges, strict=False))
+        return told.get("cpu_busy", 0.0)
+
     def drain(self, stop_ms: float) -> None:
         if self._stop_at is None:
             self.touch()
@@ -168,7 +175,8 @@
         """The first word of the kernel. Warming counts from its start, which may lie long before or after ours."""
         self.touch()
         if self._balancer is None:
-            self._open_module(warm=not cold, age_ms=age_ms)
+            self._cold, self._born = cold, self.clock.now - round(age_ms * MS)
+            self._open_module()
             self._kernel.ask_gauges()
 
     def kernel_read_again(self) -> None:
@@ -273,7 +281,11 @@
         run = self.runs.get(a.id)
         if run is not None and run.notice:
             self.counters.add("calls")
-            self.calls.make(a.id, run.request.rid, run.call, a.timeout_ms, self)
+            request = run.request
+            token = request.key and f"{request.key[2]}.{run.calls}"
+            asked = Asked(request.rid, run.route, self._tenant(request), token, run.call,
+                          max(1, round(a.timeout_ms)))
+            self.calls.make(a.id, asked, self)
 
     def _skip_call(self, a: api.SkipCall) -> None:
         self.counters.add("calls left out")
--- a/moorusher/core/run.py
+++ b/moorusher/core/run.py
@@ -25,6 +25,7 @@
     known: bool = False  # the kernel has told something of it, so it has read the command
     stopped: bool = False
     notice: int = 0  # of the call that it waits for; 0 where it waits for none
+    calls: int = 0  # calls that it has asked for, this one included
     call: bytes = b""
     told: tuple[int, bytes | None] | None = None  # last notice answered, with the reply or None for 'left out'
 
@@ -55,6 +56,7 @@
         if run is None or notice <= run.notice or (run.told is not None and notice <= run.told[0]):
             return False
         run.known, run.notice, run.call, run.told = True, notice, body, None
+        run.calls += 1
         return True
 
     def go_on(self, number: int, reply: bytes | None) -> None:
--- a/moorusher/links/database.py
+++ b/moorusher/links/database.py
@@ -9,6 +9,7 @@
 from twisted.python.failure import Failure
 
 from ..config import Address
+from ..core.call import Asked
 from ..core.clock import SECOND, Alarm
 from ..core.decide import Decider
 from ..core.endings import Ending
@@ -32,7 +33,7 @@
 
 
 class DatabaseConnection(HttpClient):
-    def __init__(self, pool: DatabasePool, first: tuple[int, str, bytes, int]) -> None:
+    def __init__(self, pool: DatabasePool, first: tuple[int, Asked]) -> None:
         super().__init__()
         self.pool, self.first = pool, first
         self.number: int | None = None  # the request whose call is on it
@@ -42,11 +43,11 @@
         self.transport.setTcpNoDelay(True)
         self.send(*self.first)
 
-    def send(self, number: int, rid: str, body: bytes, timeout_ms: int) -> None:
+    def send(self, number: int, asked: Asked) -> None:
         self.number = number
         self.transport.write(
             b"POST /v1/exec HTTP/1.1\r\nHost: db\r\nRequest-Ref: %s\r\nStatement-Timeout-Ms: %d\r\n"
-            b"Content-Length: %d\r\n\r\n%s" % (rid.encode(), timeout_ms, len(body), body))
+            b"Content-Length: %d\r\n\r\n%s" % (asked.rid.encode(), asked.timeout_ms, len(asked.body), asked.body))
 
     def replied(self, status: int, headers: dict[bytes, bytes], body: bytes, keep: bool) -> None:
         number, self.number = self.number, None
@@ -75,9 +76,9 @@
 
     noisy = False
 
-    def __init__(self, pool: DatabasePool, number: int, rid: str, body: bytes, timeout_ms: int) -> None:
+    def __init__(self, pool: DatabasePool, number: int, asked: Asked) -> None:
         self.pool, self.number, self.given_up = pool, number, False
-        self.call = (number, rid, body, timeout_ms)
+        self.call = (number, asked)
         self.connector: Any = None
 
     def buildProtocol(self, addr: object) -> DatabaseConnection | None:
@@ -103,13 +104,13 @@
 
     # ---- from the core ----
 
-    def call(self, number: int, rid: str, body: bytes, timeout_ms: int) -> None:
+    def call(self, number: int, asked: Asked) -> None:
         self._close_old()
         if self._idle:
             connection = self._busy[number] = self._idle.pop()
-            connection.send(number, rid, body, timeout_ms)
+            connection.send(number, asked)
             return
-        dial = self._dialling[number] = _Dial(self, number, rid, body, timeout_ms)
+        dial = self._dialling[number] = _Dial(self, number, asked)
         dial.connector = self.reactor.connectTCP(*self._address, dial, timeout=30)
 
     def give_up(self, number: int) -> None:
--- /dev/null
+++ b/moorusher/links/uwsgi.py
@@ -0,0 +1,101 @@
+"""Calls below to a uwsgi peer: a connection for each call, closed to give it up. Framing only."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.protocol import ClientFactory
+from twisted.python.failure import Failure
+
+from ..config import Address
+from ..core.call import Asked
+from ..core.decide import Decider
+from ..core.endings import Ending
+from ..fronts.uwsgi import VARS, build_packet
+from .http import HttpClient
+
+
+def call_packet(asked: Asked) -> bytes:
+    # The peer gives the call a rid of its own: a second call for this request is a new try there.
+    variables = {
+        "REQUEST_METHOD": "POST", "REQUEST_URI": "/", "CONTENT_LENGTH": str(len(asked.body)),
+        VARS["class"]: asked.klass, VARS["budget"]: str(asked.timeout_ms), "MOORUSHER_REF": asked.rid,
+    }
+    if asked.tenant is not None:
+        variables[VARS["tenant"]] = asked.tenant
+    if asked.token is not None:
+        variables[VARS["token"]] = asked.token
+    return build_packet(variables) + asked.body
+
+
+def ending_of(status: int, headers: dict[bytes, bytes]) -> Ending:
+    if status == 200:
+        return Ending.CALL_ANSWERED
+    if headers.get(b"x-moorusher-never-ran") == b"1":
+        return Ending.CALL_TURNED_AWAY
+    if status == 504:
+        return Ending.CALL_OUT_OF_TIME
+    return Ending.CALL_FAILED
+
+
+class UwsgiCall(HttpClient):
+    """Sends its packet as it comes up; the reply is an HTTP response."""
+
+    def __init__(self, dial: _Dial) -> None:
+        super().__init__()
+        self.dial = dial
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+        self.transport.write(call_packet(self.dial.asked))
+
+    def replied(self, status: int, headers: dict[bytes, bytes], body: bytes, keep: bool) -> None:
+        self.dial.end(ending_of(status, headers), body)
+        self.transport.loseConnection()
+
+    def garbled(self, why: str) -> None:
+        self.dial.end(Ending.CALL_GARBLED)
+        self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure | None = None) -> None:
+        self.dial.end(Ending.CALL_CUT_OFF)  # where it was answered before, this says nothing more
+
+
+class _Dial(ClientFactory):
+    noisy = False
+
+    def __init__(self, link: UwsgiCalls, number: int, asked: Asked) -> None:
+        self.link, self.number, self.asked, self.over = link, number, asked, False
+        self.connector: Any = None
+
+    def buildProtocol(self, addr: object) -> UwsgiCall | None:
+        return None if self.over else UwsgiCall(self)
+
+    def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
+        self.end(Ending.CALL_NOT_CONNECTED)
+
+    def end(self, ending: Ending, body: bytes = b"") -> None:
+        if not self.over:
+            self.over = True
+            self.link.over(self, ending, body)
+
+
+class UwsgiCalls:
+    def __init__(self, reactor: Any, address: Address) -> None:
+        self._reactor, self._address = reactor, address
+        self.core: Decider  # set by the owner
+        self._open: dict[int, _Dial] = {}
+
+    def call(self, number: int, asked: Asked) -> None:
+        dial = self._open[number] = _Dial(self, number, asked)
+        dial.connector = self._reactor.connectTCP(*self._address, dial, timeout=30)
+
+    def give_up(self, number: int) -> None:
+        if (dial := self._open.pop(number, None)) is not None:
+            dial.over = True
+            dial.connector.disconnect()
+
+    def over(self, dial: _Dial, ending: Ending, body: bytes) -> None:
+        if self._open.get(dial.number) is dial:
+            del self._open[dial.number]
+            self.core.call_over(dial.number, ending, body)
--- a/moorusher/service.py
+++ b/moorusher/service.py
@@ -7,14 +7,17 @@
 import signal
 from typing import Any
 
-from .config import Config
+from .config import Address, Config
 from .core.call import Calls, NoCalls
 from .core.clock import MS, Alarms, Clock
 from .core.decide import Decider
+from .fronts.agent import AgentFront
 from .fronts.jsonrpc import JsonRpcFront
+from .fronts.uwsgi import UwsgiFront
 from .links.announce import Announcer
 from .links.database import DatabasePool
 from .links.kernel import KernelLink
+from .links.uwsgi import UwsgiCalls
 from .loop import LoopTimer
 
 log = logging.getLogger("moorusher")
@@ -31,29 +34,58 @@
         self.timer = LoopTimer(reactor, lambda: self.core.ring())
         self.alarms = Alarms(self.clock, self.timer.arm)
         self.kernel = KernelLink(reactor, config.kernel)
-        self.database = DatabasePool(reactor, config.db) if config.db else None
-        calls: Calls = self.database or NoCalls()
+        below: DatabasePool | UwsgiCalls | None = None
+        if config.uwsgi.below is not None:
+            below = UwsgiCalls(reactor, config.uwsgi.below)
+        elif config.db is not None:
+            below = DatabasePool(reactor, config.db)
+        calls: Calls = below or NoCalls()
         self.core = Decider(config.settings, self.clock, self.alarms, self.kernel, calls,
                             lambda f: reactor.callLater(0, f))
         self.kernel.core = self.core
-        if self.database is not None:
-            self.database.core = self.core
+        if below is not None:
+            below.core = self.core
         self.announcer = Announcer(reactor, config.announce, config.name) if config.announce else None
-        self.front = JsonRpcFront(self.core, max(16, config.limits.sockets - SPARE_SOCKETS))
+        most = max(16, config.limits.sockets - SPARE_SOCKETS)
+        if config.uwsgi.listen is not None:
+            most //= 2  # the two fronts share the descriptors
+        self.front = JsonRpcFront(self.core, most)
+        self.uwsgi = UwsgiFront(self.core, most, config.uwsgi.body_bytes, config.uwsgi.idle_s, self._fit)
         self.core.trim = self.front.trim
-        self.port: Any = None
+        self.ports: list[Any] = []  # those of the fronts: closed on leaving, while health and admin stay
         self._ended = False
         self._heard = 0
 
     def start(self) -> None:
-        self.port = self.reactor.listenTCP(self.config.listen[1], self.front, backlog=1024,
-                                           interface=self.config.listen[0])
+        config = self.config
+        self.ports.append(self._listen(config.listen, self.front))
+        if config.uwsgi.listen is not None:
+            self.ports.append(self._listen(config.uwsgi.listen, self.uwsgi))
+        if config.uwsgi.agent is not None:
+            self._listen(config.uwsgi.agent, AgentFront(self.core))
+        if config.uwsgi.health is not None:
+            from .fronts.health import (
+                health_site,  # Twisted's web server: 6 MB that the platform does not need
+            )
+
+            self._listen(config.uwsgi.health, health_site(self.core))
+        if config.admin.listen is not None:
+            from .admin import admin_site
+
+            self._listen(config.admin.listen,
+                         admin_site(self.core, config.name, config.admin.token, self.drain))
         self.kernel.start()
         if self.announcer is not None:
             self.announcer.core = self.core
             self.announcer.start()
         log.info("%s listens on %s:%d", self.config.name, *self.config.listen)
 
+    def _listen(self, address: Address, factory: Any) -> Any:
+        return self.reactor.listenTCP(address[1], factory, backlog=1024, interface=address[0])
+
+    def _fit(self) -> bool:
+        return self.core.ready and self.core.healthy and not self.core.draining
+
     # ---- leaving ----
 
     def drain(self) -> None:
@@ -72,8 +104,8 @@
 
     def _stop_listening(self) -> None:
         """A connection that waits to be accepted may have a request on it: closing would lose that one."""
-        port, self.port = self.port, None
-        if port is not None:
+        ports, self.ports = self.ports, []
+        for port in ports:
             port.numberAccepts = 1024
             port.doRead()
             port.stopListening()
@@ -87,14 +119,17 @@
             self._heard = self.clock.now
             return
         heard = max((c.active for c in self.front.connections), default=0)
-        if not self.front.connections or self.clock.now - max(self._heard, heard) >= QUIET:
+        reading = any(c.reading for c in self.uwsgi.connections)  # a body that has begun may still become a request
+        left = self.front.connections or self.uwsgi.connections
+        if not left or (not reading and self.clock.now - max(self._heard, heard) >= QUIET):
             self.end()
 
     def end(self) -> None:
         if self._ended:
             return
         self._ended = True
-        for connection in list(self.front.connections):
+        connections: list[Any] = [*self.front.connections, *self.uwsgi.connections]
+        for connection in connections:
             connection.transport.loseConnection()  # what is written goes out first
         self.kernel.close()
         self.reactor.callLater(0.03, self.reactor.stop)
