--- a/moorusher/core/intake.py
+++ b/moorusher/core/intake.py
@@ -49,7 +49,9 @@
             return Fault.RID_IN_USE
         if len(self._table) >= MOST_REQUESTS:
             return Fault.TOO_MANY
-        came = now if a.t0_unix_ms is None else min(now, self._clock.from_unix_ms(a.t0_unix_ms))
+        came = now if a.came is None else a.came
+        if a.t0_unix_ms is not None:
+            came = min(now, self._clock.from_unix_ms(a.t0_unix_ms))
         request = Request(self._table.number(), a.rid, klass, tenant, a.body, came, reply, tag)
         if keyed and a.token:
             request.key = (klass, tenant, a.token)
--- a/moorusher/core/requests.py
+++ b/moorusher/core/requests.py
@@ -21,7 +21,8 @@
     rid: str
     klass: str
     body: bytes
-    t0_unix_ms: float | None = None
+    t0_unix_ms: float | None = None  # when it came to the machine, by the sender's word,
+    came: int | None = None  # or by the front's clock; else now
     budget_ms: float | None = None
     tenant: str | None = None
     caller: int = 0
--- a/moorusher/fronts/jsonrpc.py
+++ b/moorusher/fronts/jsonrpc.py
@@ -7,6 +7,7 @@
 import math
 from typing import Any
 
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory
 from twisted.protocols.basic import LineOnlyReceiver
 from twisted.python.failure import Failure
@@ -75,7 +76,7 @@
     if len(body) > MOST_BODY:
         raise BadParams(f"content: more than {MOST_BODY} bytes")
     return Arrival(
-        rid, method, body, _number(params, "t0", 0, 1e15), _number(params, "budget", 0),
+        rid, method, body, _number(params, "t0", 0, 1e15), None, _number(params, "budget", 0),
         _text(params, "acct", 256), int(_number(params, "peer", 0, 2**32) or 0),
         _number(params, "mem", 0, 1e9) or 0.0, _number(params, "prio", 0, 1) or 0.0,
         _text(params, "token", 128), _hex(_text(params, "obj", 32), "obj"),
@@ -126,11 +127,12 @@
         self.transport.resumeProducing()
 
     def stopProducing(self) -> None:
-        self.end(Ending.LOST)
+        """The transport says so as the connection ends; `connectionLost` follows."""
 
     def connectionLost(self, reason: Failure | None = None) -> None:
         self.transport.unregisterProducer()
-        self.owner.left(self, self.ending or Ending.CLOSED_BY_PEER)
+        clean = reason is None or reason.check(ConnectionDone)  # type: ignore[no-untyped-call]
+        self.owner.left(self, self.ending or (Ending.CLOSED_BY_PEER if clean else Ending.LOST))
         requests, self.open = list(self.open.values()), {}
         self.by_rid.clear()
         for request in requests:
--- a/moorusher/fronts/uwsgi.py
+++ b/moorusher/fronts/uwsgi.py
@@ -41,7 +41,7 @@
 FAILED_STATUS = {
     Cause.RUN_FAILED: 502, Cause.NO_RESULT: 502, Cause.FAULT: 502, Cause.GIVEN_UP: 504, Cause.STOPPING: 504,
 }
-REASONS = {200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found", 409: "Conflict",
+REASONS = {200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found", 408: "Request Timeout", 409: "Conflict",
            413: "Content Too Large", 502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout"}
 
 
@@ -111,7 +111,7 @@
     return value
 
 
-def read_arrival(variables: dict[str, str], body: bytes) -> Arrival:
+def read_arrival(variables: dict[str, str], body: bytes, came: int | None = None) -> Arrival:
     if not (klass := variables.get(VARS["class"], "")):
         raise BadPacket(400, f"{VARS['class']}: required")
     rid = variables.get(VARS["rid"], "") or secrets.token_hex(8)
@@ -124,7 +124,7 @@
     except ValueError:
         raise BadPacket(400, f"{VARS['obj']}: expected hex digits") from None
     return Arrival(
-        rid, klass, body, _number(variables, "t0", 1e15), _number(variables, "budget"),
+        rid, klass, body, _number(variables, "t0", 1e15), came, _number(variables, "budget"),
         variables.get(VARS["tenant"], "") or None, int(_number(variables, "peer", 2**32) or 0),
         _number(variables, "mem", 1e9) or len(body) / 1024 + 1, _number(variables, "prio", 1) or 0.0, token, obj)
 
@@ -154,6 +154,7 @@
         self.request: Request | None = None
         self.ending: Ending | None = None
         self._data = bytearray()
+        self._since = 0
         self._vars: dict[str, str] = {}
         self._length = 0
         self._alarm: Alarm | None = None
@@ -166,12 +167,16 @@
         self.transport.setTcpNoDelay(True)
         self.owner.joined(self)
         # A client that stops in the middle would else hold its place for ever.
-        self._alarm = self.core.alarms.at(self.core.clock.read() + self.owner.idle, self._too_slow)
+        self._since = self.core.clock.read()  # a client's budget runs while its body is still on the way
+        self._alarm = self.core.alarms.at(self._since + self.owner.idle, self._too_slow)
 
     def _too_slow(self) -> None:
         self._alarm = None
         self.ending = self.ending or Ending.IDLE
-        self.transport.abortConnection()
+        if self.state is State.OVER:  # answered, and the answer is not being read
+            self.transport.abortConnection()
+        else:
+            self._finish(response(408, b"the request did not come whole in time"))
 
     def connectionLost(self, reason: object = None) -> None:
         if self._alarm is not None:
@@ -214,7 +219,7 @@
 
     def _ask(self, body: bytes) -> None:
         self._data.clear()
-        arrival = read_arrival(self._vars, body)
+        arrival = read_arrival(self._vars, body, self._since)
         taken = self.core.take(arrival, self, 0)
         if isinstance(taken, Fault):
             status = FAULT_STATUS[taken]
@@ -223,6 +228,7 @@
         self.state, self.request = State.ASKED, taken
         if self._alarm is not None:
             self._alarm.cancel()  # from here the core sees to the time
+            self._alarm = None
 
     def answer(self, tag: int, answer: Answer, hint: float | None) -> None:
         more: dict[str, object] = {} if hint is None else {"X_Moorusher_Hint": f"{hint:g}"}
@@ -240,6 +246,10 @@
         self.state, self.request = State.OVER, None
         self.transport.write(data)
         self.transport.loseConnection()
+        if self._alarm is not None:
+            self._alarm.cancel()
+        # A client that does not read its answer must not keep its place either.
+        self._alarm = self.core.alarms.at(self.core.clock.now + self.owner.idle, self._too_slow)
 
 
 class UwsgiFront(Factory):
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -315,6 +315,14 @@
         assert {status(g) for g in shed} <= {503, 504}
 
 
+@sockets
+async def test_a_client_that_stops_in_its_body_is_told_so_and_cut_off() -> None:
+    async with running(kernel := Kernel()) as r:
+        raw = uwsgi_request("check", b"0123456789")
+        assert status(await exchange(r.uwsgi, raw[:-1])) == 408
+        assert kernel.runs == [] and (await r.counters()).get("taken", 0) == 0
+
+
 # ---- both at once ----
 
 
