--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -240,7 +240,7 @@
     """The program, as the platform starts it."""
 
     def __init__(self, kernel_port: int, db_port: int | None, below_port: int | None,
-                 settings: dict[str, Any]) -> None:
+                 announce: int | None, settings: dict[str, Any]) -> None:
         self.port, self.uwsgi, self.agent, self.health, self.admin = (free_port() for _ in range(5))
         self.dir = tempfile.TemporaryDirectory()
         folder = Path(self.dir.name)
@@ -249,7 +249,8 @@
             f'[uwsgi]\nlisten = "{HOST}:{self.uwsgi}"\nidle_s = 3\n{below}[agent]\nlisten = "{HOST}:{self.agent}"\n'
             f'[health]\nlisten = "{HOST}:{self.health}"\n[admin]\nlisten = "{HOST}:{self.admin}"\ntoken = "t0p"\n')
         config = {"name": "n1", "listen": f"{HOST}:{self.port}", "kernel": f"{HOST}:{kernel_port}", "seed": "ab",
-                  "stop_ms": 4000, "settings": settings} | ({"db": f"{HOST}:{db_port}"} if db_port else {})
+                  "stop_ms": 4000, "settings": settings} | {
+            name: f"{HOST}:{port}" for name, port in (("db", db_port), ("announce", announce)) if port}
         (folder / "config.json").write_text(json.dumps(config))
         self.log = open(folder / "log", "w+")  # noqa: SIM115 - it lives as long as the runner
         self.process = subprocess.Popen(
@@ -292,11 +293,11 @@
 
 @asynccontextmanager
 async def running(kernel: Kernel, db: Database | None = None, below: int | None = None, wait: bool = True,
-                  **changes: Any) -> AsyncIterator[Runner]:
+                  announce: int | None = None, **changes: Any) -> AsyncIterator[Runner]:
     await kernel.start()
     if db is not None:
         await db.start()
-    runner = Runner(kernel.port, db.port if db else None, below, SETTINGS | changes)
+    runner = Runner(kernel.port, db.port if db else None, below, announce, SETTINGS | changes)
     try:
         if wait:
             await runner.ready()
--- /dev/null
+++ b/tests/test_fronts.py
@@ -0,0 +1,181 @@
+"""Connections without sockets: what is malformed, what is bounded, what idles."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import Any
+
+import pytest
+from twisted.internet.testing import StringTransport
+
+from moorusher.core.answer import Answer, Cause, Verdict
+from moorusher.core.call import Asked
+from moorusher.core.endings import Ending
+from moorusher.fronts.agent import agent_word
+from moorusher.fronts.jsonrpc import MOST_UNSENT, JsonRpcConnection, JsonRpcFront
+from moorusher.fronts.uwsgi import FAILED_STATUS, FAULT_STATUS, REASONS
+from moorusher.links.database import IDLE, DatabasePool
+from peattack.interface import SignalKind
+
+from .test_core import World
+
+_StringTransport: Any = StringTransport  # it carries no types
+
+
+class Transport(_StringTransport):  # type: ignore[misc]
+    aborted = False
+
+    def setTcpNoDelay(self, on: bool) -> None:
+        pass
+
+    def abortConnection(self) -> None:
+        self.aborted = True
+
+
+def front(**changes: Any) -> tuple[World, JsonRpcFront, JsonRpcConnection, Transport]:
+    world = World(**changes)
+    factory = JsonRpcFront(world.core, 10)
+    connection, transport = factory.buildProtocol(None), Transport()
+    assert connection is not None
+    connection.makeConnection(transport)  # type: ignore[no-untyped-call]
+    return world, factory, connection, transport
+
+
+def said(transport: Transport) -> list[dict[str, Any]]:
+    got = [json.loads(line) for line in transport.value().splitlines()]
+    transport.clear()
+    return got
+
+
+def call(tag: Any = 1, method: Any = "read", **params: Any) -> bytes:
+    params = {"rid": f"r{tag}", "mem": 1, "content": ""} | params
+    return json.dumps({"jsonrpc": "2.0", "id": tag, "method": method, "params": params}).encode() + b"\n"
+
+
+@pytest.mark.parametrize("line, code, tag", [
+    (b"{", -32700, None), (b"\xff\xfe", -32700, None), (b"[" * 5000, -32700, None), (b"[]", -32600, None),
+    (b"5", -32600, None), (b'{"id":1,"method":"read"}', -32600, None), (call("1"), -32600, None),
+    (call(True), -32600, None), (call(1.5), -32600, None), (call(0), -32600, 0), (call(2, 5), -32600, 2),
+    (call(2, "nothing"), -32601, 2), (call(2, acct="nobody"), -32602, 2), (call(2, "write"), -32602, 2),
+    (call(2, rid=None), -32602, 2), (call(2, content="!"), -32602, 2),
+    (b'{"jsonrpc":"2.0","id":3,"method":"read","params":[1]}', -32602, 3),
+])
+def test_malformed_lines_get_their_error_and_the_next_line_is_read(line: bytes, code: int, tag: object) -> None:
+    world, _, connection, transport = front()
+    connection.dataReceived(line.rstrip(b"\n") + b"\n" + call(9))  # type: ignore[no-untyped-call]
+    world.turn()
+    (error,) = said(transport)
+    assert (error["error"]["code"], error["id"]) == (code, tag)
+    assert world.runs() == ["r9"] and not transport.disconnecting
+
+
+def test_a_line_without_an_end_gets_its_error_and_a_close() -> None:
+    _, _, connection, transport = front()
+    connection.dataReceived(b"x" * 9000)  # type: ignore[no-untyped-call]
+    assert said(transport)[0]["error"]["code"] == -32700
+    assert transport.disconnecting and connection.ending is Ending.LINE_TOO_LONG
+
+
+def test_unknown_notifications_and_strange_revokes_are_passed_over() -> None:
+    world, _, connection, transport = front()
+    strange: list[Any] = [[], None, {}, {"rid": 5}, {"id": "x"}, {"rid": "unknown"}, {"id": 77}]
+    for params in strange:
+        line = json.dumps({"jsonrpc": "2.0", "method": "revoke", "params": params}).encode()
+        connection.dataReceived(line + b"\n" + b'{"jsonrpc":"2.0","method":"news"}\n')  # type: ignore[no-untyped-call]
+    world.turn()
+    assert said(transport) == [] and world.core.counters.total["gone"] == 0
+
+
+def test_answers_carry_the_free_value_and_refusals_say_when_to_come_back() -> None:
+    world, _, connection, transport = front(signal=SignalKind.ALLOWANCE)
+    world.core.hint = 2.5
+    connection.answer(1, Answer(Verdict.SERVED, b"\0"), world.core.hint)
+    connection.answer(2, Answer(Verdict.REFUSED, b"", Cause.TURNED_AWAY, 250.0, True), world.core.hint)
+    connection.answer(3, Answer(Verdict.REFUSED, b"", Cause.TURNED_AWAY, 250.0, False), None)
+    connection.answer(4, Answer(Verdict.FAILED, b"", Cause.GIVEN_UP), world.core.hint)
+    connection.dataReceived(b'{"jsonrpc":"2.0","id":5,"method":"heartbeat"}\n')  # type: ignore[no-untyped-call]
+    served, refused, softly, failed, health = said(transport)
+    assert served["result"] == {"content": base64.b64encode(b"\0").decode(), "hint": 2.5}
+    assert refused["error"]["code"] == -32014
+    assert refused["error"]["data"] == {"backoff": 250.0, "final": 1, "hint": 2.5}
+    assert softly["error"]["data"] == {"backoff": 250.0}
+    assert failed["error"]["code"] == -32000 and failed["error"]["data"] == {"hint": 2.5}
+    assert health["result"] == {"fit": True, "hint": 2.5}
+
+
+def test_one_that_does_not_read_is_not_read_and_is_cut_off_at_a_bound() -> None:
+    _, _, connection, transport = front()
+    assert transport.producer is connection
+    connection.pauseProducing()
+    assert transport.producerState == "paused"
+    for i in range(MOST_UNSENT // 4000 + 1):
+        connection.answer(i, Answer(Verdict.SERVED, bytes(4096)), None)
+    assert transport.aborted and connection.ending is Ending.READS_TOO_SLOWLY
+
+
+def test_connections_are_bounded_and_idle_ones_are_asked_to_close() -> None:
+    world, factory, connection, transport = front()
+    others = [factory.buildProtocol(None) for _ in range(12)]
+    assert all(others)  # not counted before they are connected
+    for one in others:
+        if one is not None:
+            one.makeConnection(Transport())  # type: ignore[no-untyped-call]
+    assert factory.buildProtocol(None) is None
+    connection.dataReceived(call())  # type: ignore[no-untyped-call]
+    world.turn()
+    world.wait(200)
+    factory.trim(100_000)
+    assert not connection.leaving and all(one is not None and one.leaving for one in others)
+    assert said(transport) == []
+
+
+def test_a_lost_connection_makes_its_callers_gone() -> None:
+    world, factory, connection, _ = front()
+    connection.dataReceived(call(1) + call(2))  # type: ignore[no-untyped-call]
+    world.turn()
+    connection.connectionLost()
+    assert world.core.owed == 0 and world.core.counters.total["gone"] == 2
+    assert not factory.connections
+
+
+def test_a_spare_database_connection_is_closed_before_the_other_side_does() -> None:
+    world = World()
+    pool = DatabasePool(None, ("127.0.0.1", 1))
+    pool.core = world.core
+    dialled: list[Any] = []
+
+    class Reactor:
+        def connectTCP(self, host: str, port: int, factory: Any, timeout: float) -> None:
+            dialled.append(factory)
+
+    pool.reactor = Reactor()
+    pool.call(1, Asked("r1", "read", None, None, b"q", 500))
+    connection, transport = dialled[0].buildProtocol(None), Transport()
+    connection.makeConnection(transport)
+    assert b"Request-Ref: r1\r\nStatement-Timeout-Ms: 500\r\nContent-Length: 1\r\n\r\nq" in transport.value()
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")
+    pool.call(2, Asked("r2", "read", None, None, b"q", 500))  # the same connection again
+    assert len(dialled) == 1 and b"Request-Ref: r2" in transport.value()
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")
+    world.wait(IDLE / 1000 - 10)
+    assert not transport.disconnecting
+    world.wait(20)
+    assert transport.disconnecting
+
+
+def test_the_agent_line_follows_health_load_and_drain() -> None:
+    world = World()
+    world.core.gauges((0.25,))
+    assert agent_word(world.core) == b"ready up 75%"
+    world.core.gauges((1.0,))
+    assert agent_word(world.core) == b"ready up 1%"  # 0% would end all traffic, also what would lower the load
+    world.core.healthy = False
+    assert agent_word(world.core) == b"fail"
+    world.core.drain(1000)
+    assert agent_word(world.core) == b"drain"
+
+
+def test_every_cause_and_fault_has_its_status() -> None:
+    assert set(FAILED_STATUS) == set(Cause) - {Cause.NONE, Cause.TURNED_AWAY}
+    assert {*FAILED_STATUS.values(), *FAULT_STATUS.values()} <= set(REASONS)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -7,6 +7,7 @@
 import os
 import signal
 from collections.abc import Callable, Coroutine
+from contextlib import suppress
 from functools import wraps
 from typing import Any
 
@@ -332,9 +333,10 @@
     every fourth one a `submit` whose key comes once over each."""
     kernel = Kernel(work=0.025)
     async with running(kernel) as r:
-        f = await FrontEnd.connect(r.port)
+        fronts = [await FrontEnd.connect(r.port) for _ in range(8)]
         over: dict[str, list[asyncio.Future[Any]]] = {"jsonrpc": [], "uwsgi": []}
         tokens: dict[bytes, str] = {}
+        start = asyncio.get_running_loop().time()
         for i in range(260):
             klass, body = ("submit" if i % 4 < 2 else "check"), f"{i // 2 if i % 4 < 2 else i}".encode()
             more = {"token": tokens.setdefault(body, key())} if klass == "submit" else {}
@@ -342,10 +344,8 @@
                 over["uwsgi"].append(asyncio.ensure_future(
                     exchange(r.uwsgi, uwsgi_request(klass, body, budget="4000", **more))))
             else:
-                over["jsonrpc"].append(f.send(klass, body=body, budget=15000, **more))
-            if len(f.answers) % 16 == 15:
-                f = await FrontEnd.connect(r.port)
-            await asyncio.sleep(1 / 88)
+                over["jsonrpc"].append(fronts[i // 2 % 8].send(klass, body=body, budget=4000, **more))
+            await asyncio.sleep(start + (i + 1) / 88 - asyncio.get_running_loop().time())
         got: dict[str, list[Any]] = {
             name: await asyncio.wait_for(asyncio.gather(*asked, return_exceptions=True), WAIT)
             for name, asked in over.items()}
@@ -354,10 +354,43 @@
         assert lost == {"jsonrpc": 0, "uwsgi": 0}
         keyed = [body for _, route, body in kernel.runs if route == "submit"]
         assert len(keyed) == len(set(keyed))  # no key ran twice
+        assert all(set(f.answers.values()) == {1} for f in fronts)
         served = sum("result" in a for a in got["jsonrpc"]), sum(status(a) == 200 for a in got["uwsgi"])
         assert min(served) > 0 and sum(served) >= len(kernel.runs) * 0.9
 
 
+# ---- announce service ----
+
+
+@sockets
+async def test_reports_go_out_while_it_serves_and_end_as_it_leaves() -> None:
+    heard: list[bytes] = []
+
+    async def service(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                body = await reader.readexactly(20)
+                heard.append(head.split(b" HTTP")[0] + b" " + body)
+                if len(heard) == 2:
+                    return writer.transport.abort()  # it goes away in the middle: the next report comes anyway
+                writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
+
+    server = await asyncio.start_server(service, "127.0.0.1", 0)
+    async with running(Kernel(hang=True), announce=server.sockets[0].getsockname()[1]) as r:
+        await has(lambda: len(heard) >= 4)
+        assert set(heard) == {b'PUT /announce/n1 {"accepting":"true"}'}
+        f = await FrontEnd.connect(r.port)
+        f.send("submit", token=key())
+        await asyncio.sleep(0.1)
+        r.process.send_signal(signal.SIGTERM)
+        await has(lambda: any(m.get("method") == "leaving" for m in f.stray))
+        count = len(heard)
+        await has(lambda: r.process.poll() is not None)  # some seconds later: the run hangs
+        assert len(heard) == count
+    server.close()
+
+
 # ---- administration ----
 
 
