--- a/moorusher/cli.py
+++ b/moorusher/cli.py
@@ -5,6 +5,8 @@
 import argparse
 import json
 import logging
+import os
+import signal
 import sys
 from pathlib import Path
 
@@ -13,6 +15,8 @@
 
 
 def _serve(config: Config) -> int:
+    # Nothing has been read yet: until the service takes the signal over, leaving is ending.
+    signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
     from . import loop  # the loop is installed before any module can import Twisted's default one
 
     reactor = loop.install()
@@ -21,8 +25,7 @@
     PythonLoggingObserver("moorusher.loop").start()  # type: ignore[no-untyped-call]
     from . import service
 
-    service.serve(config, reactor)
-    return 0
+    return service.serve(config, reactor)
 
 
 def describe(config: Config) -> str:
--- a/moorusher/core/clock.py
+++ b/moorusher/core/clock.py
@@ -6,10 +6,13 @@
 from __future__ import annotations
 
 import heapq
+import logging
 import time
 from collections.abc import Callable
 from itertools import count
 
+log = logging.getLogger("moorusher")
+
 MS = 1_000
 SECOND = 1_000_000
 
@@ -77,5 +80,8 @@
         while self._heap and self._heap[0][0] <= self._clock.now:
             alarm = heapq.heappop(self._heap)[2]
             if alarm.action is not None:
-                alarm.action()
+                try:
+                    alarm.action()
+                except Exception:  # one alarm's fault must not keep all later ones from ringing
+                    log.exception("an alarm failed")
         self._rearm()
--- a/moorusher/core/intake.py
+++ b/moorusher/core/intake.py
@@ -16,11 +16,12 @@
 
 
 class Fault(Enum):
-    """Why something that was read is no request: the sender's mistake, except for the last two."""
+    """Why something that was read is no request: the sender's mistake, except for the last three."""
 
     NO_SUCH_CLASS = "no such class"
     NO_SUCH_TENANT = "no such tenant"
     TOKEN_MISSING = "a request of this class needs a token"
+    BODY_DIFFERS = "this token came before with another body"
     RID_IN_USE = "a request with this rid is open"
     TOO_MANY = "too many requests are open"
     KEYS_FULL = "no room for a further key"
@@ -57,11 +58,13 @@
             request.key = (klass, tenant, a.token)
             entry = self._keys.find(request.key, now)
             if entry is not None:
+                if entry.body != hash(a.body):
+                    return Fault.BODY_DIFFERS  # another request under this key: its result would be wrong
                 request.repeats = entry.number
             elif self._keys.full():
                 return Fault.KEYS_FULL  # without its key remembered it could run twice
             else:
-                self._keys.hold(request.key, request.number)
+                self._keys.hold(request.key, request.number, hash(a.body))
         self._table.add(request)
         waited = (now - came) / MS
         left = None if a.budget_ms is None else max(0.0, a.budget_ms - waited)
--- a/moorusher/core/keys.py
+++ b/moorusher/core/keys.py
@@ -21,6 +21,7 @@
 class Entry:
     key: Key
     number: int  # the try that holds the key
+    body: int  # hash of the body, which all tries share
     until: int | None = None  # None while that try is open and has no window yet
     ran: bool = False
     over: bool = False
@@ -50,9 +51,9 @@
     def of_try(self, number: int) -> Entry | None:
         return self._by_number.get(number)
 
-    def hold(self, key: Key, number: int) -> Entry:
+    def hold(self, key: Key, number: int, body: int = 0) -> Entry:
         """From the moment that it is read, so that a repeat in the same turn is known as one."""
-        entry = self._by_key[key] = self._by_number[number] = Entry(key, number)
+        entry = self._by_key[key] = self._by_number[number] = Entry(key, number, body)
         return entry
 
     def keep_until(self, number: int, until: int) -> None:
--- a/moorusher/fronts/jsonrpc.py
+++ b/moorusher/fronts/jsonrpc.py
@@ -24,7 +24,8 @@
 MOST_LINE = 8192  # a body in base64 takes 2,732 of it
 MOST_UNSENT = 256 * 1024  # 32 answers of 4 KiB in base64 are two thirds of it
 FAULT_CODES = {Fault.NO_SUCH_CLASS: NO_METHOD, Fault.NO_SUCH_TENANT: BAD_PARAMS,
-               Fault.TOKEN_MISSING: BAD_PARAMS, Fault.RID_IN_USE: BAD_PARAMS}
+               Fault.TOKEN_MISSING: BAD_PARAMS, Fault.RID_IN_USE: BAD_PARAMS,
+               Fault.BODY_DIFFERS: BAD_PARAMS}
 
 
 class BadParams(ValueError):
@@ -114,6 +115,8 @@
         self.transport.setTcpNoDelay(True)
         # A front end that does not read is not read either; what is already owed is bounded in `_send`.
         self.transport.registerProducer(self, True)
+        self.core.touch()
+        self.active = self.core.clock.now
         self.owner.joined(self)
         if self.owner.draining:
             self.leave()
@@ -155,6 +158,9 @@
             self.leaving = True
             self._send(b'{"jsonrpc":"2.0","method":"leaving"}\n')
 
+    def close(self) -> None:
+        self.end(Ending.CLOSED_BY_US)
+
     def _send(self, line: bytes) -> None:
         self.transport.write(line)  # the transport writes once a turn, whatever was added to it
         if self.unsent:
@@ -169,6 +175,7 @@
             return
         if not line.strip():
             return
+        self.core.touch()
         self.active = self.core.clock.now
         try:
             message = json.loads(line)
--- a/moorusher/fronts/uwsgi.py
+++ b/moorusher/fronts/uwsgi.py
@@ -35,6 +35,7 @@
 
 FAULT_STATUS = {
     Fault.NO_SUCH_CLASS: 404, Fault.NO_SUCH_TENANT: 403, Fault.TOKEN_MISSING: 400, Fault.RID_IN_USE: 409,
+    Fault.BODY_DIFFERS: 422,
     Fault.TOO_MANY: 503, Fault.KEYS_FULL: 503, Fault.NOT_READY: 503,
 }
 # A gateway's two words: what stood behind it failed (502), or did not answer in time (504).
@@ -42,7 +43,8 @@
     Cause.RUN_FAILED: 502, Cause.NO_RESULT: 502, Cause.FAULT: 502, Cause.GIVEN_UP: 504, Cause.STOPPING: 504,
 }
 REASONS = {200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found", 408: "Request Timeout", 409: "Conflict",
-           413: "Content Too Large", 502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout"}
+           413: "Content Too Large",
+           422: "Unprocessable Content", 502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout"}
 
 
 class BadPacket(ValueError):
@@ -167,7 +169,8 @@
         self.transport.setTcpNoDelay(True)
         self.owner.joined(self)
         # A client that stops in the middle would else hold its place for ever.
-        self._since = self.core.clock.read()  # a client's budget runs while its body is still on the way
+        self.core.touch()
+        self._since = self.core.clock.now  # a client's budget runs while its body is still on the way
         self._alarm = self.core.alarms.at(self._since + self.owner.idle, self._too_slow)
 
     def _too_slow(self) -> None:
@@ -230,6 +233,13 @@
             self._alarm.cancel()  # from here the core sees to the time
             self._alarm = None
 
+    def close(self) -> None:
+        """The runner ends: what has not come whole never entered the core, and may go elsewhere."""
+        if self.state in (State.VARS, State.BODY) and self._data:
+            self._finish(response(503, Cause.STOPPING.value.encode(), Retry_After=1, X_Moorusher_Never_Ran=1))
+        else:
+            self.transport.loseConnection()
+
     def answer(self, tag: int, answer: Answer, hint: float | None) -> None:
         more: dict[str, object] = {} if hint is None else {"X_Moorusher_Hint": f"{hint:g}"}
         if answer.verdict is Verdict.SERVED:
--- a/moorusher/links/database.py
+++ b/moorusher/links/database.py
@@ -50,6 +50,7 @@
             b"Content-Length: %d\r\n\r\n%s" % (asked.rid.encode(), asked.timeout_ms, len(asked.body), asked.body))
 
     def replied(self, status: int, headers: dict[bytes, bytes], body: bytes, keep: bool) -> None:
+        self.pool.core.touch()
         number, self.number = self.number, None
         if number is None or not keep:
             self.transport.loseConnection()
--- a/moorusher/links/kernel.py
+++ b/moorusher/links/kernel.py
@@ -96,7 +96,8 @@
 
     def _again(self) -> None:
         if not self._closing:
-            self.core.alarms.at(self.core.clock.read() + self._pause, self.start)
+            self.core.touch()
+            self.core.alarms.at(self.core.clock.now + self._pause, self.start)
             self._pause = min(RETRY_MOST, self._pause * 2)
 
     # ---- notices ----
--- a/moorusher/service.py
+++ b/moorusher/service.py
@@ -46,7 +46,7 @@
         if below is not None:
             below.core = self.core
         self.announcer = Announcer(reactor, config.announce, config.name) if config.announce else None
-        most = max(16, config.limits.sockets - SPARE_SOCKETS)
+        most = max(16, config.limits.sockets - min(SPARE_SOCKETS, config.limits.sockets // 3))
         if config.uwsgi.listen is not None:
             most //= 2  # the two fronts share the descriptors
         self.front = JsonRpcFront(self.core, most)
@@ -130,7 +130,7 @@
         self._ended = True
         connections: list[Any] = [*self.front.connections, *self.uwsgi.connections]
         for connection in connections:
-            connection.transport.loseConnection()  # what is written goes out first
+            connection.close()  # what is written goes out first
         self.kernel.close()
         self.reactor.callLater(0.03, self.reactor.stop)
 
@@ -138,15 +138,28 @@
         return "; ".join(self.core.counters.lines())
 
 
-def serve(config: Config, reactor: Any) -> None:
+def serve(config: Config, reactor: Any) -> int:
+    """Until it has left; the exit code."""
     service = Service(config, reactor)
+    failed = False
+
+    def start() -> None:
+        nonlocal failed
+        try:
+            service.start()
+        except Exception as exc:  # a runner that can't listen must end and say so, not stay up unheard
+            log.error("could not start: %s", exc)
+            failed = True
+            reactor.stop()
+
     # A signal may come between any two instructions: the loop's own waker brings it into a turn.
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: reactor.callFromThread(service.drain))
     signal.signal(signal.SIGUSR1, lambda *_: reactor.callFromThread(
         lambda: log.info("counters: %s", service.counters())))
-    reactor.callWhenRunning(service.start)
+    reactor.callWhenRunning(start)
     gc.collect()
     gc.freeze()  # what was imported lives as long as the process: no need to walk it again
     reactor.run(installSignalHandlers=False)
     log.info("counters: %s", service.counters())
+    return int(failed)
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -240,8 +240,9 @@
     """The program, as the platform starts it."""
 
     def __init__(self, kernel_port: int, db_port: int | None, below_port: int | None,
-                 announce: int | None, settings: dict[str, Any]) -> None:
+                 announce: int | None, listen: int | None, settings: dict[str, Any]) -> None:
         self.port, self.uwsgi, self.agent, self.health, self.admin = (free_port() for _ in range(5))
+        self.port = listen or self.port
         self.dir = tempfile.TemporaryDirectory()
         folder = Path(self.dir.name)
         below = f'below = "{HOST}:{below_port}"\n' if below_port else ""
@@ -293,11 +294,12 @@
 
 @asynccontextmanager
 async def running(kernel: Kernel, db: Database | None = None, below: int | None = None, wait: bool = True,
-                  announce: int | None = None, **changes: Any) -> AsyncIterator[Runner]:
+                  announce: int | None = None, listen: int | None = None,
+                  **changes: Any) -> AsyncIterator[Runner]:
     await kernel.start()
     if db is not None:
         await db.start()
-    runner = Runner(kernel.port, db.port if db else None, below, announce, SETTINGS | changes)
+    runner = Runner(kernel.port, db.port if db else None, below, announce, listen, SETTINGS | changes)
     try:
         if wait:
             await runner.ready()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -248,7 +248,7 @@
 
 @pytest.mark.parametrize("arrival, fault", [
     (Arrival("r", "nothing", b""), Fault.NO_SUCH_CLASS), (Arrival("r", "write", b""), Fault.TOKEN_MISSING),
-    (Arrival("a", "read", b""), Fault.RID_IN_USE),
+    (Arrival("a", "read", b""), Fault.RID_IN_USE), (Arrival("r", "write", b"y", token="t"), Fault.BODY_DIFFERS),
 ])
 def test_faults_of_intake(arrival: Arrival, fault: Fault) -> None:
     w = World()
@@ -276,9 +276,10 @@
     armed: list[int] = []
     alarms, rung = Alarms(clock, armed.append), list[str]()
     alarms.at(20, lambda: rung.append("late"))
+    alarms.at(12, lambda: rung.remove("nothing"))  # its fault is logged, and the others ring
     first = alarms.at(10, lambda: rung.append("never"))
     alarms.at(15, lambda: rung.append("early"))
     first.cancel()
     clock.now = 17
     alarms.ring()
-    assert rung == ["early"] and armed == [20, 10, 20]
+    assert rung == ["early"] and armed == [20, 12, 10, 20]
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -14,10 +14,11 @@
 from moorusher.core.endings import Ending
 from moorusher.fronts.agent import agent_word
 from moorusher.fronts.jsonrpc import MOST_UNSENT, JsonRpcConnection, JsonRpcFront
-from moorusher.fronts.uwsgi import FAILED_STATUS, FAULT_STATUS, REASONS
+from moorusher.fronts.uwsgi import FAILED_STATUS, FAULT_STATUS, REASONS, UwsgiFront
 from moorusher.links.database import IDLE, DatabasePool
 from peattack.interface import SignalKind
 
+from .stand_ins import uwsgi_request
 from .test_core import World
 
 _StringTransport: Any = StringTransport  # it carries no types
@@ -139,6 +140,20 @@
     assert not factory.connections
 
 
+@pytest.mark.parametrize("sent, got", [(b"", b""), (uwsgi_request("check", b"body")[:-1], b"HTTP/1.1 503 ")])
+def test_a_uwsgi_request_that_is_not_whole_as_the_runner_ends_may_go_elsewhere(sent: bytes, got: bytes) -> None:
+    world = World()
+    connection = UwsgiFront(world.core, 10, 2048, 60.0, lambda: True).buildProtocol(None)
+    transport = Transport()
+    assert connection is not None
+    connection.makeConnection(transport)  # type: ignore[no-untyped-call]
+    connection.dataReceived(sent)
+    connection.close()
+    assert transport.value()[:13] == got and transport.disconnecting
+    assert (b"X-Moorusher-Never-Ran: 1" in transport.value()) is bool(got)
+    assert len(world.core.table) == 0
+
+
 def test_a_spare_database_connection_is_closed_before_the_other_side_does() -> None:
     world = World()
     pool = DatabasePool(None, ("127.0.0.1", 1))
@@ -152,7 +167,7 @@
     pool.reactor = Reactor()
     pool.call(1, Asked("r1", "read", None, None, b"q", 500))
     connection, transport = dialled[0].buildProtocol(None), Transport()
-    connection.makeConnection(transport)
+    connection.makeConnection(transport)  # type: ignore[no-untyped-call]
     assert b"Request-Ref: r1\r\nStatement-Timeout-Ms: 500\r\nContent-Length: 1\r\n\r\nq" in transport.value()
     connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")
     pool.call(2, Asked("r2", "read", None, None, b"q", 500))  # the same connection again
