--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -17,7 +17,7 @@
 from pathlib import Path
 from typing import Any
 
-from moorusher.fronts.uwsgi import VARS, build_packet
+from moorusher.fronts.uwsgi import HEAD, VARS, build_packet, parse_vars
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
@@ -137,6 +137,7 @@
     def __init__(self, *script: int | str) -> None:
         self.script, self.calls, self.port = list(script or (200,)), list[bytes](), 0
         self.connections = 0
+        self.tokens: list[str | None] = []
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(self._serve, HOST, 0)
@@ -158,6 +159,28 @@
                 writer.write(f"HTTP/1.1 {what} X\r\n{never}Content-Length: 5\r\n\r\nreply".encode())
 
 
+class UwsgiPeer(Database):
+    """A uwsgi server with the same script; 'cut' breaks off in the middle of its reply."""
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        with suppress(ConnectionError, asyncio.IncompleteReadError):
+            _, size, _ = HEAD.unpack(await reader.readexactly(HEAD.size))
+            variables = parse_vars(await reader.readexactly(size))
+            self.calls.append(await reader.readexactly(int(variables["CONTENT_LENGTH"])))
+            self.tokens.append(variables.get(VARS["token"]))
+            what = self.script.pop(0) if len(self.script) > 1 else self.script[0]
+            if what == "reset":
+                return writer.transport.abort()
+            if what == "hang":
+                await reader.read()
+                return
+            never = "X-Moorusher-Never-Ran: 1\r\n" if what == 503 else ""
+            code, body = (200, b"rep") if what == "cut" else (what, b"reply")
+            writer.write(f"HTTP/1.1 {code} X\r\n{never}Content-Length: 5\r\n\r\n".encode() + body)
+            writer.close()
+
+
 class FrontEnd:
     """One connection over the platform's protocol."""
 
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -167,7 +167,7 @@
     pool.reactor = Reactor()
     pool.call(1, Asked("r1", "read", None, None, b"q", 500))
     connection, transport = dialled[0].buildProtocol(None), Transport()
-    connection.makeConnection(transport)  # type: ignore[no-untyped-call]
+    connection.makeConnection(transport)
     assert b"Request-Ref: r1\r\nStatement-Timeout-Ms: 500\r\nContent-Length: 1\r\n\r\nq" in transport.value()
     connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")
     pool.call(2, Asked("r2", "read", None, None, b"q", 500))  # the same connection again
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -20,6 +20,7 @@
     Database,
     FrontEnd,
     Kernel,
+    UwsgiPeer,
     body_of,
     content,
     exchange,
@@ -170,6 +171,26 @@
     run()
 
 
+@pytest.mark.parametrize("script, calls, served", [
+    ((200,), 1, True), ((503, 200), 2, True), (("reset",), 1, False), (("cut",), 1, False), ((502,), 1, False),
+    ((504,), 1, False), (("hang",), 1, False),
+])
+def test_a_keyed_call_over_uwsgi_is_made_again_only_after_a_proof(script: tuple[int | str, ...], calls: int,
+                                                                  served: bool) -> None:
+    @sockets
+    async def run() -> None:
+        peer = UwsgiPeer(*script)
+        await peer.start()
+        async with running(kernel := Kernel(calls=True), below=peer.port) as r:
+            f, token = await FrontEnd.connect(r.port), key()
+            got = await f.ask("submit", token=token, budget=1500)
+            assert ("result" in got) is served
+            assert peer.calls == [b"ask x"] * calls
+            assert peer.tokens == [f"{token}.1"] * calls  # so that the peer runs it once, whoever calls
+            assert list(kernel.io.values()) == ([b"reply"] if served else [])
+    run()
+
+
 @sockets
 async def test_a_call_that_hangs_is_given_up_by_closing_and_the_pool_is_reused() -> None:
     db = Database(200, 200, 200, "hang")
