--- a/moorusher/core/decide.py
+++ b/moorusher/core/decide.py
@@ -110,9 +110,11 @@
             self.runs.stop(number)
 
     def _open_module(self) -> None:
-        """Cold or warm is the kernel's word: the settings tell how things stood when they were written."""
-        self._balancer = self._make(replace(self.settings, cold=self._cold))
-        opened = self._balancer.open(self.clock.module_ms(self._born))
+        """Cold or warm is the kernel's word: the settings tell how things stood when they were written. A warm
+        instance opens now, whatever the kernel's age: the module's first window reaches back to its opening."""
+        cold = self._cold and self.clock.now - self._born < self.settings.warm_after_ms * MS
+        self._balancer = self._make(replace(self.settings, cold=cold))
+        opened = self._balancer.open(self.clock.module_ms(self._born if cold else None))
         for action in opened:
             self._carry_out[type(action)](action)
         if self._stop_at is not None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -229,6 +229,24 @@
     assert w.runs() == ["a"] and w.verdicts()[-1] == (3, Verdict.SERVED)
 
 
+@pytest.mark.parametrize("cold, age_ms, is_cold, since", [
+    (False, 3_600_000.0, False, 0.0), (True, 0.0, True, 0.0), (True, 4_000.0, True, 4_000.0),
+    (True, 60_000.0, False, 0.0),
+])
+def test_warming_counts_from_the_kernel_and_windows_from_the_opening(cold: bool, age_ms: float, is_cold: bool,
+                                                                     since: float) -> None:
+    made: list[Balancer] = []
+
+    def make(s: api.Settings) -> Balancer:
+        made.append(Balancer(s))
+        return made[-1]
+    w = World(make, warm_after_ms=17_000.0)
+    w.core._balancer = None
+    w.core.kernel_up(cold, age_ms)
+    assert made[-1].s.cold is is_cold
+    assert w.core.clock.module_ms() - made[-1].started == pytest.approx(since)
+
+
 class Eager(Balancer):
     """Starts whatever comes, and refuses what it has started."""
 
