Rids and tokens are words: a line end in one wrote headers of its own into calls below

Seen by reading: links/database.py put the rid into a header as it came, and a rid may have been any text of 64 characters. Both fronts now refuse what is not letters, digits and -_.: (-32602, 400).

--- a/moorusher/core/requests.py
+++ b/moorusher/core/requests.py
@@ -14,6 +14,12 @@
     SHARING = "sharing"  # waits for the result of another try
 
 
+def is_word(text: str, most: int) -> bool:
+    """Of the characters that rids and tokens may have. They go on into lines and headers of other protocols: a
+    line end in one would let a client write headers of its own."""
+    return 0 < len(text) <= most and text.isascii() and all(c.isalnum() or c in "-_.:" for c in text)
+
+
 @dataclass(slots=True, frozen=True)
 class Arrival:
     """What a front has read: checked in form, not yet against the settings."""
--- a/moorusher/fronts/jsonrpc.py
+++ b/moorusher/fronts/jsonrpc.py
@@ -16,7 +16,7 @@
 from ..core.decide import Decider
 from ..core.endings import Ending
 from ..core.intake import Fault
-from ..core.requests import Arrival, Request
+from ..core.requests import Arrival, Request, is_word
 
 PARSE, INVALID, NO_METHOD, BAD_PARAMS, FAILED, REFUSED = -32700, -32600, -32601, -32602, -32000, -32014
 MOST_OPEN = 32  # requests on one connection
@@ -64,9 +64,11 @@
 def read_arrival(method: str, params: Any) -> Arrival:
     if not isinstance(params, dict):
         raise BadParams("params: expected an object")
-    rid = _text(params, "rid", 64)
-    if rid is None:
-        raise BadParams("rid: required")
+    rid, token = _text(params, "rid", 64), _text(params, "token", 128)
+    if rid is None or not is_word(rid, 64):
+        raise BadParams("rid: required, of letters, digits and -_.:")
+    if token is not None and not is_word(token, 128):
+        raise BadParams("token: expected letters, digits and -_.:")
     content = params.get("content", "")
     if not isinstance(content, str):
         raise BadParams("content: expected base64")
@@ -80,7 +82,7 @@
         rid, method, body, _number(params, "t0", 0, 1e15), None, _number(params, "budget", 0),
         _text(params, "acct", 256), int(_number(params, "peer", 0, 2**32) or 0),
         _number(params, "mem", 0, 1e9) or 0.0, _number(params, "prio", 0, 1) or 0.0,
-        _text(params, "token", 128), _hex(_text(params, "obj", 32), "obj"),
+        token, _hex(_text(params, "obj", 32), "obj"),
         bool(params.get("again")), _number(params, "est", 0))
 
 
--- a/moorusher/fronts/uwsgi.py
+++ b/moorusher/fronts/uwsgi.py
@@ -19,7 +19,7 @@
 from ..core.decide import Decider
 from ..core.endings import Ending
 from ..core.intake import Fault
-from ..core.requests import Arrival, Request
+from ..core.requests import Arrival, Request, is_word
 
 HEAD = struct.Struct("<BHB")  # modifier1, size of the variables, modifier2
 LENGTH = struct.Struct("<H")
@@ -118,8 +118,8 @@
         raise BadPacket(400, f"{VARS['class']}: required")
     rid = variables.get(VARS["rid"], "") or secrets.token_hex(8)
     token = variables.get(VARS["token"], "") or None
-    if len(rid) > 64 or len(token or "") > 128:
-        raise BadPacket(400, f"{VARS['rid']}, {VARS['token']}: too long")
+    if not is_word(rid, 64) or (token is not None and not is_word(token, 128)):
+        raise BadPacket(400, f"{VARS['rid']}, {VARS['token']}: expected letters, digits and -_.:")
     subject = variables.get(VARS["obj"], "")
     try:
         obj = int(subject, 16) if subject else None
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -25,6 +25,7 @@
 
 @pytest.mark.parametrize("change, named", [
     ({"rid": None}, "rid"), ({"rid": 7}, "rid"), ({"rid": ""}, "rid"), ({"rid": "a" * 65}, "rid"),
+    ({"rid": "a\r\nNever-Started: 1"}, "rid"), ({"rid": "\u0661"}, "rid"), ({"token": "t t"}, "token"),
     ({"t0": "now"}, "t0"), ({"t0": -1}, "t0"), ({"t0": True}, "t0"), ({"t0": 1e300}, "t0"),
     ({"budget": -1}, "budget"), ({"budget": float("nan")}, "budget"), ({"budget": float("inf")}, "budget"),
     ({"mem": []}, "mem"), ({"prio": 1.5}, "prio"), ({"peer": "x"}, "peer"), ({"acct": 5}, "acct"),
@@ -67,7 +68,8 @@
 
 
 @pytest.mark.parametrize("name, text", [("budget", "-1"), ("budget", "nan"), ("budget", "inf"), ("t0", "soon"),
-                                        ("prio", "2"), ("obj", "xyz"), ("token", "t" * 129), ("class", "")])
+                                        ("prio", "2"), ("obj", "xyz"), ("token", "t" * 129),
+                                        ("rid", "a\r\nX: 1"), ("token", "a\n"), ("class", "")])
 def test_bad_uwsgi_values(name: str, text: str) -> None:
     with pytest.raises(uwsgi.BadPacket, match=uwsgi.VARS[name]):
         uwsgi.read_arrival(VARS | {uwsgi.VARS[name]: text}, b"")
