An error before a close is seen: half-close with input unread, instead of a reset

Seen with the tests on one core: after a line of 100,000 bytes the front end got a reset and no -32700, as a close with unread input resets the connection (jsonrpc.py, lineLengthExceeded; uwsgi.py, 400 and 413 likewise). Now our half is closed, the rest is thrown away, and the connection is aborted after a bounded time.

--- a/moorusher/fronts/jsonrpc.py
+++ b/moorusher/fronts/jsonrpc.py
@@ -13,6 +13,7 @@
 from twisted.python.failure import Failure
 
 from ..core.answer import Answer, Verdict
+from ..core.clock import SECOND
 from ..core.decide import Decider
 from ..core.endings import Ending
 from ..core.intake import Fault
@@ -22,6 +23,7 @@
 MOST_OPEN = 32  # requests on one connection
 MOST_BODY = 2048
 MOST_LINE = 8192  # a body in base64 takes 2,732 of it
+LINGER = SECOND  # for the other side to read why it is closed
 MOST_UNSENT = 256 * 1024  # 32 answers of 4 KiB in base64 are two thirds of it
 FAULT_CODES = {Fault.NO_SUCH_CLASS: NO_METHOD, Fault.NO_SUCH_TENANT: BAD_PARAMS,
                Fault.TOKEN_MISSING: BAD_PARAMS, Fault.RID_IN_USE: BAD_PARAMS,
@@ -153,7 +155,19 @@
 
     def lineLengthExceeded(self, line: bytes) -> None:
         self._send(_error(None, PARSE, f"a line of more than {self.MAX_LENGTH} bytes"))
-        self.end(Ending.LINE_TOO_LONG)  # where the next message starts is not known
+        # Where the next message starts is not known. A close with input unread would reset the connection, and
+        # the other side might never see the error: our half is closed, and what still comes is thrown away.
+        self.ending = self.ending or Ending.LINE_TOO_LONG
+        self.transport.loseWriteConnection()
+        self.core.alarms.at(self.core.clock.now + LINGER, self._linger_over)
+
+    def _linger_over(self) -> None:
+        if self in self.owner.connections:
+            self.transport.abortConnection()
+
+    def dataReceived(self, data: bytes) -> None:
+        if self.ending is None:
+            super().dataReceived(data)  # type: ignore[no-untyped-call]
 
     def leave(self) -> None:
         if not self.leaving:
--- a/moorusher/fronts/uwsgi.py
+++ b/moorusher/fronts/uwsgi.py
@@ -202,7 +202,8 @@
                 self._ask(bytes(self._data[:self._length]))
         except BadPacket as exc:
             self.core.counters.add("faulty")
-            self._finish(response(exc.status, str(exc).encode()))
+            self._data.clear()
+            self._finish(response(exc.status, str(exc).encode()), unread=True)
 
     def _read_packet(self) -> None:
         if len(self._data) < HEAD.size:
@@ -252,10 +253,15 @@
             return self._finish(response(503, answer.cause.value.encode(), **more))
         self._finish(response(FAILED_STATUS[answer.cause], answer.cause.value.encode(), **more))
 
-    def _finish(self, data: bytes) -> None:
+    def _finish(self, data: bytes, unread: bool = False) -> None:
+        """With input `unread`, a close would reset the connection before the answer is seen: our half is closed,
+        and what still comes is thrown away until the other side closes or its time is over."""
         self.state, self.request = State.OVER, None
         self.transport.write(data)
-        self.transport.loseConnection()
+        if unread:
+            self.transport.loseWriteConnection()
+        else:
+            self.transport.loseConnection()
         if self._alarm is not None:
             self._alarm.cancel()
         # A client that does not read its answer must not keep its place either.
