SIGHUP reads the configuration again and moves the links; it ended the process

At fault: moorusher/service.py set handlers for SIGTERM, SIGINT and SIGUSR1 alone, and no link could change its address.

Now kernel, database and announce links move at once, also while they dial; the old kernel link serves until the new one has connected. Commands wait until the replay has been read: said before, a reply could be said twice and be taken for that of the run's next call. A bad file is logged with its key and changes nothing.

--- a/moorusher/cli.py
+++ b/moorusher/cli.py
@@ -8,15 +8,19 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 
 from . import __version__
 from .config import FRONTS_FILE, Config, ConfigError, load, parse_address, read_fronts
 
 
-def _serve(config: Config) -> int:
+def _serve(config: Config, read: Callable[[], Config]) -> int:
     # Nothing has been read yet: until the service takes the signal over, leaving is ending.
     signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
+    hangups: list[int] = []  # a new configuration that comes meanwhile is read once there is who can follow it
+    signal.signal(signal.SIGHUP, lambda number, _: hangups.append(number))
     from . import loop  # the loop is installed before any module can import Twisted's default one
 
     reactor = loop.install()
@@ -25,7 +29,7 @@
     PythonLoggingObserver("moorusher.loop").start()  # type: ignore[no-untyped-call]
     from . import service
 
-    return service.serve(config, reactor)
+    return service.serve(config, reactor, read, hangups)
 
 
 def describe(config: Config) -> str:
@@ -79,11 +83,12 @@
     try:
         if args.command == "stats":
             return _stats(args.what, args.address)
-        config = load(fronts=getattr(args, "fronts", None))
+        read = partial(load, fronts=getattr(args, "fronts", None))
+        config = read()
     except ConfigError as exc:
         print(f"moorusher: {exc}", file=sys.stderr)
         return 2
     if args.command == "check-config":
         print(describe(config))
         return 0
-    return _serve(config)
+    return _serve(config, read)
--- a/moorusher/links/announce.py
+++ b/moorusher/links/announce.py
@@ -55,11 +55,29 @@
         self._reactor, self._address, self._name = reactor, address, name
         self.core: Decider  # set by the owner
         self._connection: _Connection | None = None
-        self._dialling = self._stopped = False
+        self._dialling: Any = None  # the connector under way
+        self._stopped = False
 
     def start(self) -> None:
         self._tick()
 
+    def move(self, address: Address) -> None:
+        """Reports go to the new address at once: the entry would lapse by the time that the next one is due."""
+        if address == self._address or self._stopped:
+            return
+        self._address = address
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.transport.loseConnection()
+        dialling, self._dialling = self._dialling, None
+        if dialling is not None:
+            dialling.disconnect()
+        if self.core.ready:
+            self._dial()
+
+    def _dial(self) -> None:
+        self._dialling = self._reactor.connectTCP(*self._address, self, timeout=1)
+
     def stop(self) -> None:
         """On leaving: the entry lapses by itself, and front ends look elsewhere the sooner for it."""
         self._stopped = True
@@ -77,23 +95,23 @@
             self._connection = None
         if self._connection is not None:
             self._connection.report(self._name, self.core.healthy)
-        elif not self._dialling:
-            self._dialling = True
-            self._reactor.connectTCP(*self._address, self, timeout=1)
+        elif self._dialling is None:
+            self._dial()
 
     def buildProtocol(self, addr: object) -> _Connection:
         return _Connection(self)
 
     def connected(self, connection: _Connection) -> None:
-        self._dialling, self._connection = False, connection
+        self._dialling, self._connection = None, connection
         if self._stopped:
             connection.transport.loseConnection()
         else:
             connection.report(self._name, self.core.healthy)
 
     def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
-        self._dialling = False
-        self.core.counters.add("reports not heard")
+        if connector is self._dialling:
+            self._dialling = None
+            self.core.counters.add("reports not heard")
 
     def lost(self, connection: _Connection) -> None:
         if self._connection is connection:
--- a/moorusher/links/database.py
+++ b/moorusher/links/database.py
@@ -35,7 +35,7 @@
 class DatabaseConnection(HttpClient):
     def __init__(self, pool: DatabasePool, first: tuple[int, Asked]) -> None:
         super().__init__()
-        self.pool, self.first = pool, first
+        self.pool, self.first, self.address = pool, first, pool.address
         self.number: int | None = None  # the request whose call is on it
         self.idle_since = 0
 
@@ -52,7 +52,7 @@
     def replied(self, status: int, headers: dict[bytes, bytes], body: bytes, keep: bool) -> None:
         self.pool.core.touch()
         number, self.number = self.number, None
-        if number is None or not keep:
+        if number is None or not keep or self.address != self.pool.address:
             self.transport.loseConnection()
         else:
             self.pool.spare(self)
@@ -80,7 +80,7 @@
     def __init__(self, pool: DatabasePool, number: int, asked: Asked) -> None:
         self.pool, self.number, self.given_up = pool, number, False
         self.call = (number, asked)
-        self.connector: Any = None
+        self.address, self.connector = pool.address, None  # type: Address, Any
 
     def buildProtocol(self, addr: object) -> DatabaseConnection | None:
         if self.given_up:
@@ -89,14 +89,22 @@
         self.pool.connected(self.number, connection)
         return connection
 
+    def dial(self, address: Address) -> None:
+        self.address = address
+        self.connector = self.pool.reactor.connectTCP(*address, self, timeout=30)
+
     def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
-        if not self.given_up:
+        if self.given_up:
+            return
+        if self.address != self.pool.address:
+            self.dial(self.pool.address)  # nothing was written yet: the call goes where the database is now
+        else:
             self.pool.over(self.number, Ending.CALL_NOT_CONNECTED, b"")
 
 
 class DatabasePool:
     def __init__(self, reactor: Any, address: Address) -> None:
-        self.reactor, self._address = reactor, address
+        self.reactor, self.address = reactor, address
         self.core: Decider  # set by the owner
         self._idle: deque[DatabaseConnection] = deque()  # oldest first; the newest is used first
         self._dialling: dict[int, _Dial] = {}
@@ -112,7 +120,7 @@
             connection.send(number, asked)
             return
         dial = self._dialling[number] = _Dial(self, number, asked)
-        dial.connector = self.reactor.connectTCP(*self._address, dial, timeout=30)
+        dial.dial(self.address)
 
     def give_up(self, number: int) -> None:
         """By closing its connection: that is how the other side hears of it."""
@@ -124,6 +132,17 @@
             connection.number = None
             connection.transport.abortConnection()
 
+    def move(self, address: Address) -> None:
+        """New calls go to the new address; those under way at the old one may still be answered there."""
+        if address == self.address:
+            return
+        self.address = address
+        idle, self._idle = self._idle, deque()
+        for connection in idle:
+            connection.transport.loseConnection()
+        for dial in list(self._dialling.values()):
+            dial.connector.disconnect()  # `clientConnectionFailed` dials anew
+
     # ---- from the connections ----
 
     def connected(self, number: int, connection: DatabaseConnection) -> None:
--- a/moorusher/links/kernel.py
+++ b/moorusher/links/kernel.py
@@ -12,7 +12,7 @@
 from twisted.python.failure import Failure
 
 from ..config import Address
-from ..core.clock import MS
+from ..core.clock import MS, Alarm
 from ..core.decide import Decider
 from ..core.endings import Ending
 
@@ -34,7 +34,7 @@
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
-        self.say({"t": "OPEN", "no": self.link.last})  # before anything else
+        self.link.opened(self)
 
     def say(self, message: dict[str, object]) -> None:
         self.transport.write(json.dumps(message, separators=(",", ":")).encode() + b"\n")
@@ -67,13 +67,29 @@
         self.core: Decider  # set by the owner: core and link need each other
         self.connection: KernelConnection | None = None
         self.last = 0
-        self._up = False  # BOOTED has come on this link
+        self._up = False  # commands may be said: BOOTED has come on this link, and its replay was read
         self._was_up = False
         self._pause = RETRY
         self._closing = False
+        self._dialling: Any = None  # the connector under way: an older one that fails says nothing
+        self._alarm: Alarm | None = None  # of the next try
 
     def start(self) -> None:
-        self._reactor.connectTCP(*self._address, self, timeout=5)
+        self._alarm = None
+        self._dialling = self._reactor.connectTCP(*self._address, self, timeout=5)
+
+    def move(self, address: Address) -> None:
+        """The kernel has a new address. A link to the old one serves until the new one is up: it takes nothing
+        new there, but what is open is carried for a while."""
+        if address == self._address or self._closing:
+            return
+        self._address, self._pause = address, RETRY
+        if self._alarm is not None:
+            self._alarm.cancel()
+        dialling, self._dialling = self._dialling, None
+        if dialling is not None:
+            dialling.disconnect()
+        self.start()
 
     def close(self) -> None:
         self._closing = True
@@ -81,12 +97,22 @@
             self.connection.transport.loseConnection()
 
     def buildProtocol(self, addr: object) -> KernelConnection:
-        self._up = False
-        self.connection = KernelConnection(self)
-        return self.connection
+        return KernelConnection(self)
+
+    def opened(self, connection: KernelConnection) -> None:
+        before, self.connection = self.connection, connection
+        self._dialling, self._up = None, False
+        if before is not None:
+            before.transport.loseConnection()  # what was said on it goes out first
+        if self._closing:
+            connection.transport.loseConnection()
+        else:
+            connection.say({"t": "OPEN", "no": self.last})  # before anything else
 
     def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
-        self._again()
+        if connector is self._dialling:
+            self._dialling = None
+            self._again()
 
     def lost(self, connection: KernelConnection) -> None:
         if connection is self.connection:
@@ -95,9 +121,9 @@
             self._again()
 
     def _again(self) -> None:
-        if not self._closing:
+        if not self._closing and self._dialling is None:  # else a new link is on its way already
             self.core.touch()
-            self.core.alarms.at(self.core.clock.now + self._pause, self.start)
+            self._alarm = self.core.alarms.at(self.core.clock.now + self._pause, self.start)
             self._pause = min(RETRY_MOST, self._pause * 2)
 
     # ---- notices ----
@@ -106,6 +132,7 @@
         kind = message.get("t")
         if kind == "INFO":
             if message.get("mark") == SYNC:
+                self._up = True
                 self.core.kernel_read_again()
             self.core.gauges(tuple(float(v) for v in message.get("v", ())))
         elif kind == "BOOTED":
@@ -127,13 +154,15 @@
             log.warning("the kernel sent an unknown message %r", kind)
 
     def _booted(self, message: dict[str, Any]) -> None:
-        self._up, self._pause = True, RETRY
+        self._pause = RETRY
         state, age_ms = message.get("status"), float(message.get("time_ms") or 0)
         log.info("kernel up: %s, started %.0f ms ago", state, age_ms)
-        if self._was_up:
-            # The answer to this comes after the replay: only then is it known what to say again.
-            self._say({"t": "SYSINFO", "mark": SYNC})
-        self._was_up = True
+        if self._was_up and self.connection is not None:
+            # The answer to this comes after the replay: only then is it known what to say again. Nothing is said
+            # before: `Runs` would say it twice, and a second reply could be taken for that of a later call.
+            self.connection.say({"t": "SYSINFO", "mark": SYNC})
+        else:
+            self._up = self._was_up = True
         self.core.kernel_up(cold=state == "EMPTY", age_ms=age_ms)
 
     # ---- commands ----
--- a/moorusher/links/uwsgi.py
+++ b/moorusher/links/uwsgi.py
@@ -86,6 +86,9 @@
         self.core: Decider  # set by the owner
         self._open: dict[int, _Dial] = {}
 
+    def move(self, address: Address) -> None:
+        self._address = address  # each call has a connection of its own: the next ones go there
+
     def call(self, number: int, asked: Asked) -> None:
         dial = self._open[number] = _Dial(self, number, asked)
         dial.connector = self._reactor.connectTCP(*self._address, dial, timeout=30)
--- a/moorusher/service.py
+++ b/moorusher/service.py
@@ -5,9 +5,11 @@
 import gc
 import logging
 import signal
+from collections.abc import Callable
+from dataclasses import fields, replace
 from typing import Any
 
-from .config import Address, Config
+from .config import Address, Config, ConfigError
 from .core.call import Calls, NoCalls
 from .core.clock import MS, Alarms, Clock
 from .core.decide import Decider
@@ -25,6 +27,7 @@
 QUIET = 250 * MS  # without a word from any front end, before the connections that are left are closed
 LAST = 60 * MS  # before the time at which it would be killed, the program is gone in any case
 SPARE_SOCKETS = 160  # descriptors for the calls below, the links, the listening sockets and the interpreter
+LIVE = {"kernel", "announce", "db", "stop_ms"}  # what SIGHUP changes; the rest is for the next start
 
 
 class Service:
@@ -39,6 +42,7 @@
             below = UwsgiCalls(reactor, config.uwsgi.below)
         elif config.db is not None:
             below = DatabasePool(reactor, config.db)
+        self.below = below
         calls: Calls = below or NoCalls()
         self.core = Decider(config.settings, self.clock, self.alarms, self.kernel, calls,
                             lambda f: reactor.callLater(0, f))
@@ -86,6 +90,34 @@
     def _fit(self) -> bool:
         return self.core.ready and self.core.healthy and not self.core.draining
 
+    # ---- a new configuration ----
+
+    def reload(self, load: Callable[[], Config]) -> None:
+        """SIGHUP: links move to their new addresses; keys, runs and held requests stay as they are."""
+        try:
+            new = load()
+        except ConfigError as exc:
+            log.error("configuration not changed: %s", exc)
+            return
+        old = self.config
+        odd = [f.name for f in fields(Config) if getattr(new, f.name) != getattr(old, f.name)
+               and f.name not in LIVE]
+        below = new.uwsgi.below or new.db if old.uwsgi.below is None else new.uwsgi.below
+        if (below is None) != (self.below is None) or (new.announce is None) != (self.announcer is None):
+            log.error("configuration not changed: %s: can't be set or taken away without a restart",
+                      "announce" if (new.announce is None) != (self.announcer is None) else "db")
+            return
+        self.core.touch()
+        self.config = replace(old, **{name: getattr(new, name) for name in LIVE})
+        self.kernel.move(new.kernel)
+        if self.below is not None and below is not None:
+            self.below.move(below)
+        if self.announcer is not None and new.announce is not None:
+            self.announcer.move(new.announce)
+        self.core.counters.add("configurations read")
+        log.info("configuration read again: kernel %s:%d%s", *new.kernel,
+                 f"; {', '.join(odd)}: changed, for the next start" if odd else "")
+
     # ---- leaving ----
 
     def drain(self) -> None:
@@ -138,8 +170,8 @@
         return "; ".join(self.core.counters.lines())
 
 
-def serve(config: Config, reactor: Any) -> int:
-    """Until it has left; the exit code."""
+def serve(config: Config, reactor: Any, load: Callable[[], Config], hangups: list[int]) -> int:
+    """Until it has left; the exit code. `hangups` holds the SIGHUPs that came before anyone could follow them."""
     service = Service(config, reactor)
     failed = False
 
@@ -151,10 +183,13 @@
             log.error("could not start: %s", exc)
             failed = True
             reactor.stop()
+        if hangups and not failed:
+            service.reload(load)
 
     # A signal may come between any two instructions: the loop's own waker brings it into a turn.
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: reactor.callFromThread(service.drain))
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(service.reload, load))
     signal.signal(signal.SIGUSR1, lambda *_: reactor.callFromThread(
         lambda: log.info("counters: %s", service.counters())))
     reactor.callWhenRunning(start)
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -6,6 +6,7 @@
 import base64
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -65,6 +66,12 @@
 
     async def start(self) -> None:
         self._free = asyncio.Semaphore(self.cores)
+        await self.move()
+
+    async def move(self) -> None:
+        """To a new port: the old one takes nothing new, its link stays until the next replaces it."""
+        if self._server is not None:
+            self._server.close()
         self._server = await asyncio.start_server(self._serve, HOST, 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
@@ -276,6 +283,7 @@
                   "stop_ms": 4000, "settings": settings} | {
             name: f"{HOST}:{port}" for name, port in (("db", db_port), ("announce", announce)) if port}
         (folder / "config.json").write_text(json.dumps(config))
+        self.config = config
         self.log = open(folder / "log", "w+")  # noqa: SIM115 - it lives as long as the runner
         self.process = subprocess.Popen(
             [sys.executable, "-m", "moorusher", "serve", "--fronts", str(folder / "fronts.toml")], cwd=ROOT,
@@ -294,6 +302,11 @@
             self.admin, b"GET /" + name.encode() + b" HTTP/1.0\r\n\r\n")))
         return got
 
+    def reload(self, **changes: str) -> None:
+        self.config |= changes
+        (Path(self.dir.name) / "config.json").write_text(json.dumps(self.config))
+        self.process.send_signal(signal.SIGHUP)
+
     def text(self) -> str:
         self.log.flush()
         return Path(self.log.name).read_text()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+from collections import Counter
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
 from functools import wraps
@@ -16,6 +17,7 @@
 from moorusher.fronts.uwsgi import HEAD, PING, build_packet
 
 from .stand_ins import (
+    HOST,
     WAIT,
     Database,
     FrontEnd,
@@ -412,6 +414,44 @@
     server.close()
 
 
+# ---- a new configuration ----
+
+
+@sockets
+async def test_sighup_moves_all_links_and_loses_nothing() -> None:
+    heard: Counter[str] = Counter()
+
+    async def listen(name: str) -> str:
+        async def service(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with suppress(asyncio.IncompleteReadError, ConnectionError):
+                while await reader.readuntil(b'"}'):
+                    heard[name] += 1
+                    writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
+        server = await asyncio.start_server(service, HOST, 0)
+        return f"{HOST}:{server.sockets[0].getsockname()[1]}"
+
+    kernel, later, token = Kernel(work=0.3, calls=True), Database(), key()
+    before = await listen("before")
+    async with running(kernel, Database(), announce=int(before.split(":")[1])) as r:
+        f = await FrontEnd.connect(r.port)
+        await later.start()
+        asked = [f.send("submit", token=token), *(f.send("check") for _ in range(3))]
+        await has(lambda: len(kernel.runs) >= 2)
+        await kernel.move()
+        r.reload(kernel=f"{HOST}:{kernel.port}", db=f"{HOST}:{later.port}", announce=await listen("after"))
+        got = await asyncio.wait_for(asyncio.gather(*asked), WAIT)
+        assert all("result" in a for a in got) and set(f.answers.values()) == {1}
+        assert content(await f.ask("submit", token=token)) == content(got[0])  # kept through it
+        assert len({rid for rid, _, _ in kernel.runs}) == len(kernel.runs) == 4
+        assert len(kernel.opened) == 2 and later.calls
+        await has(lambda: heard["after"] > 0)
+        # A file that can't be used changes nothing, and the log names the key.
+        r.reload(kernel="nowhere")
+        await has(lambda: "kernel: expected HOST:PORT" in r.text())
+        assert "result" in await f.ask("check")
+        assert (await r.counters())["configurations read"] == 1
+
+
 # ---- administration ----
 
 
