Idle and silent connections give up their places to front ends that need one

Ruled out: memory (23 of 64 MB), CPU (0.22 of 0.476), the kernel's link. At fault: JsonRpcFront.buildProtocol turned away whoever came once 'most' was reached, and nothing was ever closed.

Now fronts/places.py keeps, for both fronts, connections without an open request in order. At the limit the longest useless one goes: asked to leave, silent, idle. Silent for 2 s: closed; idle for as long as front ends keep theirs: asked to leave, then closed. 16 faults on a connection close it by halves; what still comes is thrown away.

--- a/moorusher/core/endings.py
+++ b/moorusher/core/endings.py
@@ -34,6 +34,9 @@
     READS_TOO_SLOWLY = "other side reads too slowly"
     TOO_MANY = "too many connections"
     IDLE = "idle for too long"
+    SILENT = "nothing whole came in time"
+    MADE_WAY = "idle, and its place was needed"
+    TOO_FAULTY = "too many faults"
 
 
 # Only what stands here is ever told to the module: the other endings are those of connections alone.
--- a/moorusher/fronts/jsonrpc.py
+++ b/moorusher/fronts/jsonrpc.py
@@ -5,7 +5,7 @@
 import binascii
 import json
 import math
-from typing import Any
+from typing import Any, cast
 
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory
@@ -13,16 +13,20 @@
 from twisted.python.failure import Failure
 
 from ..core.answer import Answer, Verdict
-from ..core.clock import SECOND
+from ..core.clock import MS, SECOND
 from ..core.decide import Decider
 from ..core.endings import Ending
 from ..core.intake import Fault
 from ..core.requests import Arrival, Request, is_word
+from .places import Places
 
 PARSE, INVALID, NO_METHOD, BAD_PARAMS, FAILED, REFUSED = -32700, -32600, -32601, -32602, -32000, -32014
+MOST_FAULTS = 16  # on one connection: a front end makes none
 MOST_OPEN = 32  # requests on one connection
 MOST_BODY = 2048
 MOST_LINE = 8192  # a body in base64 takes 2,732 of it
+SILENCE = 2 * SECOND  # until a message that gets an answer has come
+IDLENESS = 30 * SECOND  # where the settings name no time after which front ends close idle connections
 LINGER = SECOND  # for the other side to read why it is closed
 MOST_UNSENT = 256 * 1024  # 32 answers of 4 KiB in base64 are two thirds of it
 FAULT_CODES = {Fault.NO_SUCH_CLASS: NO_METHOD, Fault.NO_SUCH_TENANT: BAD_PARAMS,
@@ -108,7 +112,7 @@
         self.owner, self.core = owner, owner.core
         self.open: dict[int, Request] = {}
         self.by_rid: dict[str, int] = {}
-        self.used = self.active = 0  # the highest id so far; when something last came
+        self.active = self.faults = 0  # when something last came; what was malformed
         self.leaving = False
         self.unsent = 0  # since the other side stopped reading; 0 where it reads
         self.ending: Ending | None = None
@@ -121,7 +125,8 @@
         self.transport.registerProducer(self, True)
         self.core.touch()
         self.active = self.core.clock.now
-        self.owner.joined(self)
+        self.owner.places.joined(self)
+        self.core.counters.add("connections")
         if self.owner.draining:
             self.leave()
 
@@ -139,7 +144,9 @@
     def connectionLost(self, reason: Failure | None = None) -> None:
         self.transport.unregisterProducer()
         clean = reason is None or reason.check(ConnectionDone)  # type: ignore[no-untyped-call]
-        self.owner.left(self, self.ending or (Ending.CLOSED_BY_PEER if clean else Ending.LOST))
+        self.owner.places.left(self)
+        ending = self.ending or (Ending.CLOSED_BY_PEER if clean else Ending.LOST)
+        self.core.counters.add("connections: " + ending.value)
         requests, self.open = list(self.open.values()), {}
         self.by_rid.clear()
         for request in requests:
@@ -148,6 +155,7 @@
     def end(self, ending: Ending) -> None:
         if self.ending is None:
             self.ending = ending
+            self.owner.places.closing(self)
             if ending is Ending.READS_TOO_SLOWLY:
                 self.transport.abortConnection()
             else:
@@ -155,14 +163,19 @@
 
     def lineLengthExceeded(self, line: bytes) -> None:
         self._send(_error(None, PARSE, f"a line of more than {self.MAX_LENGTH} bytes"))
-        # Where the next message starts is not known. A close with input unread would reset the connection, and
-        # the other side might never see the error: our half is closed, and what still comes is thrown away.
-        self.ending = self.ending or Ending.LINE_TOO_LONG
-        self.transport.loseWriteConnection()
-        self.core.alarms.at(self.core.clock.now + LINGER, self._linger_over)
-
-    def _linger_over(self) -> None:
-        if self in self.owner.connections:
+        self._end_by_halves(Ending.LINE_TOO_LONG)  # where the next message starts is not known
+
+    def _end_by_halves(self, ending: Ending) -> None:
+        """A close with input unread would reset the connection, and the other side might never see the error: our
+        half is closed, and what still comes is thrown away."""
+        if self.ending is None:
+            self.ending = ending
+            self.owner.places.closing(self)
+            self.transport.loseWriteConnection()
+            self.core.alarms.at(self.core.clock.now + LINGER, self.cut)
+
+    def cut(self) -> None:
+        if self in self.owner.places.all:
             self.transport.abortConnection()
 
     def dataReceived(self, data: bytes) -> None:
@@ -177,6 +190,10 @@
     def close(self) -> None:
         self.end(Ending.CLOSED_BY_US)
 
+    def _rested(self) -> None:
+        if not self.open:
+            self.owner.places.rested(self)
+
     def _send(self, line: bytes) -> None:
         self.transport.write(line)  # the transport writes once a turn, whatever was added to it
         if self.unsent:
@@ -222,13 +239,18 @@
             return self._fault(tag, BAD_PARAMS, str(exc))
         taken = self.core.take(arrival, self, tag)
         if isinstance(taken, Fault):
-            return self._send(_error(tag, FAULT_CODES.get(taken, FAILED), taken.value))
+            return self._fault(tag, FAULT_CODES.get(taken, FAILED), taken.value, taken in FAULT_CODES)
+        self.owner.places.busy(self)
         self.open[tag] = taken
         self.by_rid[taken.rid] = tag
 
-    def _fault(self, tag: int | None, code: int, text: str) -> None:
+    def _fault(self, tag: int | None, code: int, text: str, theirs: bool = True) -> None:
         self.core.counters.add("faulty")
         self._send(_error(tag, code, text))
+        self._rested()
+        self.faults += theirs
+        if self.faults >= MOST_FAULTS:
+            self._end_by_halves(Ending.TOO_FAULTY)
 
     def _heartbeat(self, tag: int | None) -> None:
         fit = self.core.ready and self.core.healthy
@@ -237,6 +259,7 @@
             result["hint"] = self.core.hint
         self.core.counters.add("health checks")
         self._send(json.dumps({"jsonrpc": "2.0", "id": tag, "result": result}).encode() + b"\n")
+        self._rested()
 
     def _revoke(self, tag: int | None, params: Any) -> None:
         """Names the request by its rid, or by its id on this connection."""
@@ -249,6 +272,7 @@
         if request is not None:
             self.by_rid.pop(request.rid, None)
             self.core.gone(request)
+            self._rested()
         if tag is not None and tag not in self.open:
             self._send(json.dumps({"jsonrpc": "2.0", "id": tag, "result": {}}).encode() + b"\n")
 
@@ -258,6 +282,7 @@
         request = self.open.pop(tag, None)
         if request is not None:
             self.by_rid.pop(request.rid, None)
+            self._rested()
         if answer.verdict is Verdict.SERVED:
             content = binascii.b2a_base64(answer.content, newline=False)
             more = b"" if hint is None else b',"hint":%s' % json.dumps(hint).encode()
@@ -277,23 +302,20 @@
     noisy = False
 
     def __init__(self, core: Decider, most: int) -> None:
-        self.core, self.most = core, most
-        self.connections: set[JsonRpcConnection] = set()
-        self.draining = False
+        self.core, self.draining = core, False
+        idleness = round(core.settings.idle_connection_ms * MS) or IDLENESS
+        self.places = Places(core, most, SILENCE, idleness)
 
     def buildProtocol(self, addr: object) -> JsonRpcConnection | None:
-        if len(self.connections) >= self.most:
+        self.core.touch()
+        if not self.places.room():
             self.core.counters.add("connections: " + Ending.TOO_MANY.value)
             return None
         return JsonRpcConnection(self)
 
-    def joined(self, connection: JsonRpcConnection) -> None:
-        self.connections.add(connection)
-        self.core.counters.add("connections")
-
-    def left(self, connection: JsonRpcConnection, ending: Ending) -> None:
-        self.connections.discard(connection)
-        self.core.counters.add("connections: " + ending.value)
+    @property
+    def connections(self) -> set[JsonRpcConnection]:
+        return cast(set[JsonRpcConnection], self.places.all)
 
     def leave(self) -> None:
         self.draining = True
@@ -301,7 +323,6 @@
             connection.leave()
 
     def trim(self, idle: int) -> None:
-        """Ask front ends to close what has carried nothing for so long: our own close could cross a request."""
-        for connection in list(self.connections):
-            if not connection.open and self.core.clock.now - connection.active >= idle:
-                connection.leave()
+        """From now on, ask front ends to close what has carried nothing for so long: our own close could cross a
+        request."""
+        self.places.idle_after(idle)
--- /dev/null
+++ b/moorusher/fronts/places.py
@@ -0,0 +1,122 @@
+"""The places that a front has for connections, and who gives one up: first what is of no use to anybody.
+
+Clients may open connections by hundreds and say nothing, or ask once and hold on for good. Without this they would
+take every place, and front ends would be turned away. Each connection stands in one list at most, oldest first:
+`closing`, `silent` (nothing whole has come on it) or `idle` (nothing is open on it); where it stands in none, a
+request is open on it. One alarm sees to the oldest.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from ..core.clock import MS, SECOND, Alarm
+from ..core.decide import Decider
+from ..core.endings import Ending
+
+GRACE = 300 * MS  # a connection that is younger, or idle for less, goes only if there is no other
+ASKED = 2 * SECOND  # for the other side to close what it was asked to close
+
+
+class Placed(Protocol):
+    def leave(self) -> None: ...  # ask the other side to close
+    def end(self, ending: Ending) -> None: ...
+    def cut(self) -> None: ...  # at once, whatever is unsent
+
+
+class Places:
+    def __init__(self, core: Decider, most: int, silence: int, idleness: int) -> None:
+        self.core, self.most, self.silence, self.idleness = core, most, silence, idleness
+        self.all: set[Placed] = set()
+        self._closing: dict[Placed, int] = {}
+        self._silent: dict[Placed, int] = {}
+        self._idle: dict[Placed, int] = {}
+        self._asked: dict[Placed, int] = {}  # idle for long, and asked to close
+        self._alarm: Alarm | None = None
+        self._due = 0
+
+    def __len__(self) -> int:
+        return len(self.all)
+
+    def idle_after(self, idleness: int) -> None:
+        self.idleness = idleness
+        self._watch()
+
+    # ---- from the connections ----
+
+    def joined(self, c: Placed) -> None:
+        self.all.add(c)
+        self._silent[c] = self.core.clock.now
+        self._watch()
+
+    def rested(self, c: Placed) -> None:
+        """Something whole has come, and nothing is open on it."""
+        self.busy(c)
+        if c in self.all and c not in self._closing:
+            self._idle[c] = self.core.clock.now
+            self._watch()
+
+    def busy(self, c: Placed) -> None:
+        for listed in (self._silent, self._idle, self._asked):
+            listed.pop(c, None)
+
+    def closing(self, c: Placed) -> None:
+        """Nothing that still comes on it counts; it waits for the other side."""
+        self.busy(c)
+        self._closing[c] = self.core.clock.now
+
+    def left(self, c: Placed) -> None:
+        self.busy(c)
+        self._closing.pop(c, None)
+        self.all.discard(c)
+
+    # ---- room ----
+
+    def room(self) -> bool:
+        """For one more. Where all places are taken, the longest useless one is given up for it."""
+        if len(self.all) < self.most:
+            return True
+        now = self.core.clock.now
+        for grace in (GRACE, 0):
+            for listed in (self._asked, self._silent, self._idle):
+                c = next(iter(listed), None)
+                if c is not None and now - listed[c] >= grace:
+                    c.leave()
+                    c.end(Ending.MADE_WAY)
+                    return True
+            c = next(iter(self._closing), None)
+            if c is not None and now - self._closing.pop(c) >= GRACE:  # it had time to take its last answer
+                c.cut()
+                return True
+        return False
+
+    # ---- time ----
+
+    def _watch(self) -> None:
+        due = self._next()
+        if due is None or (self._alarm is not None and self._due <= due):
+            return
+        if self._alarm is not None:
+            self._alarm.cancel()
+        self._due, self._alarm = due, self.core.alarms.at(due, self._ring)
+
+    def _next(self) -> int | None:
+        ends = [next(iter(listed.values())) + wait for listed, wait in self._waits() if listed]
+        return min(ends, default=None)
+
+    def _waits(self) -> tuple[tuple[dict[Placed, int], int], ...]:
+        return (self._silent, self.silence), (self._idle, self.idleness), (self._asked, ASKED)
+
+    def _ring(self) -> None:
+        self._alarm = None
+        now = self.core.clock.now
+        for listed, wait in self._waits():
+            while listed and now - listed[c := next(iter(listed))] >= wait:
+                if listed is self._idle:
+                    del listed[c]
+                    self._asked[c] = now
+                    c.leave()
+                else:
+                    c.end(Ending.SILENT if listed is self._silent else Ending.IDLE)
+                    listed.pop(c, None)
+        self._watch()
--- a/moorusher/fronts/uwsgi.py
+++ b/moorusher/fronts/uwsgi.py
@@ -10,7 +10,7 @@
 import struct
 from collections.abc import Callable
 from enum import Enum
-from typing import Any
+from typing import Any, cast
 
 from twisted.internet.protocol import Factory, Protocol
 
@@ -20,6 +20,7 @@
 from ..core.endings import Ending
 from ..core.intake import Fault
 from ..core.requests import Arrival, Request, is_word
+from .places import Places
 
 HEAD = struct.Struct("<BHB")  # modifier1, size of the variables, modifier2
 LENGTH = struct.Struct("<H")
@@ -167,25 +168,31 @@
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
-        self.owner.joined(self)
         # A client that stops in the middle would else hold its place for ever.
-        self.core.touch()
+        self.owner.places.joined(self)
+        self.core.counters.add("uwsgi connections")
         self._since = self.core.clock.now  # a client's budget runs while its body is still on the way
-        self._alarm = self.core.alarms.at(self._since + self.owner.idle, self._too_slow)
 
-    def _too_slow(self) -> None:
-        self._alarm = None
-        self.ending = self.ending or Ending.IDLE
-        if self.state is State.OVER:  # answered, and the answer is not being read
+    def leave(self) -> None:
+        """uwsgi has no word for it: an idle client is simply told that it was too slow."""
+
+    def end(self, ending: Ending) -> None:
+        """It has not come whole: in time, or as its place was needed."""
+        self.ending = self.ending or ending
+        self._finish(response(408, b"the request did not come whole in time"))
+
+    def cut(self) -> None:
+        """Answered, and the answer is not being read."""
+        if self in self.owner.places.all:
+            self.ending = self.ending or Ending.IDLE
             self.transport.abortConnection()
-        else:
-            self._finish(response(408, b"the request did not come whole in time"))
 
     def connectionLost(self, reason: object = None) -> None:
         if self._alarm is not None:
             self._alarm.cancel()
-        self.owner.left(self, self.ending or (Ending.CLOSED_BY_US if self.state is State.OVER else
-                                              Ending.CLOSED_BY_PEER))
+        self.owner.places.left(self)
+        ending = self.ending or (Ending.CLOSED_BY_US if self.state is State.OVER else Ending.CLOSED_BY_PEER)
+        self.core.counters.add("uwsgi connections: " + ending.value)
         # In the packet or its body: nothing has entered the core. After it: the caller is gone.
         if self.request is not None:
             self.core.gone(self.request)
@@ -230,9 +237,7 @@
             more: dict[str, object] = {"Retry_After": 1} if status == 503 else {}
             return self._finish(response(status, taken.value.encode(), **more))
         self.state, self.request = State.ASKED, taken
-        if self._alarm is not None:
-            self._alarm.cancel()  # from here the core sees to the time
-            self._alarm = None
+        self.owner.places.busy(self)  # from here the core sees to the time
 
     def close(self) -> None:
         """The runner ends: what has not come whole never entered the core, and may go elsewhere."""
@@ -257,15 +262,14 @@
         """With input `unread`, a close would reset the connection before the answer is seen: our half is closed,
         and what still comes is thrown away until the other side closes or its time is over."""
         self.state, self.request = State.OVER, None
+        self.owner.places.closing(self)
         self.transport.write(data)
         if unread:
             self.transport.loseWriteConnection()
         else:
             self.transport.loseConnection()
-        if self._alarm is not None:
-            self._alarm.cancel()
         # A client that does not read its answer must not keep its place either.
-        self._alarm = self.core.alarms.at(self.core.clock.now + self.owner.idle, self._too_slow)
+        self._alarm = self.core.alarms.at(self.core.clock.now + self.owner.places.silence, self.cut)
 
 
 class UwsgiFront(Factory):
@@ -273,20 +277,16 @@
 
     def __init__(self, core: Decider, most: int, most_body: int, idle_s: float,
                  fit: Callable[[], bool]) -> None:
-        self.core, self.most, self.most_body, self.fit = core, most, most_body, fit
-        self.idle = round(idle_s * SECOND)
-        self.connections: set[UwsgiConnection] = set()
+        self.core, self.most_body, self.fit = core, most_body, fit
+        self.places = Places(core, most, round(idle_s * SECOND), 0)
 
     def buildProtocol(self, addr: object) -> UwsgiConnection | None:
-        if len(self.connections) >= self.most:
+        self.core.touch()
+        if not self.places.room():
             self.core.counters.add("uwsgi connections: " + Ending.TOO_MANY.value)
             return None
         return UwsgiConnection(self)
 
-    def joined(self, connection: UwsgiConnection) -> None:
-        self.connections.add(connection)
-        self.core.counters.add("uwsgi connections")
-
-    def left(self, connection: UwsgiConnection, ending: Ending) -> None:
-        self.connections.discard(connection)
-        self.core.counters.add("uwsgi connections: " + ending.value)
+    @property
+    def connections(self) -> set[UwsgiConnection]:
+        return cast(set[UwsgiConnection], self.places.all)
