A database connection that got more than its reply is not used again; keyed calls go on fresh ones

Probed with pieces in hand: after a reply with noise or a second copy behind it the connection was put into the idle list and left it only when connectionLost came, so the next call could be written to it or take the copy for its reply; two different Content-Lengths, endless heads and endless 1xx were read on.

A safe call on one that was forgotten is made again at once.

--- a/moorusher/links/announce.py
+++ b/moorusher/links/announce.py
@@ -31,6 +31,7 @@
     def report(self, name: str, accepting: bool) -> None:
         body = b'{"accepting":"%s"}' % (b"true" if accepting else b"false")
         self.waiting = True
+        self.asked()
         self.transport.write(b"PUT /announce/%s HTTP/1.1\r\nHost: announce\r\nContent-Type: application/json\r\n"
                              b"Content-Length: %d\r\n\r\n%s" % (name.encode(), len(body), body))
 
@@ -44,6 +45,9 @@
         log.warning("announce service: %s", why)
         self.transport.abortConnection()
 
+    def stray(self) -> None:
+        self.transport.abortConnection()
+
     def connectionLost(self, reason: Failure | None = None) -> None:
         self.announcer.lost(self)
 
--- a/moorusher/links/database.py
+++ b/moorusher/links/database.py
@@ -10,11 +10,12 @@
 
 from ..config import Address
 from ..core.call import Asked
-from ..core.clock import SECOND, Alarm
+from ..core.clock import MS, SECOND, Alarm
 from ..core.decide import Decider
 from ..core.endings import Ending
 from .http import HttpClient
 
+SETTLE = 20 * MS  # after a reply, for what should not follow it
 IDLE = 7 * SECOND  # the other side closes after 10 s: a call must not cross that close
 MOST_IDLE = 32
 
@@ -37,14 +38,17 @@
         super().__init__()
         self.pool, self.first, self.address = pool, first, pool.address
         self.number: int | None = None  # the request whose call is on it
+        self.call: Asked | None = None
         self.idle_since = 0
+        self.reused = False
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
         self.send(*self.first)
 
     def send(self, number: int, asked: Asked) -> None:
-        self.number = number
+        self.number, self.call = number, asked
+        self.asked()
         self.transport.write(
             b"POST /v1/exec HTTP/1.1\r\nHost: db\r\nRequest-Ref: %s\r\nStatement-Timeout-Ms: %d\r\n"
             b"Content-Length: %d\r\n\r\n%s" % (asked.rid.encode(), asked.timeout_ms, len(asked.body), asked.body))
@@ -59,6 +63,11 @@
         if number is not None:
             self.pool.over(number, ending_of(status, headers), body)
 
+    def stray(self) -> None:
+        """More than the reply: what else comes could be taken for the next one."""
+        self.pool.lost(self)
+        self.transport.abortConnection()
+
     def garbled(self, why: str) -> None:
         number, self.number = self.number, None
         self.transport.abortConnection()
@@ -68,7 +77,11 @@
     def connectionLost(self, reason: Failure | None = None) -> None:
         self.pool.lost(self)
         number, self.number = self.number, None
-        if number is not None:
+        if number is None:
+            return
+        if self.reused and self.call is not None and self.call.token is None:
+            self.pool.dial(number, self.call)  # forgotten by the other side while idle, most likely
+        else:
             self.pool.over(number, Ending.CALL_CUT_OFF, b"")
 
 
@@ -115,10 +128,21 @@
 
     def call(self, number: int, asked: Asked) -> None:
         self._close_old()
-        if self._idle:
-            connection = self._busy[number] = self._idle.pop()
-            connection.send(number, asked)
-            return
+        connection = self._settled() if asked.token is None else None
+        if connection is None:
+            return self.dial(number, asked)
+        self._idle.remove(connection)
+        self._busy[number] = connection
+        connection.reused = True
+        connection.send(number, asked)
+
+    def _settled(self) -> DatabaseConnection | None:
+        """The connection that became idle last, but not just now: late noise or a second copy of its reply would
+        be taken for the next one. A keyed call gets a fresh one: a reset on one that was idle proves nothing."""
+        latest = self.core.clock.now - SETTLE
+        return next((c for c in reversed(self._idle) if c.idle_since <= latest), None)
+
+    def dial(self, number: int, asked: Asked) -> None:
         dial = self._dialling[number] = _Dial(self, number, asked)
         dial.dial(self.address)
 
--- a/moorusher/links/uwsgi.py
+++ b/moorusher/links/uwsgi.py
@@ -47,6 +47,7 @@
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
+        self.asked()
         self.transport.write(call_packet(self.dial.asked))
 
     def replied(self, status: int, headers: dict[bytes, bytes], body: bytes, keep: bool) -> None:
@@ -57,6 +58,9 @@
         self.dial.end(Ending.CALL_GARBLED)
         self.transport.abortConnection()
 
+    def stray(self) -> None:
+        self.transport.abortConnection()
+
     def connectionLost(self, reason: Failure | None = None) -> None:
         self.dial.end(Ending.CALL_CUT_OFF)  # where it was answered before, this says nothing more
 
