An unreadable kernel notice is asked for again; nothing is said before a replay has ended

Probed: a notice with unreadable base64, status or number was logged and gone, its number already counted as read (KernelLink.read set last before the rest was decoded). Commands said between BOOTED and the end of the replay went out twice, and a reply from long before the break was said again: the kernel names no call in IODONE, so it could be taken for the reply to the run's next call.

Now a notice is read whole or not at all; an unreadable line ends the link, which opens again after the last whole one (at most three times over the same line). Commands wait for the end of the replay. Replies are said again only if they went out less than 250 ms before the break; runs, stops and what went unsaid as before.

--- a/moorusher/core/decide.py
+++ b/moorusher/core/decide.py
@@ -37,7 +37,7 @@
         self.settings, self.clock, self.alarms = settings, clock, alarms
         self.counters, self.table, self.keys = Counters(), Table(), Keys()
         self.intake = Intake(settings, clock, self.table, self.keys)
-        self.runs = Runs(kernel, [c.name for c in settings.classes])
+        self.runs = Runs(kernel, [c.name for c in settings.classes], clock)
         self.calls = OpenCalls(calls, clock, alarms)
         self._kernel, self._soon, self._make = kernel, soon, make
         self._balancer: Balancer | None = None
@@ -181,9 +181,9 @@
             self._open_module()
             self._kernel.ask_gauges()
 
-    def kernel_read_again(self) -> None:
+    def kernel_read_again(self, since: int) -> None:
         self.touch()
-        self.runs.say_again()
+        self.runs.say_again(since)
 
     def gauges(self, values: tuple[float, ...]) -> None:
         self._gauges = values
--- a/moorusher/core/run.py
+++ b/moorusher/core/run.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from .clock import Clock
 from .requests import Request
 
 
@@ -28,11 +29,12 @@
     calls: int = 0  # calls that it has asked for, this one included
     call: bytes = b""
     told: tuple[int, bytes | None] | None = None  # last notice answered, with the reply or None for 'left out'
+    told_at: int = 0
 
 
 class Runs:
-    def __init__(self, kernel: Kernel, routes: list[str]) -> None:
-        self._kernel, self._routes = kernel, routes
+    def __init__(self, kernel: Kernel, routes: list[str], clock: Clock) -> None:
+        self._kernel, self._routes, self._clock = kernel, routes, clock
         self._runs: dict[int, Run] = {}
 
     def __len__(self) -> int:
@@ -65,6 +67,7 @@
         if run is None or not run.notice:
             return  # it waits for no call: the kernel would take this for a fault
         run.told, run.notice, run.call = (run.notice, reply), 0, b""
+        run.told_at = self._clock.now
         self._tell(run)
 
     def _tell(self, run: Run) -> None:
@@ -79,11 +82,13 @@
     def over(self, number: int) -> Run | None:
         return self._runs.pop(number, None)
 
-    def say_again(self) -> None:
-        """After a broken link, once the kernel's replay has been read: whatever it may not have got."""
+    def say_again(self, since: int) -> None:
+        """After a broken link, once the kernel's replay has been read: whatever it may not have got. A reply from
+        before `since` it has: said again, it could be taken for that to a call which the run asks for just now."""
         for run in list(self._runs.values()):
             if not run.known:
                 self._kernel.run(run.request.rid, run.route, run.request.body)
-            self._tell(run)
+            if run.told_at >= since:
+                self._tell(run)
             if run.stopped:
                 self._kernel.stop(run.request.rid)
--- a/moorusher/links/kernel.py
+++ b/moorusher/links/kernel.py
@@ -5,6 +5,7 @@
 import binascii
 import json
 import logging
+from dataclasses import dataclass
 from typing import Any
 
 from twisted.internet.protocol import ClientFactory
@@ -21,9 +22,32 @@
 RUN_ENDS = {"PASS": Ending.RUN_PASSED, "FAIL": Ending.RUN_FAILED, "KILLED": Ending.RUN_KILLED,
             "NOOP": Ending.RUN_NEVER_BEGAN}
 RETRY, RETRY_MOST = 20 * MS, 400 * MS
+LOST_WITH_IT = 250 * MS  # commands said so long before a link broke may be lost with it
+MOST_UNREAD = 3  # links given up over the same unreadable line
 SYNC = "replayed"
 
 
+@dataclass(slots=True, frozen=True)
+class Notice:
+    number: int
+    kind: str
+    rid: str
+    ending: Ending
+    body: bytes
+
+
+def read_notice(message: Any) -> Notice | None:
+    """A numbered notice, whole or not at all: only one that was read counts as read."""
+    kind = message["t"]
+    if kind not in ("REAP", "IOREQ", "DMESG"):
+        return None
+    number, rid, status = message["no"], message.get("rid", ""), message.get("status", "")
+    if isinstance(number, bool) or not isinstance(number, int) or (kind != "DMESG" and not rid):
+        raise ValueError("a notice without its number or request")
+    body = binascii.a2b_base64(message.get("b64") or "", strict_mode=True) if kind != "DMESG" else b""
+    return Notice(number, kind, str(rid), RUN_ENDS[status] if kind == "REAP" else Ending.RUN_FAILED, body)
+
+
 class KernelConnection(LineOnlyReceiver):
     transport: Any  # zope's interfaces mean nothing to mypy
     delimiter = b"\n"
@@ -43,10 +67,14 @@
         if self.link.connection is not self:
             return  # a newer link has taken over
         try:
-            self.link.read(json.loads(line))
-        except Exception:  # one notice that can't be read must not end the program, nor be skipped over
+            message = json.loads(line)
+            notice = read_notice(message)
+        except (ValueError, KeyError, TypeError, RecursionError):
+            return self.link.unreadable(self, line)
+        try:
+            self.link.read(message, notice)
+        except Exception:  # a fault of ours over one notice must not end the program
             log.exception("the kernel sent %r", line[:200])
-            self.link.core.counters.add("kernel lines unread")
 
     def lineLengthExceeded(self, line: bytes) -> None:
         self.link.core.counters.add("kernel link: " + Ending.LINE_TOO_LONG.value)
@@ -67,6 +95,8 @@
         self.core: Decider  # set by the owner: core and link need each other
         self.connection: KernelConnection | None = None
         self.last = 0
+        self._unread = self._unread_after = 0
+        self._since = 0  # what was said from then on may not have been read
         self._up = False  # commands may be said: BOOTED has come on this link, and its replay was read
         self._was_up = False
         self._pause = RETRY
@@ -100,7 +130,10 @@
         return KernelConnection(self)
 
     def opened(self, connection: KernelConnection) -> None:
+        self.core.touch()
         before, self.connection = self.connection, connection
+        if before is not None:
+            self._since = self.core.clock.now - LOST_WITH_IT
         self._dialling, self._up = None, False
         if before is not None:
             before.transport.loseConnection()  # what was said on it goes out first
@@ -116,7 +149,9 @@
 
     def lost(self, connection: KernelConnection) -> None:
         if connection is self.connection:
+            self.core.touch()
             self.connection, self._up = None, False
+            self._since = self.core.clock.now - LOST_WITH_IT
             self.core.counters.add("kernel link: " + Ending.LOST.value)
             self._again()
 
@@ -128,28 +163,36 @@
 
     # ---- notices ----
 
-    def read(self, message: dict[str, Any]) -> None:
-        kind = message.get("t")
-        if kind == "INFO":
+    def unreadable(self, connection: KernelConnection, line: bytes) -> None:
+        """Read on from the last whole notice, on a new link. Where that gives the same again, it is passed over."""
+        log.error("the kernel sent what can't be read: %r", line[:200])
+        self.core.touch()
+        self.core.counters.add("kernel lines unread")
+        self._unread = self._unread + 1 if self._unread_after == self.last else 1
+        self._unread_after = self.last
+        if self._unread <= MOST_UNREAD:
+            connection.transport.abortConnection()
+            self.lost(connection)
+
+    def read(self, message: dict[str, Any], notice: Notice | None) -> None:
+        kind = message["t"]
+        if notice is not None:
+            if notice.number <= self.last:
+                return  # replayed or written twice, and read before
+            self.last = notice.number
+            if kind == "IOREQ":
+                self.core.call_needed(notice.rid, notice.number, notice.body)
+            elif kind == "REAP":
+                self.core.run_over(notice.rid, notice.ending, notice.body)
+        elif kind == "INFO":
             if message.get("mark") == SYNC:
                 self._up = True
-                self.core.kernel_read_again()
+                self.core.kernel_read_again(self._since)
             self.core.gauges(tuple(float(v) for v in message.get("v", ())))
         elif kind == "BOOTED":
             self._booted(message)
         elif kind == "EINVAL":
             self.core.command_refused(str(message.get("status")), str(message.get("rid")))
-        elif kind in ("REAP", "IOREQ", "DMESG"):
-            number = int(message["no"])
-            if number <= self.last:
-                return  # replayed, and read before
-            self.last = number
-            rid = str(message.get("rid", ""))
-            body = binascii.a2b_base64(message.get("b64") or "")
-            if kind == "IOREQ":
-                self.core.call_needed(rid, number, body)
-            elif kind == "REAP":
-                self.core.run_over(rid, RUN_ENDS.get(str(message.get("status")), Ending.RUN_FAILED), body)
         else:
             log.warning("the kernel sent an unknown message %r", kind)
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -173,11 +173,11 @@
     w.core.call_over(1, Ending.CALL_ANSWERED, b"reply")
     w.turn()
     w.kernel.said.clear()
-    w.core.kernel_read_again()
+    w.core.kernel_read_again(0)
     assert w.kernel.said == [("done", "a", b"reply"), ("run", "b")]
     w.core.call_needed("a", 2, b"ask")  # the reply was read: it is not said again
     w.kernel.said.clear()
-    w.core.kernel_read_again()
+    w.core.kernel_read_again(0)
     assert w.kernel.said == [("run", "b")]
 
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import json
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
+from moorusher.core.answer import Verdict
 from moorusher.core.call import Asked
 from moorusher.core.endings import Ending
 from moorusher.links.database import IDLE, SETTLE, DatabasePool
+from moorusher.links.kernel import MOST_UNREAD, KernelConnection, KernelLink
+from peattack.interface import Below
 
 from .test_core import World
 from .test_fronts import Transport
@@ -102,3 +107,111 @@
     assert not transport.disconnecting
     world.wait(20)
     assert transport.disconnecting
+
+
+class KernelSide(KernelLink):
+    """Dials come up when the test says so."""
+
+    def __init__(self, world: World) -> None:
+        super().__init__(self, ("127.0.0.1", 1))
+        self.core = world.core
+        self.dialled: list[tuple[str, int]] = []
+        self.start()
+
+    def connectTCP(self, host: str, port: int, factory: Any, timeout: float) -> Any:
+        self.dialled.append((host, port))
+        return SimpleNamespace(disconnect=lambda: None)
+
+    def up(self) -> tuple[KernelConnection, Transport]:
+        connection, transport = self.buildProtocol(None), Transport()
+        connection.makeConnection(transport)  # type: ignore[no-untyped-call]
+        return connection, transport
+
+
+def feed(connection: KernelConnection, data: bytes) -> None:
+    connection.dataReceived(data)  # type: ignore[no-untyped-call]
+
+
+def say(connection: KernelConnection, *messages: dict[str, Any]) -> None:
+    feed(connection, b"".join(json.dumps(m).encode() + b"\n" for m in messages))
+
+
+BOOTED: dict[str, Any] = {"t": "BOOTED", "status": "LOADED", "time_ms": 9}
+PASS: dict[str, Any] = {"t": "REAP", "rid": "a", "status": "PASS", "time_ms": 1, "b64": "cg=="}
+
+
+@pytest.mark.parametrize("line", [
+    b"{", b"\xff", b"[]", b'{"no":1}', b'{"t":"REAP","rid":"a","status":"PASS","b64":"cg=="}',
+    b'{"t":"REAP","no":"1","rid":"a","status":"PASS","b64":"cg=="}',
+    b'{"t":"REAP","no":1,"rid":"a","status":"PASS","b64":"c"}', b'{"t":"REAP","no":1,"rid":"a","status":"WELL"}',
+    b'{"t":"IOREQ","no":1,"b64":""}'])
+def test_a_notice_that_cannot_be_read_is_asked_for_again(line: bytes) -> None:
+    link = KernelSide(world := World())
+    connection, transport = link.up()
+    say(connection, BOOTED)
+    world.take("a", 1)
+    world.turn()
+    feed(connection, line + b"\n")
+    assert transport.aborted and link.last == 0
+    world.wait(50)
+    assert len(link.dialled) == 2
+    connection, transport = link.up()
+    assert transport.value() == b'{"t":"OPEN","no":0}\n'
+    say(connection, BOOTED, PASS | {"no": 1}, PASS | {"no": 1}, {"t": "DMESG", "no": 2, "status": "x"})
+    assert world.verdicts() == [(1, Verdict.SERVED)] and link.last == 2
+
+
+def test_a_line_that_stays_unreadable_is_passed_over_in_the_end() -> None:
+    link = KernelSide(world := World())
+    for _ in range(MOST_UNREAD + 1):
+        connection, transport = link.up()
+        feed(connection, b"{\n")
+        world.wait(500)
+    assert not transport.aborted
+    say(connection, BOOTED)
+    assert len(link.dialled) == MOST_UNREAD + 1
+
+
+def test_nothing_is_said_between_the_link_and_the_end_of_its_replay_and_then_once() -> None:
+    link = KernelSide(world := World(below=Below.TIER))
+    world.core.runs._kernel = link
+    connection, _ = link.up()
+    say(connection, BOOTED)
+    world.take("a", 1)
+    world.turn()
+    world.core.call_needed("a", 1, b"q")
+    world.turn()
+    connection.connectionLost()
+    connection, transport = link.up()
+    say(connection, BOOTED)
+    transport.clear()
+    world.core.call_over(world.core.table.by_rid["a"].number, Ending.CALL_ANSWERED, b"reply")
+    assert transport.value() == b""
+    say(connection, {"t": "INFO", "mark": "replayed", "v": [0.5]})
+    assert [json.loads(m)["t"] for m in transport.value().splitlines()] == ["IODONE"]
+    transport.clear()
+    world.wait(1_000)  # long since read: said again it could be taken for the reply to a second call
+    connection.connectionLost()
+    connection, transport = link.up()
+    say(connection, BOOTED, {"t": "INFO", "mark": "replayed", "v": [0.5]})
+    assert b"IODONE" not in transport.value()
+
+
+def test_the_link_moves_whether_it_is_up_dialling_or_waits_to_dial() -> None:
+    link = KernelSide(world := World())
+    first, _ = link.up()
+    say(first, BOOTED)
+    link.move(("127.0.0.1", 2))
+    world.core.runs._kernel = link
+    world.take("a", 1)  # the old link serves until the new one is up
+    world.turn()
+    assert b"SCHED" in first.transport.value() and not first.transport.disconnecting
+    link.move(("127.0.0.1", 3))  # while it dials
+    second, _ = link.up()
+    assert first.transport.disconnecting and link.dialled[1:] == [("127.0.0.1", 2), ("127.0.0.1", 3)]
+    first.connectionLost()
+    assert link.connection is second
+    second.connectionLost()
+    link.move(("127.0.0.1", 4))  # while it waits to dial again
+    world.wait(1_000)
+    assert link.dialled[3:] == [("127.0.0.1", 4)]
