--- a/peattack/balance.py
+++ b/peattack/balance.py
@@ -33,6 +33,10 @@
 CALL_BURST, TIER_CALLS = 0.5, 4.0  # of a window's share of calls, at once; calls a core at a further tier
 CALL_PATIENCE = 0.7  # of a run's length: wait for a call after which calls count as scarce
 CALL_BACKOFF_MS = 50.0  # before a failed call is made again, times the tries so far
+# Wait in the hold, as a share of the shortest aim, that callers may cause: after refusals, and else
+HOLD_PRESSED, HOLD_ROOMY = 0.25, 0.5
+SAID_AGAIN = 0.05  # change of the allowance from which it is told anew
+SHED_FADES = 0.9  # of the refusals that are remembered, with each window
 CALLERS_PER_CORE, SHORT_IDLE_MS = 16, 100.0  # connected callers a server can bear; idle time of surplus ones
 HELD, RUNNING, WAITING, CALLING, SHARED = range(5)  # states of a job: WAITING and CALLING stand at a call
 
@@ -124,6 +128,7 @@
         self.call_budget = {Below.OFF: 0.0, Below.SHARED: burst, Below.TIER: NEVER}[s.below]
         self.drain_at = self.stop_at = self.timer_due = NEVER
         self.asked, self.keep_open = 0, s.idle_connection_ms
+        self.shed, self.said = 0.0, -1.0  # refusals of the last windows; what callers were allowed last
         self.busy, self.full_ms, self.retries = 1.0, 0.0, 0.0
 
     def open(self, now: float) -> list[api.Action]:
@@ -292,6 +297,7 @@
             self.slots.pop()
         self.entries = {rid: until for rid, until in self.entries.items() if until > self.now}
         self._connections()
+        self._allow()
         self._reserve(self.now - self.window_at)
         self.window_at, self.work, self.full_ms = self.now, 0.0, 0.0
         # Callers may stand for tenants, thousands of them: one without work or debt is as good as new.
@@ -373,6 +379,7 @@
     def _refuse(self, job: _Job) -> None:
         """Turn away what never ran. Where retries are marked and few, others have room: it may go on.
         Else none is asked for: where one server is full most are, and each try costs a read (retry storm)."""
+        self.shed += 1.0
         final = not self.s.retries_marked or job.req.is_retry or self.retries > RETRY_BUDGET
         self.out.append(api.Reject(job.id, min(self.s.retry_after_max_ms, self._slot_ms()), final))
         self._close(job)
@@ -506,6 +513,27 @@
 
     # ---- health and signals ----
 
+    def _allow(self) -> None:
+        """How many requests each caller may have out here: what runs, and what the hold takes in time, shared
+        so that those who send most give way. What is not sent costs no read, and goes where there is room."""
+        self.shed *= SHED_FADES
+        if self.s.signal is not SignalKind.ALLOWANCE or self.stop_at < NEVER or not self.known:
+            return
+        out: dict[int, int] = {}
+        for job in self.jobs.values():
+            if not job.answered:
+                out[job.req.caller] = out.get(job.req.caller, 0) + 1
+        wait = (HOLD_PRESSED if self.shed >= 1.0 else HOLD_ROOMY) * min(c.aim_ms for c in self.s.classes)
+        room, left = max(self.in_run, self.n) + self.n * wait / self._slot_ms(), max(1, self.s.callers)
+        for count in sorted(out.values()):  # those who have less than an even share leave the rest to others
+            if count * left >= room or left == 1:
+                break
+            room, left = room - count, left - 1
+        level = max(1.0, round(room / left, 1))
+        if abs(level - self.said) > SAID_AGAIN * self.said:
+            self.said = level
+            self.out.append(api.Signal(level))
+
     def _connections(self) -> None:
         """Idle connections take cores and places: where a caller is not expected back before they would end
         anyway, they close at once."""
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
-from peattack.interface import Outcome, RequestClass, RunEnded, Tenant, Timer
+from typing import Any
 
-from .helpers import done, opened, request, started
+from peattack.balance import Balancer
+from peattack.interface import DrainNotice, Outcome, RequestClass, RunEnded, Signal, SignalKind, Tenant, Timer
+
+from .helpers import done, only, opened, request, started
 
 PATIENT = RequestClass(aim_ms=1e6, deadline_ms=2e6)
 
@@ -140,3 +143,35 @@
     assert b.n == 2
     b.step(2500.0, [Timer(0, (0.95,))])
     assert b.n == 2
+
+
+def busy_since(took: float, held: dict[int, int], **changes: Any) -> tuple[Balancer, list[float]]:
+    """One run that took so long, then as many requests of each caller; what callers are told then."""
+    b = opened(cores=2, callers=3, classes=(PATIENT, RequestClass(aim_ms=1000, deadline_ms=4000)),
+               **{"signal": SignalKind.ALLOWANCE} | changes)
+    b.step(0.0, [request(1)])
+    b.step(took, done(1))
+    ids = iter(range(2, 1000))
+    b.step(1000.0, [request(next(ids), caller=c) for c, count in held.items() for _ in range(count)])
+    return b, [a.value for a in only(b.step(1010.0, [Timer(0, (0.9,))]), Signal)]
+
+
+def test_callers_are_told_how_many_requests_they_may_have_out() -> None:
+    _, (even,) = busy_since(100.0, {1: 9, 2: 9, 3: 9})
+    _, (skewed,) = busy_since(100.0, {1: 1, 2: 1, 3: 25})
+    assert even < 3 < skewed < 25  # who sends most gives way, and has what the others leave
+    _, (slow,) = busy_since(900.0, {1: 9, 2: 9, 3: 9})
+    assert slow < even  # a slow server holds less: what it would keep waiting goes elsewhere
+    b, told = busy_since(100.0, {1: 9}, signal=SignalKind.OFF)
+    assert told == []
+    b, _ = busy_since(100.0, {1: 9})
+    assert only(b.step(1015.0, [Timer(0, (0.9,))]), Signal) == []  # nothing new to say
+
+
+def test_refusals_make_the_allowance_smaller_for_a_while() -> None:
+    b, (roomy,) = busy_since(100.0, {1: 9, 2: 9, 3: 9})
+    b.shed = 20.0
+    (pressed,) = only(b.step(1520.0, [Timer(0, (0.9,))]), Signal)
+    assert pressed.value < roomy
+    assert [a.value for a in only(b.step(1600.0, [DrainNotice(3000.0)]), Signal)] == [0.0]
+    assert only(b.step(2200.0, [Timer(0, (0.9,))]), Signal) == []  # nothing more is allowed while it leaves
