Figures outside the protocol's table are refused on both fronts, and repeated faults end a connection

Probed with pieces in hand: mem of 0, -0.0 and 1e9, prio of 1, a missing mem, prio, t0 or peer, no tenant at all and a t0 of another year were taken as requests, to be held, run and served; PROTOCOL has mem above 0 and under 2,000, prio from 0 to under 1. At fault: read_arrival of both fronts, which checked bounds of their own, and Intake.take.

Now core/requests names the ranges and both fronts use them. A request that the kernel does not know counts as a fault of its connection too: it cost a command, a notice and a step each time that it came again.

--- a/moorusher/core/answer.py
+++ b/moorusher/core/answer.py
@@ -20,6 +20,7 @@
     TURNED_AWAY = "turned away"
     GIVEN_UP = "given up by the decision module"
     RUN_FAILED = "the run failed"
+    NOT_ACCEPTED = "the kernel knows no such request"
     NO_RESULT = "the try that it repeats gave no result"
     FAULT = "fault in this runner"
     STOPPING = "the runner stops"
--- a/moorusher/core/decide.py
+++ b/moorusher/core/decide.py
@@ -22,6 +22,7 @@
 
 log = logging.getLogger("moorusher")
 
+FAILED_BY = {Ending.RUN_NOT_ACCEPTED: Cause.NOT_ACCEPTED}
 GAUGE_LEAD = 25 * MS  # gauges are asked for so long before a timer is due, to be fresh when it is
 
 
@@ -199,7 +200,7 @@
         passed = ending is Ending.RUN_PASSED
         self.counters.add("runs " + ("passed" if passed else "not passed"), self._tenant(request))
         self._answer(request, Answer(Verdict.SERVED, body) if passed
-                     else Answer(Verdict.FAILED, cause=Cause.RUN_FAILED))
+                     else Answer(Verdict.FAILED, cause=FAILED_BY.get(ending, Cause.RUN_FAILED)))
         self._over(request, ending)
         for waiter in self.keys.settle(request.number, body if passed else None):
             self._shared(waiter, body if passed else None)
--- a/moorusher/core/intake.py
+++ b/moorusher/core/intake.py
@@ -7,12 +7,15 @@
 from peattack import interface as api
 
 from .answer import Reply
-from .clock import MS, Clock
+from .clock import MS, SECOND, Clock
 from .keys import Keys
 from .requests import Arrival, Request, Table
 
 # A held request takes its body, 2 KiB, and small change; the module refuses long before by its own memory.
 MOST_REQUESTS = 10_000
+# A machine may pause, and a clock be stepped; what came an hour ago, or will, is a mistake or a try to be served
+# outside of its window.
+MOST_SKEW = 3_600 * SECOND
 
 
 class Fault(Enum):
@@ -20,6 +23,7 @@
 
     NO_SUCH_CLASS = "no such class"
     NO_SUCH_TENANT = "no such tenant"
+    NO_SUCH_TIME = "its time of arrival is not of today"
     TOKEN_MISSING = "a request of this class needs a token"
     BODY_DIFFERS = "this token came before with another body"
     RID_IN_USE = "a request with this rid is open"
@@ -39,8 +43,8 @@
         klass, tenant, now = self.classes.get(a.klass), None, self._clock.now
         if klass is None:
             return Fault.NO_SUCH_CLASS
-        if a.tenant is not None and self.tenants:
-            tenant = self.tenants.get(a.tenant)
+        if self.tenants:  # whoever names none is nobody's
+            tenant = self.tenants.get(a.tenant or "")
             if tenant is None:
                 return Fault.NO_SUCH_TENANT
         keyed = self.settings.classes[klass].effect is api.Effect.KEYED
@@ -50,6 +54,8 @@
             return Fault.RID_IN_USE
         if len(self._table) >= MOST_REQUESTS:
             return Fault.TOO_MANY
+        if a.t0_unix_ms is not None and abs(now - self._clock.from_unix_ms(a.t0_unix_ms)) > MOST_SKEW:
+            return Fault.NO_SUCH_TIME
         came = now if a.came is None else a.came
         if a.t0_unix_ms is not None:
             came = min(now, self._clock.from_unix_ms(a.t0_unix_ms))
--- a/moorusher/core/requests.py
+++ b/moorusher/core/requests.py
@@ -20,6 +20,30 @@
     return 0 < len(text) <= most and text.isascii() and all(c.isalnum() or c in "-_.:" for c in text)
 
 
+@dataclass(slots=True, frozen=True)
+class Range:
+    """The values that a figure of a request may have, whichever front it comes over. NaN is in none."""
+
+    least: float
+    most: float
+    above: bool = False  # the least itself is not allowed,
+    under: bool = False  # nor the most
+
+    def has(self, value: float) -> bool:
+        return (self.least < value if self.above else self.least <= value) and \
+            (value < self.most if self.under else value <= self.most)
+
+    def __str__(self) -> str:
+        return f"{'above' if self.above else 'from'} {self.least:g} {'and under' if self.under else 'to'} {self.most:g}"
+
+
+MEMORY_KB = Range(0, 2_000, above=True, under=True)
+RANK = Range(0, 1, under=True)
+PEER = Range(0, 2**32, under=True)
+UNIX_MS = Range(0, 1e15)
+BUDGET_MS = Range(0, 86_400_000)  # nobody waits longer than a day
+
+
 @dataclass(slots=True, frozen=True)
 class Arrival:
     """What a front has read: checked in form, not yet against the settings."""
--- a/moorusher/fronts/jsonrpc.py
+++ b/moorusher/fronts/jsonrpc.py
@@ -4,7 +4,6 @@
 
 import binascii
 import json
-import math
 from typing import Any, cast
 
 from twisted.internet.error import ConnectionDone
@@ -12,12 +11,12 @@
 from twisted.protocols.basic import LineOnlyReceiver
 from twisted.python.failure import Failure
 
-from ..core.answer import Answer, Verdict
+from ..core.answer import Answer, Cause, Verdict
 from ..core.clock import MS, SECOND
 from ..core.decide import Decider
 from ..core.endings import Ending
 from ..core.intake import Fault
-from ..core.requests import Arrival, Request, is_word
+from ..core.requests import BUDGET_MS, MEMORY_KB, PEER, RANK, UNIX_MS, Arrival, Range, Request, is_word
 from .places import Places
 
 PARSE, INVALID, NO_METHOD, BAD_PARAMS, FAILED, REFUSED = -32700, -32600, -32601, -32602, -32000, -32014
@@ -29,7 +28,7 @@
 IDLENESS = 30 * SECOND  # where the settings name no time after which front ends close idle connections
 LINGER = SECOND  # for the other side to read why it is closed
 MOST_UNSENT = 256 * 1024  # 32 answers of 4 KiB in base64 are two thirds of it
-FAULT_CODES = {Fault.NO_SUCH_CLASS: NO_METHOD, Fault.NO_SUCH_TENANT: BAD_PARAMS,
+FAULT_CODES = {Fault.NO_SUCH_CLASS: NO_METHOD, Fault.NO_SUCH_TENANT: BAD_PARAMS, Fault.NO_SUCH_TIME: BAD_PARAMS,
                Fault.TOKEN_MISSING: BAD_PARAMS, Fault.RID_IN_USE: BAD_PARAMS,
                Fault.BODY_DIFFERS: BAD_PARAMS}
 
@@ -38,14 +37,20 @@
     pass
 
 
-def _number(params: dict[str, Any], key: str, least: float, most: float = math.inf) -> float | None:
+def _number(params: dict[str, Any], key: str, allowed: Range) -> float | None:
     value = params.get(key)
     if value is None:
         return None
-    # Not by isinstance alone: JSON as Python reads it has NaN and Infinity, and True is an int.
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or not least <= value <= most \
-            or value == math.inf:
-        raise BadParams(f"{key}: expected a number from {least:g}")
+    # Not by isinstance alone: True is an int, and JSON as Python reads it has NaN and Infinity, in no range.
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not allowed.has(value):
+        raise BadParams(f"{key}: expected a number {allowed}")
+    return value
+
+
+def _needed(params: dict[str, Any], key: str, allowed: Range) -> float:
+    value = _number(params, key, allowed)
+    if value is None:
+        raise BadParams(f"{key}: required")
     return value
 
 
@@ -84,12 +89,14 @@
         raise BadParams("content: expected base64") from None
     if len(body) > MOST_BODY:
         raise BadParams(f"content: more than {MOST_BODY} bytes")
+    peer = _needed(params, "peer", PEER)
+    if peer != int(peer):
+        raise BadParams("peer: expected a whole number")
     return Arrival(
-        rid, method, body, _number(params, "t0", 0, 1e15), None, _number(params, "budget", 0),
-        _text(params, "acct", 256), int(_number(params, "peer", 0, 2**32) or 0),
-        _number(params, "mem", 0, 1e9) or 0.0, _number(params, "prio", 0, 1) or 0.0,
+        rid, method, body, _needed(params, "t0", UNIX_MS), None, _number(params, "budget", BUDGET_MS),
+        _text(params, "acct", 256), int(peer), _needed(params, "mem", MEMORY_KB), _needed(params, "prio", RANK),
         token, _hex(_text(params, "obj", 32), "obj"),
-        bool(params.get("again")), _number(params, "est", 0))
+        bool(params.get("again")), _number(params, "est", BUDGET_MS))
 
 
 def _error(tag: object, code: int, message: str, hint: float | None = None, **data: object) -> bytes:
@@ -248,7 +255,11 @@
         self.core.counters.add("faulty")
         self._send(_error(tag, code, text))
         self._rested()
-        self.faults += theirs
+        if theirs:
+            self._blame()
+
+    def _blame(self) -> None:
+        self.faults += 1
         if self.faults >= MOST_FAULTS:
             self._end_by_halves(Ending.TOO_FAULTY)
 
@@ -294,6 +305,8 @@
             self._send(_error(tag, REFUSED, answer.cause.value, hint, **data))
         else:
             self._send(_error(tag, FAILED, answer.cause.value, hint))
+            if answer.cause is Cause.NOT_ACCEPTED:
+                self._blame()
 
 
 class JsonRpcFront(Factory):
--- a/moorusher/fronts/uwsgi.py
+++ b/moorusher/fronts/uwsgi.py
@@ -19,7 +19,7 @@
 from ..core.decide import Decider
 from ..core.endings import Ending
 from ..core.intake import Fault
-from ..core.requests import Arrival, Request, is_word
+from ..core.requests import BUDGET_MS, MEMORY_KB, PEER, RANK, UNIX_MS, Arrival, Range, Request, is_word
 from .places import Places
 
 HEAD = struct.Struct("<BHB")  # modifier1, size of the variables, modifier2
@@ -36,12 +36,13 @@
 
 FAULT_STATUS = {
     Fault.NO_SUCH_CLASS: 404, Fault.NO_SUCH_TENANT: 403, Fault.TOKEN_MISSING: 400, Fault.RID_IN_USE: 409,
-    Fault.BODY_DIFFERS: 422,
+    Fault.BODY_DIFFERS: 422, Fault.NO_SUCH_TIME: 400,
     Fault.TOO_MANY: 503, Fault.KEYS_FULL: 503, Fault.NOT_READY: 503,
 }
 # A gateway's two words: what stood behind it failed (502), or did not answer in time (504).
 FAILED_STATUS = {
-    Cause.RUN_FAILED: 502, Cause.NO_RESULT: 502, Cause.FAULT: 502, Cause.GIVEN_UP: 504, Cause.STOPPING: 504,
+    Cause.RUN_FAILED: 502, Cause.NOT_ACCEPTED: 502, Cause.NO_RESULT: 502, Cause.FAULT: 502,
+    Cause.GIVEN_UP: 504, Cause.STOPPING: 504,
 }
 REASONS = {200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found", 408: "Request Timeout", 409: "Conflict",
            413: "Content Too Large",
@@ -101,7 +102,7 @@
     return int(text)
 
 
-def _number(variables: dict[str, str], name: str, most: float = math.inf) -> float | None:
+def _number(variables: dict[str, str], name: str, allowed: Range) -> float | None:
     text = variables.get(VARS[name], "")
     if not text:
         return None
@@ -109,8 +110,8 @@
         value = float(text)
     except ValueError:
         value = math.nan
-    if not 0 <= value <= most or value == math.inf:  # NaN is in no range
-        raise BadPacket(400, f"{VARS[name]}: expected a number from 0")
+    if not allowed.has(value):
+        raise BadPacket(400, f"{VARS[name]}: expected a number {allowed}")
     return value
 
 
@@ -127,9 +128,10 @@
     except ValueError:
         raise BadPacket(400, f"{VARS['obj']}: expected hex digits") from None
     return Arrival(
-        rid, klass, body, _number(variables, "t0", 1e15), came, _number(variables, "budget"),
-        variables.get(VARS["tenant"], "") or None, int(_number(variables, "peer", 2**32) or 0),
-        _number(variables, "mem", 1e9) or len(body) / 1024 + 1, _number(variables, "prio", 1) or 0.0, token, obj)
+        rid, klass, body, _number(variables, "t0", UNIX_MS), came, _number(variables, "budget", BUDGET_MS),
+        variables.get(VARS["tenant"], "") or None, int(_number(variables, "peer", PEER) or 0),
+        _number(variables, "mem", MEMORY_KB) or len(body) / 1024 + 1, _number(variables, "prio", RANK) or 0.0,
+        token, obj)
 
 
 def response(status: int, body: bytes = b"", **headers: object) -> bytes:
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -50,8 +50,11 @@
     return got
 
 
+NOW_MS = 1_000_001_600_000  # by the clock of a `World`, some minutes on: never too old for a test
+
+
 def call(tag: Any = 1, method: Any = "read", **params: Any) -> bytes:
-    params = {"rid": f"r{tag}", "mem": 1, "content": ""} | params
+    params = {"rid": f"r{tag}", "t0": NOW_MS, "peer": 1, "mem": 1, "prio": 0, "content": ""} | params
     return json.dumps({"jsonrpc": "2.0", "id": tag, "method": method, "params": params}).encode() + b"\n"
 
 
@@ -60,6 +63,7 @@
     (b"5", -32600, None), (b'{"id":1,"method":"read"}', -32600, None), (call("1"), -32600, None),
     (call(True), -32600, None), (call(1.5), -32600, None), (call(0), -32600, 0), (call(2, 5), -32600, 2),
     (call(2, "nothing"), -32601, 2), (call(2, acct="nobody"), -32602, 2), (call(2, "write"), -32602, 2),
+    (call(2, t0=NOW_MS - 7_200_000), -32602, 2), (call(2, t0=NOW_MS + 7_200_000), -32602, 2),
     (call(2, rid=None), -32602, 2), (call(2, content="!"), -32602, 2),
     (b'{"jsonrpc":"2.0","id":3,"method":"read","params":[1]}', -32602, 3),
 ])
@@ -174,6 +178,18 @@
     assert connection.ending is Ending.IDLE and transport.disconnecting
 
 
+def test_runs_that_the_kernel_does_not_know_count_as_faults() -> None:
+    world, _, connection, transport = front()
+    for i in range(1, MOST_FAULTS + 1):
+        assert connection.ending is None
+        connection.dataReceived(call(i))
+        world.turn()
+        world.core.command_refused("SCHED", f"r{i}")
+        world.turn()
+    assert [m["error"]["code"] for m in said(transport)] == [-32000] * MOST_FAULTS
+    assert connection.ending is Ending.TOO_FAULTY and transport.half_closed
+
+
 def test_after_many_faults_a_connection_is_closed_once_the_errors_can_be_read() -> None:
     world, _, connection, transport = front()
     connection.dataReceived(b"{\n" * 5_000)
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -28,7 +28,10 @@
     ({"rid": "a\r\nNever-Started: 1"}, "rid"), ({"rid": "\u0661"}, "rid"), ({"token": "t t"}, "token"),
     ({"t0": "now"}, "t0"), ({"t0": -1}, "t0"), ({"t0": True}, "t0"), ({"t0": 1e300}, "t0"),
     ({"budget": -1}, "budget"), ({"budget": float("nan")}, "budget"), ({"budget": float("inf")}, "budget"),
-    ({"mem": []}, "mem"), ({"prio": 1.5}, "prio"), ({"peer": "x"}, "peer"), ({"acct": 5}, "acct"),
+    ({"budget": 1e9}, "budget"), ({"mem": []}, "mem"), ({"mem": 0}, "mem"), ({"mem": -1}, "mem"),
+    ({"mem": 2000}, "mem"), ({"mem": None}, "mem"), ({"prio": 1}, "prio"), ({"prio": -0.1}, "prio"),
+    ({"prio": None}, "prio"), ({"t0": None}, "t0"), ({"peer": 1.5}, "peer"), ({"peer": -1}, "peer"),
+    ({"peer": None}, "peer"), ({"prio": 1.5}, "prio"), ({"peer": "x"}, "peer"), ({"acct": 5}, "acct"),
     ({"token": {}}, "token"), ({"obj": "xyz"}, "obj"), ({"content": 5}, "content"), ({"content": "A"}, "content"),
     ({"content": "A?=="}, "content"), ({"content": "é"}, "content"), ({"content": "A" * 2736}, "content"),
 ])
@@ -68,7 +71,8 @@
 
 
 @pytest.mark.parametrize("name, text", [("budget", "-1"), ("budget", "nan"), ("budget", "inf"), ("t0", "soon"),
-                                        ("prio", "2"), ("obj", "xyz"), ("token", "t" * 129),
+                                        ("prio", "1"), ("mem", "0"), ("mem", "2000"), ("obj", "xyz"),
+                                        ("token", "t" * 129),
                                         ("rid", "a\r\nX: 1"), ("token", "a\n"), ("class", "")])
 def test_bad_uwsgi_values(name: str, text: str) -> None:
     with pytest.raises(uwsgi.BadPacket, match=uwsgi.VARS[name]):
