--- a/peattack/balance.py
+++ b/peattack/balance.py
@@ -32,6 +32,7 @@
 FIRST_COST = 0.2  # of the shortest aim: a cost before any is known
 CALL_BURST, TIER_CALLS = 0.5, 4.0  # of a window's share of calls, at once; calls a core at a further tier
 CALL_PATIENCE = 0.7  # of a run's length: wait for a call after which calls count as scarce
+LAST_STRETCH = 1.5  # usual stretches after a call: what a run needs of its time once it goes on
 CALL_BACKOFF_MS = 50.0  # before a failed call is made again, times the tries so far
 # Wait in the hold, as a share of the shortest aim, that callers may cause: after refusals, and else
 HOLD_PRESSED, HOLD_ROOMY = 0.25, 0.5
@@ -99,7 +100,7 @@
         self.aim = min(self.due, self.born - age + aim)
         self.state, self.slot, self.tries = HELD, -1, 0
         self.paid = self.used = self.mark = self.began = self.on_core = 0.0
-        self.call_at = self.call_paid = self.asked_at = 0.0
+        self.call_at = self.call_paid = self.asked_at = self.called_at = 0.0
         self.ran = self.answered = False
 
 
@@ -414,7 +415,10 @@
             overdue = self.now >= min(job.due, self.stop_at) - TICK_MS / 2
             stands = job.state in (WAITING, CALLING)  # no work is lost that could still be of use
             futile = self.now >= job.aim and job.cls.late_share <= 0 and (stands or self.queued)
-            if overdue and job.state == HELD:
+            if job.state == CALLING and job.cls.worth_without_call > 0 \
+                    and job.aim - self.now < LAST_STRETCH * self.occupy <= job.aim - job.began:
+                self._leave_out(job)
+            elif overdue and job.state == HELD:
                 self._refuse(job)
             elif overdue or (futile and job.state != SHARED and self._can_stop(job)):
                 self._close(job, fail=True)  # running work is no excuse
@@ -452,7 +456,7 @@
                 self.out.append(api.SkipCall(job.id))
                 self._on_core(job)
             elif job.call_at <= self.now and self._may_call() and not job.answered:
-                job.state, self.calling = CALLING, self.calling + 1
+                job.state, self.calling, job.called_at = CALLING, self.calling + 1, self.now
                 left = (self.call_budget - self.call_debt) / self.call_most - self.s.abandoned_call_stays_ms
                 timeout = max(1.0, min(job.due - self.now, self.stop_at - self.now, left))
                 job.call_paid = timeout + self.s.abandoned_call_stays_ms
@@ -460,6 +464,13 @@
                 self.out.append(api.Call(job.id, timeout))
         self.callers = [job for job in self.callers if job.state == WAITING and not job.answered]
 
+    def _leave_out(self, job: _Job) -> None:
+        """A call that is out for so long that waiting on would make the whole request late."""
+        self.calling -= 1
+        self.call_debt += max(0.0, self.now - job.called_at) + self.s.abandoned_call_stays_ms - job.call_paid
+        self.out.append(api.SkipCall(job.id))
+        self._on_core(job)
+
     def _may_call(self) -> bool:
         """Over every window no more in the mean than this server's share. As with tags, the most is paid at
         the start and the rest given back: by what the call took, not by when a slow server hears of it."""
