Bounds of keys follow the limit on memory; what there is no room for may go elsewhere

Now half of what the limit leaves above 26 MB is for keys, and both faults are a refusal that never ran, with a backoff.

--- a/moorusher/core/decide.py
+++ b/moorusher/core/decide.py
@@ -34,9 +34,9 @@
 
     def __init__(self, settings: api.Settings, clock: Clock, alarms: Alarms, kernel: Kernel, calls: Calls,
                  soon: Callable[[Callable[[], None]], None],
-                 make: Callable[[api.Settings], Balancer] = Balancer) -> None:
+                 make: Callable[[api.Settings], Balancer] = Balancer, memory_mb: float = 192.0) -> None:
         self.settings, self.clock, self.alarms = settings, clock, alarms
-        self.counters, self.table, self.keys = Counters(), Table(), Keys()
+        self.counters, self.table, self.keys = Counters(), Table(), Keys(memory_mb)
         self.intake = Intake(settings, clock, self.table, self.keys)
         self.runs = Runs(kernel, [c.name for c in settings.classes], clock)
         self.calls = OpenCalls(calls, clock, alarms)
--- a/moorusher/core/intake.py
+++ b/moorusher/core/intake.py
@@ -18,6 +18,10 @@
 MOST_SKEW = 3_600 * SECOND
 
 
+# Nothing of such a request has run, nor any earlier try of it that is known here: it may go elsewhere.
+BUSY_MS = 1_000.0
+
+
 class Fault(Enum):
     """Why something that was read is no request: the sender's mistake, except for the last three."""
 
@@ -32,6 +36,9 @@
     NOT_READY = "the kernel is not up yet"
 
 
+NEVER_RAN = {Fault.KEYS_FULL, Fault.NOT_READY}
+
+
 class Intake:
     def __init__(self, settings: api.Settings, clock: Clock, table: Table, keys: Keys) -> None:
         self.settings, self._clock, self._table, self._keys = settings, clock, table, keys
--- a/moorusher/core/keys.py
+++ b/moorusher/core/keys.py
@@ -12,9 +12,12 @@
 # The rule counts from t0 of the try that ran to the writing of a repeat, with 50 ms on top; a repeat may
 # also lie unread for a while. Serving a kept result late is allowed, a second run is not.
 MARGIN = 2 * SECOND
-# Results of up to 4 KiB in a process of 192 MB: 8,000 of them are 32 MB, some 180 runs a second for 44 s.
+# Results of up to 4 KiB: 8,000 of them are 32 MB, some 180 runs a second for 44 s. No more than that is kept in any
+# process, and less where its limit on memory leaves less: it is killed above it, and every key is lost.
 MOST_ENTRIES = 8_000
 MOST_BYTES = 40_000_000
+PROCESS_BYTES = 26_000_000  # what the program takes with its connections, before any key
+ENTRY_BYTES = 1_000  # of an entry without its result
 
 
 @dataclass(slots=True, eq=False)
@@ -32,7 +35,11 @@
 class Keys:
     """Entries go when their time has run out, looked at as new ones come: no timer sweeps them."""
 
-    def __init__(self) -> None:
+    def __init__(self, memory_mb: float = 192.0) -> None:
+        # Half of what is left, since Python gives freed memory back late; and never so little that nothing is kept.
+        room = max(2_000_000, round(memory_mb * 1e6 - PROCESS_BYTES) // 2)
+        self.most_bytes = min(MOST_BYTES, room * 2 // 3)
+        self.most_entries = min(MOST_ENTRIES, room // 3 // ENTRY_BYTES)
         self._by_key: dict[Key, Entry] = {}
         self._by_number: dict[int, Entry] = {}
         self._ends: list[tuple[int, int]] = []  # (until, number of the try); stale where the entry says otherwise
@@ -42,7 +49,7 @@
         return len(self._by_key)
 
     def full(self) -> bool:
-        return len(self._by_key) >= MOST_ENTRIES or self.bytes >= MOST_BYTES
+        return len(self._by_key) >= self.most_entries or self.bytes >= self.most_bytes
 
     def find(self, key: Key, now: int) -> Entry | None:
         self._expire(now)
--- a/moorusher/fronts/jsonrpc.py
+++ b/moorusher/fronts/jsonrpc.py
@@ -15,7 +15,7 @@
 from ..core.clock import MS, SECOND
 from ..core.decide import Decider
 from ..core.endings import Ending
-from ..core.intake import Fault
+from ..core.intake import BUSY_MS, NEVER_RAN, Fault
 from ..core.requests import BUDGET_MS, MEMORY_KB, PEER, RANK, UNIX_MS, Arrival, Range, Request, is_word
 from .places import Places
 
@@ -245,6 +245,9 @@
         except BadParams as exc:
             return self._fault(tag, BAD_PARAMS, str(exc))
         taken = self.core.take(arrival, self, tag)
+        if isinstance(taken, Fault) and taken in NEVER_RAN:
+            self._send(_error(tag, REFUSED, taken.value, self.core.hint, backoff=BUSY_MS))
+            return self._rested()
         if isinstance(taken, Fault):
             return self._fault(tag, FAULT_CODES.get(taken, FAILED), taken.value, taken in FAULT_CODES)
         self.owner.places.busy(self)
--- a/moorusher/fronts/uwsgi.py
+++ b/moorusher/fronts/uwsgi.py
@@ -18,7 +18,7 @@
 from ..core.clock import SECOND, Alarm
 from ..core.decide import Decider
 from ..core.endings import Ending
-from ..core.intake import Fault
+from ..core.intake import BUSY_MS, NEVER_RAN, Fault
 from ..core.requests import BUDGET_MS, MEMORY_KB, PEER, RANK, UNIX_MS, Arrival, Range, Request, is_word
 from .places import Places
 
@@ -237,6 +237,8 @@
         if isinstance(taken, Fault):
             status = FAULT_STATUS[taken]
             more: dict[str, object] = {"Retry_After": 1} if status == 503 else {}
+            if taken in NEVER_RAN:
+                more |= {"X_Moorusher_Backoff_Ms": round(BUSY_MS), "X_Moorusher_Never_Ran": 1}
             return self._finish(response(status, taken.value.encode(), **more))
         self.state, self.request = State.ASKED, taken
         self.owner.places.busy(self)  # from here the core sees to the time
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -289,6 +289,16 @@
     assert keys.find((1, 0, "1"), end * 5) is not None
 
 
+@pytest.mark.parametrize("memory_mb, entries", [(8, 666), (32, 1_000), (80, 8_000), (192, 8_000)])
+def test_the_bounds_of_keys_follow_the_limit_on_memory(memory_mb: float, entries: int) -> None:
+    keys = Keys(memory_mb)
+    assert keys.most_entries == entries and keys.most_bytes <= max(2e6, memory_mb * 1e6 - 26e6)
+    for i in range(entries):
+        assert not keys.full()
+        keys.hold((1, 0, str(i)), i)
+    assert keys.full()
+
+
 def test_alarms_ring_in_order_and_only_when_due() -> None:
     clock = Clock(lambda: 0, lambda: 0)
     armed: list[int] = []
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -209,6 +209,24 @@
     assert not factory.connections
 
 
+@pytest.mark.parametrize("why", ["no room for a further key", "the kernel is not up yet"])
+def test_what_this_runner_has_no_room_for_never_ran_and_may_go_elsewhere(why: str) -> None:
+    world, _, connection, transport = front()
+    if why.startswith("no room"):
+        world.core.keys.most_entries = 0
+    else:
+        world.core._balancer = None
+    connection.dataReceived(call(1, "write", token="t"))
+    (refused,) = said(transport)
+    assert refused["error"] == {"code": -32014, "message": why, "data": {"backoff": 1000.0}}
+    assert connection.faults == 0
+    other, transport = UwsgiFront(world.core, 10, 2048, 60.0, lambda: True).buildProtocol(None), Transport()
+    assert other is not None
+    other.makeConnection(transport)  # type: ignore[no-untyped-call]
+    other.dataReceived(uwsgi_request("write", b"body", token="t", tenant=""))
+    assert transport.value().startswith(b"HTTP/1.1 503 ") and b"X-Moorusher-Never-Ran: 1" in transport.value()
+
+
 @pytest.mark.parametrize("sent, got", [(b"", b""), (uwsgi_request("check", b"body")[:-1], b"HTTP/1.1 503 ")])
 def test_a_uwsgi_request_that_is_not_whole_as_the_runner_ends_may_go_elsewhere(sent: bytes, got: bytes) -> None:
     world = World()
