--- a/moorusher/service.py
+++ b/moorusher/service.py
@@ -9,6 +9,8 @@
 from dataclasses import fields, replace
 from typing import Any
 
+from peattack.balance import SERVE_ON
+
 from .config import Address, Config, ConfigError
 from .core.call import Calls, NoCalls
 from .core.clock import MS, Alarms, Clock
@@ -45,7 +47,7 @@
         self.below = below
         calls: Calls = below or NoCalls()
         self.core = Decider(config.settings, self.clock, self.alarms, self.kernel, calls,
-                            lambda f: reactor.callLater(0, f))
+                            lambda f: reactor.callLater(0, f), memory_mb=config.limits.memory_mb)
         self.kernel.core = self.core
         if below is not None:
             below.core = self.core
@@ -129,11 +131,17 @@
         self.core.settled = self._settled
         if self.announcer is not None:
             self.announcer.stop()
-        self.front.leave()
-        self._stop_listening()
+        # Front ends learn of it seconds late, and whoever takes over is cold: the doors stay open for a while.
+        on = min(self.core.settings.drain_grace_ms, SERVE_ON * self.config.stop_ms)
+        self.alarms.at(self.clock.now + round(on * MS), self._close_doors)
         self.alarms.at(self.clock.now + round(self.config.stop_ms * MS) - LAST, self.end)
         self._look_again()
 
+    def _close_doors(self) -> None:
+        self._heard = self.clock.now
+        self.front.leave()
+        self._stop_listening()
+
     def _stop_listening(self) -> None:
         """A connection that waits to be accepted may have a request on it: closing would lose that one."""
         ports, self.ports = self.ports, []
@@ -147,7 +155,7 @@
 
     def _settled(self) -> None:
         """Once all is answered, and front ends have closed their connections or say nothing more on them."""
-        if self.core.owed:
+        if self.core.owed or self.ports:
             self._heard = self.clock.now
             return
         heard = max((c.active for c in self.front.connections), default=0)
--- a/peattack/balance.py
+++ b/peattack/balance.py
@@ -38,6 +38,7 @@
 HOLD_PRESSED, HOLD_ROOMY = 0.25, 0.5
 SAID_AGAIN = 0.05  # change of the allowance from which it is told anew
 SHED_FADES = 0.9  # of the refusals that are remembered, with each window
+SERVE_ON = 0.4  # of the time between the notice to leave and the stop
 CALLERS_PER_CORE, SHORT_IDLE_MS = 16, 100.0  # connected callers a server can bear; idle time of surplus ones
 HELD, RUNNING, WAITING, CALLING, SHARED = range(5)  # states of a job: WAITING and CALLING stand at a call
 
@@ -127,7 +128,8 @@
         self.call_most = max(1.0, s.fair_calls) if s.below is Below.SHARED else TIER_CALLS * s.cores
         burst = CALL_BURST * s.fair_calls * s.call_window_ms
         self.call_budget = {Below.OFF: 0.0, Below.SHARED: burst, Below.TIER: NEVER}[s.below]
-        self.drain_at = self.stop_at = self.timer_due = NEVER
+        self.drain_at = self.stop_at = self.serve_until = self.timer_due = NEVER
+        self.sent_away = False
         self.asked, self.keep_open = 0, s.idle_connection_ms
         self.shed, self.said = 0.0, -1.0  # refusals of the last windows; what callers were allowed last
         self.busy, self.full_ms, self.retries = 1.0, 0.0, 0.0
@@ -162,6 +164,8 @@
                 self._close(self.jobs[e.id])
             elif isinstance(e, api.CallNeeded) and e.id in self.jobs:
                 self._call_needed(self.jobs[e.id])
+        if now >= self.serve_until:
+            self._send_away()
         self._make_calls()
         self._dispatch()
         if self.jobs and self.timer_due == NEVER:
@@ -519,6 +523,11 @@
     def _drain(self, e: api.DrainNotice) -> None:
         self.drain_at, self.stop_at = min(self.drain_at, self.now), self.now + e.left_ms - 4 * TICK_MS
         self.out.append(api.SetHealth(False, True))
+        # Callers learn of it late, and whoever takes over is cold: until then what is sent here is served.
+        self.serve_until = self.now + min(self.s.drain_grace_ms, SERVE_ON * e.left_ms)
+
+    def _send_away(self) -> None:
+        self.serve_until, self.sent_away = NEVER, True
         if self.s.signal is not SignalKind.OFF:
             self.out.append(api.Signal(1.0 if self.s.signal is SignalKind.FLOOR else 0.0))
 
@@ -528,7 +537,7 @@
         """How many requests each caller may have out here: what runs, and what the hold takes in time, shared
         so that those who send most give way. What is not sent costs no read, and goes where there is room."""
         self.shed *= SHED_FADES
-        if self.s.signal is not SignalKind.ALLOWANCE or self.stop_at < NEVER or not self.known:
+        if self.s.signal is not SignalKind.ALLOWANCE or self.sent_away or not self.known:
             return
         out: dict[int, int] = {}
         for job in self.jobs.values():
