A free slot is not kept for a class of more worth

The numbers of the runners below, logged twice a second: 3 to 9 runs on 13 slots, nothing held, cores 0.2 to 0.5 busy, refusals rising from 26 to 72. At fault: Balancer._arrive, which refused a class without credit even where a slot was free.

--- a/peattack/balance.py
+++ b/peattack/balance.py
@@ -331,7 +331,9 @@
         # A marked retry is older at its client than it looks here: it takes a free slot or none. In a storm
         # held retries crowd out the fresh, are late themselves, and come again.
         spare = 0.0 if req.is_retry else (job.aim - self.now - job.kind.need()) * PATIENCE
-        wait = NEVER if job.kind.credit < 0 else self._wait(job)
+        wait = self._wait(job)
+        if wait > 0.0 and job.kind.credit < 0:
+            wait = NEVER  # a slot that is free now is kept for nobody
         if wait > spare and self.in_run + self.queued:  # what is worth less makes room
             self._refuse(next((j for j in reversed(flow.queue) if job.kind.denser(j.kind)), job))
         if not job.answered:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -422,6 +422,17 @@
     assert 0 < ran[0] < 0.3 * offered[0]
 
 
+def test_a_free_slot_is_kept_for_nobody() -> None:
+    """Runners below turned calls away with most of their slots free, for a class that did not come."""
+    b = opened(cores=3, classes=(SAFE, DEAR), tenants=(Tenant(1.0),))
+    b.step(0.0, [request(1)])
+    b.kinds[0].credit = -1.0
+    assert started(b.step(5.0, [request(2)])) == [2]
+    assert started(b.step(10.0, [request(3, klass=1)])) == [3]
+    b.kinds[0].credit = -1.0
+    assert [r.id for r in only(b.step(15.0, [request(4)]), api.Reject)] == [4]  # now none is free
+
+
 def test_an_early_error_tells_nothing_of_cost() -> None:
     """A server whose runs failed at once believed that it had become fast, and took more."""
     b = opened()
