A second address for operators: health, quiesce, resume; listening addresses can be shared

Change: fronts/console.py with fronts/http.py, the HTTP reader that the health endpoints had; quiesce is the maintenance state, read by one Reporter.fit in heartbeat, uwsgi ping, console and announcements; listening sockets are made with SO_REUSEPORT.

--- a/moorusher/config.py
+++ b/moorusher/config.py
@@ -90,6 +90,7 @@
     admin: AdminConfig = field(default_factory=AdminConfig)
     probes: ProbeConfig = field(default_factory=ProbeConfig)
     tier: TierConfig = field(default_factory=TierConfig)
+    console: Address | None = None  # the operators' second address
 
 
 class Section:
@@ -282,6 +283,10 @@
     kernel = root.address("kernel")
     if kernel is None:
         raise ConfigError("kernel: required, as HOST:PORT")
+    console_text = env.get("GW_CONSOLE")
+    console = parse_address(console_text, "GW_CONSOLE") if console_text else root.address("console")
+    if console is not None and console == listen:
+        raise ConfigError(f"console: the same address as listen, {listen_text}")
     limits, d = root.section("limits"), Limits()
     seed_text = root.get("seed", "0")
     try:
@@ -300,4 +305,4 @@
         root.positive("stop_ms", 3000.0),
         Limits(limits.positive("cores", d.cores), limits.positive("memory_mb", d.memory_mb),
                limits.positive("sockets", d.sockets)),
-        settings, uwsgi, admin, probes, tier)
+        settings, uwsgi, admin, probes, tier, console)
--- /dev/null
+++ b/moorusher/fronts/console.py
@@ -0,0 +1,98 @@
+"""The operators' second address: HTTP/1.1, one call a connection, three calls. Framing only.
+
+Its places are its own, and come out of the descriptors that clients never get. A caller that sends nothing, or half a
+call, gets 408 in half a second from its accept on: it must neither wait long itself nor keep another from its answer.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.protocol import Factory
+
+from ..core.clock import MS
+from ..core.decide import Decider
+from ..core.endings import Ending
+from ..report import Reporter
+from .http import HttpConnection, Said, not_allowed
+from .places import Places
+
+SILENCE = 500 * MS  # for a call to come whole; an answer is owed within a second
+MOST_BODY = 1024  # of a call: none needs one, and some tools send `{}`
+QUIESCED = "quiesced by an operator"
+
+
+class ConsoleConnection(HttpConnection):
+    linger = 200 * MS
+    most_body = MOST_BODY
+
+    def leave(self) -> None:
+        """It is told by its answer."""
+
+    def end(self, ending: Ending) -> None:
+        """Silent for too long, or its place is needed: told so, and closed."""
+        if self._ending is None and ending in (Ending.SILENT, Ending.MADE_WAY):
+            self._write(Said(408, b"the call did not come whole in time\n"), False)
+        super().end(ending)
+
+    def _say(self, said: Said, keep: bool, body: bool = True) -> None:
+        super()._say(said, False, body)
+
+
+class Console(Factory):
+    noisy = False
+    counts = "console connections"
+
+    def __init__(self, core: Decider, reporter: Reporter, most: int, serving: Callable[[], bool]) -> None:
+        self.core, self.reporter, self._serving = core, reporter, serving
+        self.places = Places(core, most, SILENCE, 0)
+        self._calls: dict[str, tuple[str, Callable[[], Said]]] = {
+            "/admin/health": ("GET", self._health),
+            "/admin/quiesce": ("POST", self._quiesce),
+            "/admin/resume": ("POST", self._resume),
+        }
+
+    def buildProtocol(self, addr: object) -> ConsoleConnection | None:
+        self.core.touch()
+        if not self.places.room():
+            self.core.counters.add("console connections: " + Ending.TOO_MANY.value)
+            return None
+        return ConsoleConnection(self)
+
+    def left(self, connection: Any) -> None:
+        self.places.left(connection)
+
+    def called(self, method: str, path: str, headers: dict[str, str], source: str) -> Said:
+        self.core.counters.add("console calls")
+        if path not in self._calls:
+            return Said(404, f"known are {', '.join(self._calls)}\n".encode())
+        wanted, call = self._calls[path]
+        if method != wanted and (method, wanted) != ("HEAD", "GET"):
+            return not_allowed(*(("GET", "HEAD") if wanted == "GET" else (wanted,)))
+        return call()
+
+    def _told(self, status: int) -> Said:
+        maintenance = self.reporter.tracker.maintenance if not self.reporter.wanted else None
+        told = {"ready": self._ready, "kernel": self.core.ready, "leaving": self.core.draining,
+                "quiesced": None if maintenance is None else maintenance.reason}
+        return Said(status, json.dumps(told).encode() + b"\n", "application/json")
+
+    @property
+    def _ready(self) -> bool:
+        return self._serving() and self.reporter.fit
+
+    def _health(self) -> Said:
+        return self._told(200 if self._ready else 503)
+
+    def _quiesce(self) -> Said:
+        """Also where the runner leaves: then nothing new is sent to it already."""
+        maintenance = self.reporter.tracker.maintenance
+        if self.reporter.wanted or (maintenance is not None and maintenance.until is not None):
+            self.reporter.maintain(QUIESCED)  # one that ends by itself would put the runner back on its own
+        return self._told(200)
+
+    def _resume(self) -> Said:
+        self.reporter.put_back()
+        return self._told(409 if self.core.draining else 200)
--- a/moorusher/fronts/jsonrpc.py
+++ b/moorusher/fronts/jsonrpc.py
@@ -268,10 +268,7 @@
             self._end_by_halves(Ending.TOO_FAULTY)
 
     def _heartbeat(self, tag: int | None) -> None:
-        # Not by the whole standing: a crowd or a link that is gone for a moment would take a runner off lists that
-        # learn of its return seconds late (docs/design/standing.md has what that cost).
-        fit = self.core.ready and self.core.healthy and self.owner.wanted()
-        result: dict[str, object] = {"fit": fit}
+        result: dict[str, object] = {"fit": self.owner.fit()}
         if self.core.hint is not None:
             result["hint"] = self.core.hint
         self.core.counters.add("health checks")
@@ -320,9 +317,9 @@
 
     noisy = False
 
-    def __init__(self, core: Decider, most: int, wanted: Callable[[], bool] = lambda: True) -> None:
+    def __init__(self, core: Decider, most: int, fit: Callable[[], bool]) -> None:
         self.core, self.draining = core, False
-        self.wanted = wanted  # False while an operator has taken this runner out
+        self.fit = fit  # what health checks hear
         idleness = round(core.settings.idle_connection_ms * MS) or IDLENESS
         self.places = Places(core, most, SILENCE, idleness)
 
--- a/moorusher/fronts/probes.py
+++ b/moorusher/fronts/probes.py
@@ -26,6 +26,7 @@
 
     noisy = False
     most = MOST
+    counts = "probes"
 
     def __init__(self, core: Decider, reporter: Reporter, build: Callable[[Any], Any]) -> None:
         self.core, self.reporter, self._build = core, reporter, build
--- a/moorusher/links/announce.py
+++ b/moorusher/links/announce.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.protocol import ClientFactory
@@ -58,6 +59,7 @@
     def __init__(self, reactor: Any, address: Address, name: str) -> None:
         self._reactor, self._address, self._name = reactor, address, name
         self.core: Decider  # set by the owner
+        self.fit: Callable[[], bool] = lambda: True  # what is reported; set by the owner
         self._connection: _Connection | None = None
         self._dialling: Any = None  # the connector under way
         self._stopped = False
@@ -98,7 +100,7 @@
             self._connection.transport.abortConnection()  # no word for a whole period: try a new one
             self._connection = None
         if self._connection is not None:
-            self._connection.report(self._name, self.core.healthy)
+            self._connection.report(self._name, self.fit())
         elif self._dialling is None:
             self._dial()
 
@@ -110,7 +112,7 @@
         if self._stopped:
             connection.transport.loseConnection()
         else:
-            connection.report(self._name, self.core.healthy)
+            connection.report(self._name, self.fit())
 
     def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
         if connector is self._dialling:
--- a/moorusher/loop.py
+++ b/moorusher/loop.py
@@ -1,7 +1,8 @@
-"""The event loop: Twisted's epoll reactor on the monotonic clock, and the one timer behind `Alarms`."""
+"""The event loop: Twisted's epoll reactor on the monotonic clock, the one timer behind `Alarms`, and listening."""
 
 from __future__ import annotations
 
+import socket
 import time
 from collections.abc import Callable
 from typing import Any
@@ -22,6 +23,22 @@
     return reactor
 
 
+def listener(address: tuple[str, int], backlog: int = 1024) -> socket.socket:
+    """A listening socket that a further process of this runner may share the address of. Made here, as Twisted's own
+    can't be: one that it adopts is also never shut down for all who hold it."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    made = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
+    try:
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        made.bind(address)
+        made.listen(backlog)
+    except OSError as exc:
+        made.close()
+        raise OSError(exc.errno, f"{address[0]}:{address[1]}: {exc.strerror}") from exc
+    return made
+
+
 class LoopTimer:
     """Wakes the core at the time of its earliest alarm."""
 
--- a/moorusher/report.py
+++ b/moorusher/report.py
@@ -72,8 +72,10 @@
     # ---- maintenance ----
 
     def maintain(self, reason: str, for_s: float | None = None) -> bool:
-        """False where the runner leaves already."""
+        """False where the runner leaves already. The one state behind maintenance and quiesce: health is bad from
+        this turn on, and whatever still comes is served."""
         self.core.touch()
+        log.info("taken out: %s", reason)
         now = self.core.clock.now
         self._last = None
         if self.core.draining:
@@ -85,7 +87,10 @@
         self.core.touch()
         was = self.tracker.maintenance
         self._last = None
-        return not self.core.draining and self.tracker.maintain(None) and was is not None
+        back = not self.core.draining and self.tracker.maintain(None) and was is not None
+        if back:
+            log.info("put back")
+        return back
 
     @property
     def wanted(self) -> bool:
@@ -93,6 +98,14 @@
         m = self.tracker.maintenance
         return m is None or m.over(self.core.clock.now)
 
+    @property
+    def fit(self) -> bool:
+        """The short answer of all health checks that know only yes and no. Not the whole standing: a crowd or a link
+        that is gone for a moment would take a runner off lists that learn of its return seconds late
+        (docs/design/standing.md has what that cost)."""
+        core = self.core
+        return core.ready and core.healthy and not core.draining and self.wanted
+
     # ---- as probes ask ----
 
     def observe(self) -> Observation:
--- a/moorusher/service.py
+++ b/moorusher/service.py
@@ -23,14 +23,16 @@
 from .links.database import DatabasePool
 from .links.kernel import KernelLink
 from .links.uwsgi import UwsgiCalls
-from .loop import LoopTimer
+from .loop import LoopTimer, listener
 from .report import Reporter
 
 log = logging.getLogger("moorusher")
 
 QUIET = 250 * MS  # without a word from any front end, before the connections that are left are closed
 LAST = 60 * MS  # before the time at which it would be killed, the program is gone in any case
-SPARE_SOCKETS = 160  # descriptors for the calls below, the links, the listening sockets and the interpreter
+SPARE_SOCKETS = 160  # descriptors for the calls below, the links, the listening sockets, the console and the
+# interpreter
+CONSOLE_SHARE = 3  # one in so many of them is the console's
 LIVE = {"kernel", "announce", "db", "stop_ms", "probes", "tier"}  # what SIGHUP changes; the rest is for the next start
 
 
@@ -67,13 +69,15 @@
         if not (probes.agent or probes.health or config.admin.listen or config.uwsgi.load_report or self.tier):
             self.core.watched_by(Watch())  # nobody asks, as on the platform: each run is spared what it would tell
         self.announcer = Announcer(reactor, config.announce, config.name) if config.announce else None
-        most = max(16, config.limits.sockets - min(SPARE_SOCKETS, config.limits.sockets // 3))
+        self._spare = min(SPARE_SOCKETS, config.limits.sockets // 3)
+        most = max(16, config.limits.sockets - self._spare)
         if config.uwsgi.listen is not None:
             most //= 2  # the two fronts share the descriptors
-        self.front = JsonRpcFront(self.core, most, lambda: self.reporter.wanted)
+        self.front = JsonRpcFront(self.core, most, self._fit)
         self.uwsgi = UwsgiFront(self.core, most, config.uwsgi.body_bytes, config.uwsgi.idle_s, self._fit)
         self.agent: Any = None  # probes' listeners are imported only where they are set
         self.health: Any = None
+        self.console: Any = None
         self.core.trim = self.front.trim
         self.ports: list[Any] = []  # those of the fronts: closed on leaving, while health and admin stay
         self._ended = False
@@ -81,6 +85,12 @@
 
     def start(self) -> None:
         config = self.config
+        if config.console is not None:  # first: it tells operators what is still missing
+            from .fronts.console import Console
+
+            self.console = Console(self.core, self.reporter, max(8, self._spare // CONSOLE_SHARE),
+                                   lambda: bool(self.ports))
+            self._listen(config.console, self.console)
         self.ports.append(self._listen(config.listen, self.front))
         if config.uwsgi.listen is not None:
             self.ports.append(self._listen(config.uwsgi.listen, self.uwsgi))
@@ -115,14 +125,17 @@
         self.kernel.start()
         if self.announcer is not None:
             self.announcer.core = self.core
+            self.announcer.fit = self._fit
             self.announcer.start()
         log.info("%s listens on %s:%d", self.config.name, *self.config.listen)
 
     def _listen(self, address: Address, factory: Any) -> Any:
-        return self.reactor.listenTCP(address[1], factory, backlog=1024, interface=address[0])
+        """On a socket that a successor may listen on beside this process."""
+        with listener(address) as made:
+            return self.reactor.adoptStreamPort(made.fileno(), made.family, factory)
 
     def _fit(self) -> bool:
-        return self.core.ready and self.core.healthy and not self.core.draining and self.reporter.wanted
+        return self.reporter.fit
 
     def _condition(self) -> Any:
         """How this runner is, for whoever is told what it knows."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -54,14 +54,16 @@
 
 
 class World:
-    def __init__(self, make: Callable[[api.Settings], Balancer] = Balancer, **changes: Any) -> None:
+    def __init__(self, make: Callable[[api.Settings], Balancer] = Balancer, kernel: bool = True,
+                 **changes: Any) -> None:
         self.at, self.turns = 1_000_000_000_000, list[Callable[[], None]]()
         clock = Clock(lambda: self.at, lambda: self.at + 10**18)
         self.kernel, self.calls = Kernel(), Calls()
         self.answers: list[tuple[int, Answer]] = []
         self.core = Decider(settings(**changes), clock, Alarms(clock, lambda when: None), self.kernel, self.calls,
                             self.turns.append, make)
-        self.core.kernel_up(False, 0)
+        if kernel:
+            self.core.kernel_up(False, 0)
         self.turn()
 
     def turn(self) -> None:
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -36,7 +36,7 @@
 
 def front(**changes: Any) -> tuple[World, JsonRpcFront, JsonRpcConnection, Transport]:
     world = World(**changes)
-    factory = JsonRpcFront(world.core, 10)
+    factory = JsonRpcFront(world.core, 10, lambda: world.core.healthy)
     connection, transport = factory.buildProtocol(None), Transport()
     assert connection is not None
     connection.makeConnection(transport)  # type: ignore[no-untyped-call]
