SIGHUP takes new settings: classes by name, between two turns, damaged files turned down whole

Ruled out: a new module with the new settings (it forgets what runs), ids that never come back (grow with each reload), checks of the new file alone (one that lost a key would run with defaults).

Change: core/retune.py plans (old, new); the module hears Retune and keeps what it learnt by class and not by place; requests carry their class; keys keep the longer window; a file must have every key of the running one; figures beyond all measure are refused by name; a connection that was too faulty answers what is open on it before it ends. Limits on memory and sockets are followed as well.

--- a/moorusher/config.py
+++ b/moorusher/config.py
@@ -91,6 +91,10 @@
     probes: ProbeConfig = field(default_factory=ProbeConfig)
     tier: TierConfig = field(default_factory=TierConfig)
     console: Address | None = None  # the operators' second address
+    raw: Any = None  # the file as it was read, for the next one to be held against
+
+
+MOST_FIGURE = 1e15
 
 
 class Section:
@@ -112,6 +116,9 @@
         wanted = (int, float) if kind is float else (kind,)
         if not isinstance(value, wanted) or (isinstance(value, bool) and kind is not bool):
             raise ConfigError(f"{self.key(name)}: expected {kind.__name__}, got {value!r}")
+        # JSON as Python reads it has NaN, Infinity and whole numbers of any size.
+        if kind is float and not abs(cast(float, value)) <= MOST_FIGURE:
+            raise ConfigError(f"{self.key(name)}: expected a number up to {MOST_FIGURE:g}")
         return cast(T, float(cast(float, value)) if kind is float else value)
 
     def positive(self, name: str, default: T) -> T:
@@ -262,17 +269,50 @@
     )
 
 
-def load(env: Mapping[str, str] = os.environ, fronts: Path | None = None) -> Config:
+# Keys that the platform's page allows to be absent.
+MAY_BE_ABSENT = {"aimStretch", "passesDeadline", "fleet"}
+
+
+def lacking(old: Any, new: Any, path: str = "") -> str | None:
+    """The first key that the running file has and the new one has not: a file that lost a part on its way must not
+    run with defaults in its place. In a list of objects each must have the keys that all of the running ones have."""
+    if isinstance(old, dict) and isinstance(new, dict):
+        for name, value in old.items():
+            here = f"{path}.{name}" if path else name
+            if name not in new:
+                if name not in MAY_BE_ABSENT:
+                    return here
+            elif (found := lacking(value, new[name], here)) is not None:
+                return found
+    elif isinstance(old, list) and isinstance(new, list) and old and all(isinstance(x, dict) for x in old):
+        common = [name for name in old[0] if all(name in x for x in old)]
+        for i, item in enumerate(new):
+            if isinstance(item, dict) and (lost := [n for n in common if n not in item and n not in MAY_BE_ABSENT]):
+                return f"{path}[{i}].{lost[0]}"
+    return None
+
+
+def load(env: Mapping[str, str] = os.environ, fronts: Path | None = None, running: Any = None) -> Config:
     path = env.get("GW_CONFIG")
     if not path:
         raise ConfigError("GW_CONFIG: not set; it names the JSON file of the configuration")
     try:
-        raw = json.loads(Path(path).read_text())
+        text = Path(path).read_bytes()
     except OSError as exc:
         raise ConfigError(f"GW_CONFIG: {exc}") from exc
+    return read(text, env, read_fronts(fronts or FRONTS_FILE), running)
+
+
+def read(text: bytes, env: Mapping[str, str], fronts: tuple[UwsgiConfig, ProbeConfig, AdminConfig, TierConfig],
+         running: Any = None) -> Config:
+    """`running`: the file that the runner has in service, where it has one; the new one must have all of its keys."""
+    try:
+        raw = json.loads(text)
     except (ValueError, RecursionError) as exc:
-        raise ConfigError(f"GW_CONFIG: {path} is not valid JSON: {exc}") from exc
+        raise ConfigError(f"GW_CONFIG: {env.get('GW_CONFIG')} is not valid JSON: {exc}") from exc
     root = Section(raw, "")
+    if running is not None and (lost := lacking(running, raw)) is not None:
+        raise ConfigError(f"{lost}: missing, and the running configuration has it")
     name = root.get("name", "") or env.get("GW_NAME", "")
     if not name or not all(c.isalnum() or c in "-_." for c in name):
         raise ConfigError(f"name: expected letters, digits, '-', '_' and '.', got {name!r} (or set GW_NAME)")
@@ -297,12 +337,17 @@
         settings = parse_settings(json.dumps(root.section("settings").data).encode(), seed)
     except WireError as exc:
         raise ConfigError(f"settings: {exc}") from exc
-    except ValueError as exc:  # the interface's own checks name the setting too
+    except (ValueError, OverflowError) as exc:  # the interface's own checks name the setting too
         raise ConfigError(f"settings: {exc}") from exc
-    uwsgi, probes, admin, tier = read_fronts(fronts or FRONTS_FILE)
+    for listed, names in (("classes", [c.name for c in settings.classes]),
+                          ("realms", [t.name for t in settings.tenants])):
+        for i, one in enumerate(names):
+            if not one or one in names[:i]:
+                raise ConfigError(f"settings.{listed}[{i}].name: expected one that no other has, got {one!r}")
+    uwsgi, probes, admin, tier = fronts
     return Config(
         name, listen, kernel, root.address("announce"), root.address("db"),
         root.positive("stop_ms", 3000.0),
         Limits(limits.positive("cores", d.cores), limits.positive("memory_mb", d.memory_mb),
                limits.positive("sockets", d.sockets)),
-        settings, uwsgi, admin, probes, tier, console)
+        settings, uwsgi, admin, probes, tier, console, raw)
--- a/moorusher/core/decide.py
+++ b/moorusher/core/decide.py
@@ -19,6 +19,7 @@
 from .intake import BUSY_MS, Fault, Intake
 from .keys import Keys, window_end
 from .requests import Arrival, Request, Stage, Table
+from .retune import Plan
 from .run import Kernel, Runs
 from .watch import Watch
 
@@ -51,12 +52,12 @@
         self._gauges: tuple[float, ...] = ()
         self.gauges_at = 0  # by the clock of the turn before they came: never told younger than they are
         self.watch = Watch()
-        self._names = [t.name for t in settings.tenants]
         self._stop_at: int | None = None
         self.replaced = False  # leaving, and another process of this runner serves on
         self._beside = api.Beside()
         self.up: Callable[[], None] = lambda: None  # called once, with the kernel's first word
         self._cold, self._born = False, 0  # the kernel's state and time when it started
+        self._opened_cold = False  # what the module was told of it
         self.healthy, self.hint = True, None  # type: bool, float | None
         self.trim: Callable[[int], None] = lambda idle: None  # set by the fronts' owner
         self.settled: Callable[[], None] = lambda: None  # called after each turn while draining
@@ -123,6 +124,7 @@
         """Cold or warm is the kernel's word: the settings tell how things stood when they were written. A warm
         instance opens now, whatever the kernel's age: the module's first window reaches back to its opening."""
         cold = self._cold and self.clock.now - self._born < self.settings.warm_after_ms * MS
+        self._opened_cold = cold
         self._balancer = self._make(replace(self.settings, cold=cold))
         opened = self._balancer.open(self.clock.module_ms(self._born if cold else None))
         for action in opened:
@@ -164,7 +166,7 @@
         if isinstance(taken, Fault):
             self.counters.add("faulty")
             return taken
-        self.counters.add("taken", self._tenant(taken))
+        self.counters.add("taken", taken.tenant)
         self.watch.came(self.clock.now)
         if not self.claims.hold_back(taken):
             self._hand_on(taken)
@@ -187,7 +189,7 @@
             return
         self.touch()
         request.reply = None
-        self.counters.add("gone", self._tenant(request))
+        self.counters.add("gone", request.tenant)
         self._events.append(api.CallerGone(request.number))
         if request.stage is not Stage.RUNNING:
             self._unheld(request.number)
@@ -279,7 +281,7 @@
             log.error("the kernel takes back a run that it had begun: %s", rid)
         self.calls.drop(request.number)
         passed = ending is Ending.RUN_PASSED
-        self.counters.add("runs " + ("passed" if passed else "not passed"), self._tenant(request))
+        self.counters.add("runs " + ("passed" if passed else "not passed"), request.tenant)
         self._answer(request, Answer(Verdict.SERVED, body) if passed
                      else Answer(Verdict.FAILED, cause=FAILED_BY.get(ending, Cause.RUN_FAILED)))
         self._over(request, ending)
@@ -328,7 +330,7 @@
             self._over(request, Ending.RUN_NOT_ACCEPTED)
             return
         request.stage = Stage.RUNNING
-        self.counters.add("runs", self._tenant(request))
+        self.counters.add("runs", request.tenant)
         self.runs.start(request)
 
     def _reject(self, a: api.Reject) -> None:
@@ -366,7 +368,7 @@
             self.counters.add("calls")
             request = run.request
             token = request.key and f"{request.key[2]}.{run.calls}"
-            asked = Asked(request.rid, run.route, self._tenant(request), token, run.call,
+            asked = Asked(request.rid, run.route, request.tenant, token, run.call,
                           max(1, round(a.timeout_ms)))
             self.calls.make(a.id, asked, self)
 
@@ -424,10 +426,21 @@
         """The one place where an answer is given: once, as the way back is taken off the request."""
         reply, request.reply = request.reply, None
         if reply is not None:
-            self.counters.add(answer.verdict.value, self._tenant(request))
+            self.counters.add(answer.verdict.value, request.tenant)
             if answer.verdict is Verdict.FAILED:
                 self.counters.add("failed: " + answer.cause.value)
             reply.answer(request.tag, answer, self.hint)
 
-    def _tenant(self, request: Request) -> str | None:
-        return None if request.tenant is None else self._names[request.tenant]
+    # ---- new settings ----
+
+    def retune(self, plan: Plan) -> None:
+        """Between two turns: what was read before is decided first, by the settings that it was read under."""
+        self.touch()
+        if self._events:
+            self.turn_over()
+            self.touch()
+        self.settings = plan.settings
+        self.intake.follow(plan.settings)
+        if self._balancer is not None:
+            settings = replace(plan.settings, cold=self._opened_cold)
+            self._events.append(api.Retune(settings, plan.classes, plan.tenants))
--- a/moorusher/core/intake.py
+++ b/moorusher/core/intake.py
@@ -13,6 +13,7 @@
 
 # A held request takes its body, 2 KiB, and small change; the module refuses long before by its own memory.
 MOST_REQUESTS = 10_000
+MOST_FORMER = 256  # names of dropped classes that are remembered
 # A machine may pause, and a clock be stepped; what came an hour ago, or will, is a mistake or a try to be served
 # outside of its window.
 MOST_SKEW = 3_600 * SECOND
@@ -42,19 +43,32 @@
 
 class Intake:
     def __init__(self, settings: api.Settings, clock: Clock, table: Table, keys: Keys) -> None:
-        self.settings, self._clock, self._table, self._keys = settings, clock, table, keys
+        self._clock, self._table, self._keys = clock, table, keys
+        self.former: dict[str, float] = {}  # classes that were dropped, with their windows; the latest last
+        self._know(settings)
+
+    def _know(self, settings: api.Settings) -> None:
+        self.settings = settings
         self.classes = {c.name: i for i, c in enumerate(settings.classes)}
         self.tenants = {t.name: i for i, t in enumerate(settings.tenants)}
 
+    def follow(self, settings: api.Settings) -> None:
+        """New settings hold for what is read from here on."""
+        windows = self.former | {c.name: c.window_ms for c in self.settings.classes}
+        self._know(settings)
+        for cls in settings.classes:
+            if (longer := cls.window_ms - windows.pop(cls.name, cls.window_ms)) > 0:
+                self._keys.widen(cls.name, round(longer * MS))
+        self.former = dict(list(windows.items())[-MOST_FORMER:])
+
     def take(self, a: Arrival, reply: Reply, tag: int) -> Request | Fault:
         """The request, in the table."""
-        klass, tenant, now = self.classes.get(a.klass), None, self._clock.now
+        klass, now = self.classes.get(a.klass), self._clock.now
         if klass is None:
             return Fault.NO_SUCH_CLASS
-        if self.tenants:  # whoever names none is nobody's
-            tenant = self.tenants.get(a.tenant or "")
-            if tenant is None:
-                return Fault.NO_SUCH_TENANT
+        tenant = (a.tenant or "") if self.tenants else None
+        if tenant is not None and tenant not in self.tenants:  # whoever names none is nobody's
+            return Fault.NO_SUCH_TENANT
         cls = self.settings.classes[klass]
         keyed = cls.effect is api.Effect.KEYED
         if keyed and not a.token:
@@ -68,9 +82,9 @@
         came = now if a.came is None else a.came
         if a.t0_unix_ms is not None:
             came = min(now, self._clock.from_unix_ms(a.t0_unix_ms))
-        request = Request(self._table.number(), a.rid, klass, cls, tenant, a.body, came, reply, tag, a)
+        request = Request(self._table.number(), a.rid, cls, tenant, a.body, came, reply, tag, a)
         if keyed and a.token:
-            request.key = (cls.name, None if tenant is None else self.settings.tenants[tenant].name, a.token)
+            request.key = (cls.name, tenant, a.token)
             entry = self._keys.find(request.key, now)
             body = digest(a.body)
             if entry is not None:
@@ -90,7 +104,11 @@
         """What the module is told of a request: how long it has waited is a matter of when that is."""
         a, waited = request.arrival, (self._clock.now - request.came) / MS
         left = None if a.budget_ms is None else max(0.0, a.budget_ms - waited)
+        klass, tenant = self.classes.get(request.cls.name, -1), None
+        if request.tenant is not None:
+            tenant = self.tenants.get(request.tenant)  # one that is gone meanwhile counts as nobody's
+        same = klass >= 0 and self.settings.classes[klass] is request.cls
         return api.Request(
-            request.number, request.klass, a.memory_kb, waited, left, a.caller, request.tenant, a.is_retry,
-            request.key is not None, request.repeats, a.rank, a.subject, a.hint_ms,
+            request.number, klass, a.memory_kb, waited, left, a.caller, tenant, a.is_retry,
+            request.key is not None, request.repeats, a.rank, a.subject, a.hint_ms, None if same else request.cls,
         )
--- a/moorusher/core/keys.py
+++ b/moorusher/core/keys.py
@@ -58,15 +58,11 @@
     """Entries go when their time has run out, looked at as new ones come: no timer sweeps them."""
 
     def __init__(self, memory_mb: float = 192.0) -> None:
-        # Half of what is left, since Python gives freed memory back late; and never so little that nothing is kept.
-        room = max(2_000_000, round(memory_mb * 1e6 - PROCESS_BYTES) // 2)
-        self.most_bytes = min(MOST_BYTES, room * 2 // 3)
-        self.most_entries = min(MOST_ENTRIES, room // 3 // ENTRY_BYTES)
+        self.limit(memory_mb)
         self._by_key: dict[Key, Entry] = {}
         self._by_number: dict[int, Entry] = {}
         self._ends: list[tuple[int, int]] = []  # (until, number of the try); stale where the entry says otherwise
         self.bytes = 0
-        self._tables = max(4_000_000, round(memory_mb * 1e6) - 2 * PROCESS_BYTES) // 2  # room for those of both
         self._theirs_most: int | None = None  # of bytes; how far the other process's results are kept
         self.told: Told | None = None
         self.unsure_until = 0  # what ran before, and where, is not known: until then a new key may be an old one's
@@ -74,6 +70,14 @@
     def __len__(self) -> int:
         return len(self._by_key)
 
+    def limit(self, memory_mb: float) -> None:
+        """Of the process, or of two while one replaces the other. What is kept already stays."""
+        # Half of what is left, since Python gives freed memory back late; and never so little that nothing is kept.
+        room = max(2_000_000, round(memory_mb * 1e6 - PROCESS_BYTES) // 2)
+        self.most_bytes = min(MOST_BYTES, room * 2 // 3)
+        self.most_entries = min(MOST_ENTRIES, room // 3 // ENTRY_BYTES)
+        self._tables = max(4_000_000, round(memory_mb * 1e6) - 2 * PROCESS_BYTES) // 2  # room for those of both
+
     @property
     def size(self) -> int:
         """Of the whole table, about."""
@@ -115,6 +119,12 @@
         self._by_number[number] = entry
         self.keep_until(number, until)
 
+    def widen(self, klass: str, by: int) -> None:
+        """The window of a class has become longer: what was read before counts for the longer one as well."""
+        for entry in list(self._by_key.values()):
+            if entry.key[0] == klass:
+                self.keep_until(entry.number, entry.until + by)
+
     def forget(self, entry: Entry) -> list[int]:
         """The other process never ran it: the key is free again. Those that waited for it get no result."""
         self._remove(entry)
--- a/moorusher/core/requests.py
+++ b/moorusher/core/requests.py
@@ -70,9 +70,8 @@
 class Request:
     number: int  # the module's id of it
     rid: str  # the kernel's
-    klass: int
     cls: api.RequestClass  # as it was when this was read: new settings change nothing for what is open
-    tenant: int | None
+    tenant: str | None
     body: bytes
     came: int  # when it came to the machine, in microseconds of the monotonic clock
     reply: Reply | None  # None once it is answered or the caller has gone
--- a/moorusher/fronts/jsonrpc.py
+++ b/moorusher/fronts/jsonrpc.py
@@ -121,7 +121,7 @@
         self.open: dict[int, Request] = {}
         self.by_rid: dict[str, int] = {}
         self.active = self.faults = 0  # when something last came; what was malformed
-        self.leaving = False
+        self.leaving = self.doomed = False
         self.unsent = 0  # since the other side stopped reading; 0 where it reads
         self.ending: Ending | None = None
 
@@ -187,7 +187,7 @@
             self.transport.abortConnection()
 
     def dataReceived(self, data: bytes) -> None:
-        if self.ending is None:
+        if self.ending is None and not self.doomed:
             super().dataReceived(data)  # type: ignore[no-untyped-call]
 
     def leave(self) -> None:
@@ -212,7 +212,7 @@
     # ---- what comes ----
 
     def lineReceived(self, line: bytes) -> None:
-        if self.ending is not None:
+        if self.ending is not None or self.doomed:
             return
         if not line.strip():
             return
@@ -236,7 +236,8 @@
         if tag is None:
             return  # a notification of a method that we don't know: JSON-RPC has no answer to it
         if method not in self.core.intake.classes:
-            return self._fault(tag, NO_METHOD, "no such method")
+            # Front ends learn late of a class that was dropped: no reason to end their connection.
+            return self._fault(tag, NO_METHOD, "no such method", method not in self.core.intake.former)
         if tag < 1 or tag in self.open:
             return self._fault(tag, INVALID, "id: expected one from 1 on that is not in use")
         if len(self.open) >= MOST_OPEN:
@@ -264,7 +265,13 @@
 
     def _blame(self) -> None:
         self.faults += 1
-        if self.faults >= MOST_FAULTS:
+        if self.faults >= MOST_FAULTS and not self.doomed:
+            self.doomed = True  # nothing more is read; what is open on it has its answer first
+            self.owner.places.busy(self)
+            self._end_if_doomed()
+
+    def _end_if_doomed(self) -> None:
+        if self.doomed and not self.open:
             self._end_by_halves(Ending.TOO_FAULTY)
 
     def _heartbeat(self, tag: int | None) -> None:
@@ -310,6 +317,7 @@
             self._send(_error(tag, FAILED, answer.cause.value, hint))
             if answer.cause is Cause.NOT_ACCEPTED:
                 self._blame()
+        self._end_if_doomed()
 
 
 class JsonRpcFront(Factory):
--- a/moorusher/report.py
+++ b/moorusher/report.py
@@ -8,6 +8,7 @@
 from dataclasses import asdict, replace
 
 from peattack.balance import CROWD_FILL
+from peattack.interface import Settings
 
 from .core.clock import MS
 from .core.decide import Decider
@@ -32,13 +33,21 @@
         self.doors_closed = False
         self.told: Callable[[], None] = lambda: None  # an operator has taken the runner out, or put it back
         phase = zlib.crc32(name.encode()) / 2**32  # neighbours' names differ, and so their pace
-        facts = Facts(s.cores, s.crowd_per_core, round(s.crowd_window_ms * MS),
-                      round(min(c.aim_ms for c in s.classes) * MS), CROWD_FILL, phase)
-        self.tracker = Tracker(facts, policy, core.clock.now)
+        self.tracker = Tracker(self._facts(s, phase), policy, core.clock.now)
         self._last: Report | None = None
         self._at = 0
         core.watched_by(self)
 
+    @staticmethod
+    def _facts(s: Settings, phase: float) -> Facts:
+        return Facts(s.cores, s.crowd_per_core, round(s.crowd_window_ms * MS),
+                     round(min(c.aim_ms for c in s.classes) * MS), CROWD_FILL, phase)
+
+    def retune(self, settings: Settings) -> None:
+        """What was observed stays; what it is held against has changed."""
+        self.tracker.facts = self._facts(settings, self.tracker.facts.phase)
+        self._last = None
+
     # ---- as it happens ----
 
     def crowd_is(self, now: int, on_cores: int) -> None:
--- a/moorusher/service.py
+++ b/moorusher/service.py
@@ -14,10 +14,11 @@
 
 from peattack.balance import SERVE_ON
 
-from .config import Address, Config, ConfigError
+from .config import Address, Config, ConfigError, Limits
 from .core.call import Calls, NoCalls
 from .core.clock import MS, Alarms, Clock
 from .core.decide import Decider
+from .core.retune import plan
 from .core.watch import Watch
 from .fronts.jsonrpc import JsonRpcFront
 from .fronts.uwsgi import UwsgiFront
@@ -40,7 +41,8 @@
 REPLACED_MOST_MS, REPLACED_MORE_MS = 3_000.0, 700.0  # a replaced process is killed so long after SIGTERM: its longest
 # deadline, at most the first, and the second
 CONSOLE_SHARE = 3  # one in so many of them is the console's
-LIVE = {"kernel", "announce", "db", "stop_ms", "probes", "tier"}  # what SIGHUP changes; the rest is for the next start
+# What SIGHUP changes; the rest is for the next start, and so are some of the settings (`core/retune.py`).
+LIVE = {"kernel", "announce", "db", "stop_ms", "limits", "settings", "probes", "tier", "raw"}
 
 
 class Service:
@@ -76,13 +78,10 @@
         if not (probes.agent or probes.health or config.admin.listen or config.uwsgi.load_report or self.tier):
             self.core.watched_by(Watch())  # nobody asks, as on the platform: each run is spared what it would tell
         self.announcer = Announcer(reactor, config.announce, config.name) if config.announce else None
-        self._spare = min(SPARE_SOCKETS, config.limits.sockets // 3)
-        most = max(LEAST_PLACES, config.limits.sockets - self._spare)
-        if config.uwsgi.listen is not None:
-            most //= 2  # the two fronts share the descriptors
-        self._most = most
-        self.front = JsonRpcFront(self.core, most, self._fit)
-        self.uwsgi = UwsgiFront(self.core, most, config.uwsgi.body_bytes, config.uwsgi.idle_s, self._fit)
+        self._beside = 0  # connections of another process of this runner
+        self._size(config.limits)
+        self.front = JsonRpcFront(self.core, self._most, self._fit)
+        self.uwsgi = UwsgiFront(self.core, self._most, config.uwsgi.body_bytes, config.uwsgi.idle_s, self._fit)
         self.agent: Any = None  # probes' listeners are imported only where they are set
         self.health: Any = None
         self.console: Any = None
@@ -198,7 +197,8 @@
     def beside(self, load: Load) -> None:
         """One runner's limits hold for both."""
         self.core.beside(load.on_cores, load.running, load.memory_kb)
-        self.front.places.most = max(LEAST_PLACES, self._most - load.connections)
+        self._beside = load.connections
+        self._place()
 
     def taken_out(self) -> dict[str, Any] | None:
         m = self.reporter.tracker.maintenance
@@ -230,29 +230,37 @@
 
     # ---- a new configuration ----
 
-    def reload(self, load: Callable[[], Config]) -> None:
-        """SIGHUP: links move to their new addresses; keys, runs and held requests stay as they are."""
+    def reload(self, load: Callable[..., Config]) -> None:
+        """SIGHUP: read and checked whole, then taken; keys, runs and held requests stay as they are."""
+        old = self.config
         try:
-            new = load()
+            new = load(running=old.raw)
+            self._follow(old, new)
         except ConfigError as exc:
+            self.core.counters.add("configurations turned down")
             log.error("configuration not changed: %s", exc)
-            return
-        old = self.config
+
+    def _follow(self, old: Config, new: Config) -> None:
+        """Raises ConfigError before anything is changed."""
         odd = [f.name for f in fields(Config) if getattr(new, f.name) != getattr(old, f.name)
                and f.name not in LIVE]
         odd += [f"{name}.listen" for name in ("agent", "health")
                 if getattr(new.probes, name) != getattr(old.probes, name)]
         below = new.uwsgi.below or new.db if old.uwsgi.below is None else new.uwsgi.below
         if bool(new.tier.servers) != (self.tier is not None):
-            log.error("configuration not changed: tier.server: can't be set or taken away without a restart")
-            return
+            raise ConfigError("tier.server: can't be set or taken away without a restart")
         announced = (new.announce is None) == (self.announcer is None)
         if not announced or (self.tier is None and (below is None) != (self.below is None)):
-            log.error("configuration not changed: %s: can't be set or taken away without a restart",
-                      "db" if announced else "announce")
-            return
+            raise ConfigError(f"{'db' if announced else 'announce'}: can't be set or taken away without a restart")
         self.core.touch()
+        retune = plan(self.core.settings, new.settings)
         self.config = replace(old, **{name: getattr(new, name) for name in LIVE})
+        if retune.settings != self.core.settings:
+            self.core.retune(retune)
+            self.reporter.retune(retune.settings)
+        odd += [f"settings.{name}" for name in retune.later]
+        self._size(new.limits)
+        self._place()
         self._follow_probes(new)
         if self.tier is not None:
             self.tier.follow(new.tier.servers)
@@ -264,9 +272,21 @@
         if self.announcer is not None and new.announce is not None:
             self.announcer.move(new.announce)
         self.core.counters.add("configurations read")
-        log.info("configuration read again: kernel %s:%d%s", *new.kernel,
+        log.info("configuration read again: kernel %s:%d%s%s", *new.kernel, retune.words(),
                  f"; {', '.join(odd)}: changed, for the next start" if odd else "")
 
+    def _size(self, limits: Limits) -> None:
+        """How many places and keys there are follows the limits. What is open stays open."""
+        self._spare = min(SPARE_SOCKETS, limits.sockets // 3)
+        self._most = max(LEAST_PLACES, limits.sockets - self._spare)
+        if self.config.uwsgi.listen is not None:
+            self._most //= 2  # the two fronts share the descriptors
+        self.core.keys.limit(limits.memory_mb)
+
+    def _place(self) -> None:
+        self.front.places.most = max(LEAST_PLACES, self._most - self._beside)
+        self.uwsgi.places.most = self._most
+
     def _follow_probes(self, new: Config) -> None:
         """What is told to balancers, and when; listeners stay where they are until the next start."""
         probes = new.probes
--- a/peattack/balance.py
+++ b/peattack/balance.py
@@ -49,7 +49,7 @@
     def __init__(self, phi: float) -> None:
         self.phi, self.tag, self.active = phi, 0.0, False
         self.queue: deque[_Job] = deque()
-        self.lmax: dict[int, float] = {}
+        self.lmax: dict[_Kind, float] = {}
 
 
 class _Kind:
@@ -72,8 +72,12 @@
         much that nothing fresh is begun: after an outage nothing would tell that it is over (stuck)."""
         return min(self.wall + SPREAD * self.spread, MOST_NEED * self.cls.aim_ms)
 
-    def denser(self, other: _Kind) -> bool:
-        return self.cls.worth > DENSER * other.cls.worth
+    def redefined(self, cls: api.RequestClass) -> _Kind:
+        """It has new figures: stated waits follow its deadline, the length of its runs does not."""
+        if cls.deadline_ms != self.cls.deadline_ms:
+            self.told.clear()
+        self.cls = cls
+        return self
 
     def age(self, told: float) -> float:
         """The least that a request has aged at its client: what its stated wait lacks of the usual one."""
@@ -81,11 +85,15 @@
         return max(0.0, usual - told)
 
 
+def _denser(one: api.RequestClass, other: api.RequestClass) -> bool:
+    return one.worth > DENSER * other.worth
+
+
 class _Job:
     """A request that is owed an answer, or whose work still takes room."""
 
     def __init__(self, req: api.Request, flow: _Flow, kind: _Kind, server: Balancer) -> None:
-        cls, now = kind.cls, server.now
+        cls, now = req.cls or kind.cls, server.now
         self.req, self.flow, self.kind, self.cls = req, flow, kind, cls
         self.id, self.kb = req.id, req.memory_kb
         self.born = now - req.waited_ms
@@ -113,8 +121,7 @@
         self.now = self.started = self.window_at = 0.0
         self.out: list[api.Action] = []
         self.jobs: dict[int, _Job] = {}
-        total = sum(t.share for t in s.tenants) or 1.0
-        self.flows = {i: _Flow(max(t.share * len(s.tenants) / total, 0.01)) for i, t in enumerate(s.tenants)}
+        self.flows = {i: _Flow(phi) for i, phi in enumerate(self._phis(s))}
         self.v, self.lead, self.rate, self.phi_sum, self.work = 0.0, 0.0, float(s.cores), 0.0, 0.0
         self.service = 0.0  # core time of one running request since the start
         self.n, self.slots = s.cores, [None] * s.cores  # type: int, list[_Job | None]
@@ -134,6 +141,11 @@
         self.shed, self.said = 0.0, -1.0  # refusals of the last windows; what callers were allowed last
         self.busy, self.full_ms, self.retries = 1.0, 0.0, 0.0
 
+    @staticmethod
+    def _phis(s: api.Settings) -> list[float]:
+        total = sum(t.share for t in s.tenants) or 1.0
+        return [max(t.share * len(s.tenants) / total, 0.01) for t in s.tenants]
+
     def open(self, now: float) -> list[api.Action]:
         self.now = self.started = self.window_at = now
         return [api.SetHealth(True, True)]  # a check that does real work would take a core from requests
@@ -153,6 +165,8 @@
         for e in events:
             if isinstance(e, api.Request):
                 self._arrive(e)
+            elif isinstance(e, api.Retune):
+                self._retune(e)
             elif isinstance(e, api.Timer):
                 told = dict(zip(self.s.gauges, e.gauges, strict=False))
                 self.timer_due, self.busy = NEVER, told.get("cpu_busy", self.busy)
@@ -189,7 +203,7 @@
 
     def _lmax(self, job: _Job) -> float:
         """L_max of tenant and class; a new one takes the hint, else the largest held, else the mean."""
-        ratio = job.flow.lmax.get(job.req.klass)
+        ratio = job.flow.lmax.get(job.kind)
         if ratio is None and job.hint:
             return job.hint
         held = (x for f in self.flows.values() for x in f.lmax.values())
@@ -267,14 +281,14 @@
         """The run is over: refund; L_max from the cost, if the run came to its own end."""
         if job.state == RUNNING:
             self._off_core(job)
-        f, klass = job.flow, job.req.klass
+        f, kind = job.flow, job.kind
         f.tag -= job.paid / f.phi
         self.work, self.in_run = self.work + job.used, self.in_run - 1
         if whole:
             self.cost += (LEARN / 2 if self.known else 1.0) * (max(job.used, 1.0) - self.cost)
             self.known = True
             # Relative to the mean: a slow machine lifts the mean and leaves the split by size as it is.
-            f.lmax[klass] = max(ALPHA * f.lmax.get(klass, 0.0), job.used / self.cost)
+            f.lmax[kind] = max(ALPHA * f.lmax.get(kind, 0.0), job.used / self.cost)
         self._retire(f)
 
     def _retire(self, f: _Flow) -> None:
@@ -320,13 +334,13 @@
     def _arrive(self, req: api.Request) -> None:
         if req.id in self.jobs:
             return
-        if not 0 <= req.klass < len(self.s.classes):
+        if req.klass >= len(self.kinds) or (req.klass < 0 and req.cls is None):
             raise ValueError(f"request {req.id}: klass {req.klass} is not among the settings' classes")
         self.asked += 1
         self.retries += LEARN / 2 * (req.is_retry - self.retries)
         key = req.tenant if self.s.tenants and req.tenant is not None else -1 - req.caller
         flow = self.flows.setdefault(key, _Flow(1.0))
-        kind = self.kinds[req.klass]
+        kind = _Kind(req.cls, self.cost) if req.cls and req.klass < 0 else self.kinds[req.klass]
         job = self.jobs[req.id] = _Job(req, flow, kind, self)
         self.used_kb += job.kb
         if self._repeat(job):
@@ -341,13 +355,13 @@
         if wait > 0.0 and job.kind.credit < 0:
             wait = NEVER  # a slot that is free now is kept for nobody
         if wait > spare and self.in_run + self.queued:  # what is worth less makes room
-            self._refuse(next((j for j in reversed(flow.queue) if job.kind.denser(j.kind)), job))
+            self._refuse(next((j for j in reversed(flow.queue) if _denser(job.cls, j.cls)), job))
         if not job.answered:
             self._keep(job)
             self._enqueue(job)
 
     def _ahead(self, job: _Job, flow: _Flow) -> int:
-        return sum(not job.kind.denser(j.kind) for j in flow.queue)
+        return sum(not _denser(job.cls, j.cls) for j in flow.queue)
 
     def _wait(self, job: _Job) -> float:
         """How long a new request would be held: its tenant's queue at its share, at most all that is held."""
@@ -366,8 +380,9 @@
             kind.demand += RESERVE * (kind.came * self.occupy / (self.n * past) - kind.demand)
             kind.came = 0
         for kind in self.kinds:
-            dense = sum(k.demand for k in self.kinds if k.denser(kind))
-            equal = sum(k.demand for k in self.kinds if not k.denser(kind) and not kind.denser(k))
+            dense = sum(k.demand for k in self.kinds if _denser(k.cls, kind.cls))
+            equal = sum(k.demand for k in self.kinds
+                        if not _denser(k.cls, kind.cls) and not _denser(kind.cls, k.cls))
             room = max(LEAST_ROOM, 1.0 - dense) * kind.demand / equal if equal else 1.0
             kind.credit = min(kind.credit + room * self.n * past, self.n * past) if dense else NEVER
 
@@ -526,7 +541,24 @@
             self.out.append(api.Remember(job.id, ttl))
             self.entries[job.id] = self.now + ttl
 
-    # ---- drain ----
+    # ---- new settings, drain ----
+
+    def _retune(self, e: api.Retune) -> None:
+        """Whoever stays keeps what was learnt of it, wherever it stands; jobs keep their class."""
+        old, flows, self.s = self.kinds, self.flows, e.settings
+        self.kinds = [_Kind(c, self.cost) if i < 0 else old[i].redefined(c)
+                      for c, i in zip(e.settings.classes, e.classes, strict=True)]
+        self.flows = {i: _Flow(phi) if was < 0 else flows.pop(was)
+                      for i, (was, phi) in enumerate(zip(e.tenants, self._phis(e.settings), strict=True))}
+        for i, phi in enumerate(self._phis(e.settings)):
+            self.phi_sum += (phi - self.flows[i].phi) * self.flows[i].active
+            self.flows[i].phi = phi
+        # Those of tenants that are gone stay until they are empty, under numbers of no caller.
+        low = min([-(1 << 40), *flows])
+        self.flows |= {k if k < 0 else low - 1 - k: f for k, f in flows.items()}
+        for f in self.flows.values():
+            f.lmax = {kind: x for kind, x in f.lmax.items() if kind in self.kinds}
+
 
     def _drain(self, e: api.DrainNotice) -> None:
         self.stop_at = self.now + e.left_ms - 4 * TICK_MS
--- a/peattack/interface.py
+++ b/peattack/interface.py
@@ -189,6 +189,7 @@
     rank: float = 0.0
     subject: int | None = None
     cost_hint_ms: float | None = None
+    cls: RequestClass | None = None  # its class as it was read, where the settings say otherwise by now
 
 
 @dataclass(slots=True)
@@ -228,6 +229,16 @@
     replaced: bool = False
 
 
+@dataclass(slots=True)
+class Retune:
+    """New settings hold from here on. For each of their classes and tenants: which of the old ones it was, or -1. What
+    was given before keeps its class as it was."""
+
+    settings: Settings
+    classes: tuple[int, ...]
+    tenants: tuple[int, ...] = ()
+
+
 @dataclass(slots=True)
 class Beside:
     """What another process of this server, which it replaces, still takes of the cores and the memory."""
@@ -245,7 +256,7 @@
     gauges: tuple[float, ...] = ()
 
 
-Event = Union[Request, RunEnded, CallNeeded, CallEnded, CallerGone, DrainNotice, Beside, Timer]
+Event = Union[Request, RunEnded, CallNeeded, CallEnded, CallerGone, DrainNotice, Retune, Beside, Timer]
 
 
 # ---- actions: what the server is to do ----
--- a/peattack/wire.py
+++ b/peattack/wire.py
@@ -109,6 +109,20 @@
         return [_Settings(item, f"{self.path}{key}[{i}].") for i, item in enumerate(listed)]
 
 
+def _class(c: _Settings, may_call: bool, worth_without_call: float) -> api.RequestClass:
+    try:
+        return api.RequestClass(
+            aim_ms=c.need("aimMs", float), deadline_ms=c.need("deadlineMs", float), name=c.get("name", ""),
+            worth=c.get("worth", 1.0), late_share=c.get("lateShare", 0.0), aim_stretch=c.get("aimStretch", 0.0),
+            effect=c.choice("effect", EFFECTS, api.Effect.SAFE), window_ms=c.get("windowMs", 0.0),
+            may_call=may_call, worth_without_call=worth_without_call,
+        )
+    except WireError:
+        raise
+    except (ValueError, OverflowError) as exc:  # which of the classes, the interface can't know
+        raise WireError(str(exc).replace("classes[].", c.path)) from exc
+
+
 def parse_settings(text: bytes, seed: int = 0) -> api.Settings:
     """The settings of a start record; unknown keys are ignored."""
     try:
@@ -118,13 +132,7 @@
     extra, rules, limits = root.sub("extra"), root.sub("invariants"), root.sub("limits")
     calls, without = extra.values("classCalls", bool), extra.values("worthWithout", float)
     classes = tuple(
-        api.RequestClass(
-            aim_ms=c.need("aimMs", float), deadline_ms=c.need("deadlineMs", float), name=c.get("name", ""),
-            worth=c.get("worth", 1.0), late_share=c.get("lateShare", 0.0), aim_stretch=c.get("aimStretch", 0.0),
-            effect=c.choice("effect", EFFECTS, api.Effect.SAFE), window_ms=c.get("windowMs", 0.0),
-            may_call=calls[i] if i < len(calls) else False,
-            worth_without_call=without[i] if i < len(without) else 0.0,
-        )
+        _class(c, calls[i] if i < len(calls) else False, without[i] if i < len(without) else 0.0)
         for i, c in enumerate(root.items("classes"))
     )
     tenants = tuple(
--- a/tests/test_core_shape.py
+++ b/tests/test_core_shape.py
@@ -10,7 +10,7 @@
 CORE = sorted((Path(__file__).resolve().parent.parent / "moorusher" / "core").glob("*.py"))
 WIRES = {"twisted", "json", "base64", "binascii", "socket", "struct", "asyncio", "threading"}
 ALLOWED_PARENTS = {None, "watch", "answer", "call", "claims", "clock", "counters", "endings", "intake", "keys",
-                   "requests", "run"}
+                   "requests", "retune", "run"}
 
 
 @pytest.mark.parametrize("path", CORE, ids=lambda p: p.stem)
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -140,7 +140,8 @@
 
 CONFIG: dict[str, Any] = {
     "name": "n3", "listen": "127.0.0.1:8443", "kernel": "127.0.0.1:7300",
-    "settings": {"classes": [{"aimMs": 5, "deadlineMs": 9}], "extra": {"cpus": 2, "memoryKb": 1000}, "news": 1}}
+    "settings": {"classes": [{"name": "c", "aimMs": 5, "deadlineMs": 9}], "extra": {"cpus": 2, "memoryKb": 1000},
+                 "news": 1}}
 
 
 def load(tmp_path: Path, data: object, fronts: str = "") -> config.Config:
@@ -154,6 +155,7 @@
     ({"kernel": 5}, "kernel"), ({"db": "x"}, "db"), ({"name": "a/b"}, "name"), ({"seed": "xyz"}, "seed"),
     ({"stop_ms": 0}, "stop_ms"), ({"stop_ms": "soon"}, "stop_ms"), ({"limits": []}, "limits"),
     ({"limits": {"sockets": -1}}, "limits.sockets"), ({"limits": {"memory_mb": True}}, "limits.memory_mb"),
+    ({"stop_ms": 10**400}, "stop_ms"), ({"stop_ms": float("inf")}, "stop_ms"), ({"stop_ms": float("nan")}, "stop_ms"),
     ({"settings": {}}, "settings"), ({"settings": {"extra": {"cpus": 0}}}, "cpus|memoryKb"),
 ])
 def test_config_errors_name_the_key(tmp_path: Path, change: dict[str, Any], named: str) -> None:
--- /dev/null
+++ b/tests/test_retune.py
@@ -0,0 +1,267 @@
+"""New settings in service: the plan, what the module and the core make of it; a damaged file changes nothing."""
+
+from __future__ import annotations
+
+import copy
+import json
+from collections.abc import Iterator
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from twisted.internet.testing import MemoryReactorClock
+
+from moorusher import config
+from moorusher.core.answer import Verdict
+from moorusher.core.endings import Ending
+from moorusher.core.intake import Fault
+from moorusher.core.requests import Arrival
+from moorusher.core.retune import NEW, plan
+from moorusher.service import Service
+from peattack import Balancer
+from peattack import interface as api
+
+from .helpers import KEYED, SAFE, done, only, opened, request, settings, started
+from .stand_ins import SETTINGS
+from .test_core import World
+from .test_fronts import call, front, said
+
+FAST = replace(SAFE, name="fast", aim_ms=300, deadline_ms=900)
+
+
+def classes(*listed: api.RequestClass, **more: Any) -> api.Settings:
+    return settings(classes=listed, **more)
+
+
+# ---- the plan ----
+
+
+@pytest.mark.parametrize("new, places, added, dropped, redefined", [
+    ((SAFE, KEYED), (0, 1), (), (), ()),
+    ((KEYED, SAFE), (1, 0), (), (), ()),
+    ((SAFE, KEYED, FAST), (0, 1, NEW), ("fast",), (), ()),
+    ((FAST, KEYED), (NEW, 1), ("fast",), ("read",), ()),
+    ((replace(SAFE, aim_ms=9), KEYED), (0, 1), (), (), ("read",)),
+    ((replace(KEYED, effect=api.Effect.SAFE), FAST), (1, NEW), ("fast",), ("read",), ("write",)),
+])
+def test_a_plan_says_where_each_class_was(new: Any, places: Any, added: Any, dropped: Any, redefined: Any) -> None:
+    p = plan(settings(), classes(*new))
+    assert (p.classes, p.added, p.dropped, p.redefined) == (places, added, dropped, redefined)
+    assert p.settings.classes == new and not p.later
+
+
+def test_facts_about_the_machine_wait_and_are_named() -> None:
+    p = plan(settings(), settings(cores=9, memory_kb=5.0, gauges=("x",), cold=True, drain_grace_ms=7.0))
+    assert p.later == ("cores", "memory_kb", "gauges")
+    assert p.settings == replace(settings(), drain_grace_ms=7.0)
+
+
+# ---- the module ----
+
+
+def retune(b: Balancer, now: float, new: api.Settings) -> None:
+    p = plan(b.s, new)
+    b.step(now, [api.Retune(p.settings, p.classes, p.tenants)])
+
+
+def test_what_was_learnt_moves_with_its_class_and_a_name_that_returns_starts_anew() -> None:
+    b = opened()
+    for i in range(4):
+        b.step(i * 100.0, [request(i, klass=1)])
+        b.step(i * 100.0 + 80, done(i))
+    learnt, ratio = b.kinds[1], b.flows[0].lmax[b.kinds[1]]
+    retune(b, 500, classes(FAST, KEYED, SAFE))
+    assert b.kinds[1] is learnt and b.flows[0].lmax == {learnt: ratio} and b.kinds[0].cls is FAST
+    retune(b, 510, classes(SAFE, FAST))
+    assert not b.flows[0].lmax
+    retune(b, 520, classes(KEYED, SAFE))
+    assert b.kinds[0].cls is KEYED and b.kinds[0].wall != learnt.wall
+
+
+def test_an_open_request_keeps_its_deadline_and_its_place() -> None:
+    b = opened(cores=1, crowd_per_core=1.0)
+    assert started(b.step(0, [request(1), request(2)])) == [1]
+    retune(b, 10, classes(replace(SAFE, aim_ms=50, deadline_ms=60), KEYED))
+    for at in range(20, 400, 25):
+        assert not only(b.step(at, [api.Timer(0, (1.0,))]), api.Reject)  # by the new deadline it were long over
+    assert started(b.step(400, done(1))) == [2]
+
+
+def test_a_dropped_tenants_held_request_runs_and_shares_follow() -> None:
+    b = opened(cores=1, crowd_per_core=1.0, tenants=(api.Tenant(1, "a"), api.Tenant(1, "b")))
+    b.step(0, [request(1, tenant=0), request(2, tenant=1)])
+    retune(b, 10, settings(tenants=(api.Tenant(3, "c"), api.Tenant(1, "a"))))
+    assert [round(b.flows[i].phi, 2) for i in (0, 1)] == [1.5, 0.5]
+    assert started(b.step(20, done(1))) == [2] and started(b.step(30, done(2))) == []
+    assert abs(b.phi_sum) < 1e-9
+    retune(b, 40, settings(tenants=()))
+    assert started(b.step(50, [api.Request(3, 0, 10.0)])) == [3]
+
+
+# ---- the core ----
+
+
+def follow(w: World, new: api.Settings) -> None:
+    w.core.retune(plan(w.core.settings, new))
+    w.turn()
+
+
+def test_open_requests_of_a_dropped_class_are_served_and_new_ones_have_their_error() -> None:
+    w = World()
+    w.take("a", 1)
+    w.turn()
+    w.take("b", 2, token="u")  # read in the very turn of the change
+    follow(w, classes(SAFE))
+    assert w.runs() == ["a", "b"]
+    w.take("c", 3, klass="read", token=None)
+    assert w.core.take(Arrival("d", "write", b"x", token="t"), w, 4) is Fault.NO_SUCH_CLASS
+    w.core.run_over("a", Ending.RUN_PASSED, b"r")
+    w.turn()
+    assert (1, Verdict.SERVED) in w.verdicts()
+
+
+def test_keys_outlive_their_classs_absence_and_keep_the_longer_window() -> None:
+    w = World()
+    w.take("a", 1)
+    w.turn()
+    w.core.run_over("a", Ending.RUN_PASSED, b"r")
+    follow(w, classes(SAFE))
+    w.wait(1000)
+    follow(w, classes(FAST, replace(KEYED, window_ms=20_000), SAFE))  # back, elsewhere in the list
+    w.at += 15_000 * 1_000_000
+    w.core.touch()
+    w.turn()
+    w.take("b", 2)
+    w.turn()
+    assert w.runs() == ["a"] and w.verdicts()[-1] == (2, Verdict.SERVED)
+    follow(w, classes(replace(KEYED, window_ms=10), SAFE))
+    w.take("c", 3)
+    w.turn()
+    assert w.runs() == ["a"]
+
+
+def test_a_request_whose_claim_is_under_way_keeps_its_class() -> None:
+    class Silent:
+        def __getattr__(self, kind: str) -> Any:
+            return lambda *args: None
+
+    w = World()
+    w.core.claims.peer = Silent()
+    w.take("a", 1)
+    key = ("write", "", "t")
+    follow(w, classes(SAFE))
+    w.core.claims.granted(1, key)
+    w.turn()
+    assert w.runs() == ["a"]
+
+
+def test_many_errors_for_a_dropped_class_end_no_connection_that_owes_an_answer() -> None:
+    world, _, connection, transport = front()
+    connection.dataReceived(call(1, "read", rid="r1"))
+    world.turn()
+    world.core.retune(plan(world.core.settings, classes(KEYED)))
+    for i in range(2, 60):
+        connection.dataReceived(call(i, "read"))
+    assert not transport.disconnecting and not transport.half_closed
+    for i in range(60, 90):
+        connection.dataReceived(call(i, "never was"))
+    assert not transport.half_closed  # too faulty by now, and still owed an answer
+    said(transport)
+    world.core.run_over("r1", Ending.RUN_PASSED, b"did")
+    assert said(transport)[-1]["id"] == 1 and transport.half_closed
+
+
+# ---- the file ----
+
+CONFIG: dict[str, Any] = {
+    "name": "n1", "listen": "127.0.0.1:8443", "kernel": "127.0.0.1:7300", "console": "127.0.0.1:8444", "seed": "ab",
+    "stop_ms": 4000, "limits": {"cores": 1.0, "memory_mb": 80, "sockets": 512}, "settings": SETTINGS}
+
+
+class Running:
+    def __init__(self) -> None:
+        self.file = json.dumps(CONFIG).encode()
+        self.service = Service(self.load(), MemoryReactorClock())  # type: ignore[no-untyped-call]
+
+    def load(self, running: Any = None) -> config.Config:
+        off = config.UwsgiConfig(), config.ProbeConfig(), config.AdminConfig(), config.TierConfig()
+        return config.read(self.file, {}, off, running)
+
+    def reload(self, text: str | bytes) -> bool:
+        """Whether it was taken."""
+        before = self.service.config, self.service.core.settings, self.service.core.keys.most_bytes
+        self.file = text.encode() if isinstance(text, str) else text
+        self.service.reload(self.load)
+        total = self.service.core.counters.total
+        if total["configurations read"]:
+            return True
+        assert total["configurations turned down"]
+        assert before == (self.service.config, self.service.core.settings, self.service.core.keys.most_bytes)
+        return False
+
+
+def test_a_good_file_is_taken_and_what_can_change_has() -> None:
+    r, new = Running(), copy.deepcopy(CONFIG)
+    new["settings"]["classes"].append(new["settings"]["classes"][0] | {"name": "lint", "deadlineMs": 4000})
+    new["limits"] = {"cores": 1.0, "memory_mb": 40, "sockets": 128}
+    assert r.reload(json.dumps(new))
+    core = r.service.core
+    assert list(core.intake.classes) == ["check", "submit", "lint"]
+    assert core.keys.most_bytes < 20_000_000 and r.service.front.places.most < 128
+
+
+def test_a_file_cut_at_any_byte_changes_nothing() -> None:
+    whole = json.dumps(CONFIG | {"stop_ms": 5000, "kernel": "127.0.0.1:1"})
+    r = Running()
+    assert not any(r.reload(whole[:at]) for at in range(len(whole)))
+    assert not r.reload(b"\xff\xfe" + whole.encode()) and not r.reload("[]") and not r.reload("null")
+
+
+@pytest.mark.parametrize("deadline", ["8000", None, True, [], {}, 0, -1, -0.0, float("nan"), float("inf"),
+                                      -float("inf"), 10**400])
+def test_a_deadline_that_is_no_number_above_0_changes_nothing(deadline: Any) -> None:
+    r = Running()
+    for i in (0, 1):
+        new = copy.deepcopy(CONFIG) | {"kernel": "127.0.0.1:1"}
+        new["settings"]["classes"][i]["deadlineMs"] = deadline
+        assert not r.reload(json.dumps(new))
+
+
+def paths(value: Any, here: tuple[Any, ...] = ()) -> Iterator[tuple[Any, ...]]:
+    for key, inner in value.items() if isinstance(value, dict) else enumerate(value) if isinstance(value, list) else ():
+        if isinstance(key, str) and key not in config.MAY_BE_ABSENT and key != "windowMs":
+            yield (*here, key)
+        yield from paths(inner, (*here, key))
+
+
+def test_a_file_that_lacks_any_key_of_the_running_one_changes_nothing_and_is_told_which() -> None:
+    r = Running()
+    for path in paths(CONFIG):
+        new = copy.deepcopy(CONFIG)
+        at = new
+        for key in path[:-1]:
+            at = at[key]
+        del at[path[-1]]
+        assert not r.reload(json.dumps(new)), path
+        named = ".".join(str(p) for p in path if isinstance(p, str)).removeprefix("settings.classes.")
+        with pytest.raises(config.ConfigError, match=named.split(".")[-1]):
+            r.load(CONFIG)
+
+
+@pytest.mark.parametrize("name", ["", "submit"])
+def test_a_class_needs_a_name_of_its_own(name: str) -> None:
+    new = copy.deepcopy(CONFIG)
+    new["settings"]["classes"][0]["name"] = name
+    r = Running()
+    assert not r.reload(json.dumps(new))
+    with pytest.raises(config.ConfigError, match=r"settings.classes\[\d\].name"):
+        r.load(CONFIG)
+
+
+def test_the_error_names_the_class_by_its_place() -> None:
+    new = copy.deepcopy(CONFIG)
+    new["settings"]["classes"][1]["deadlineMs"] = -5
+    r = Running()
+    assert not r.reload(json.dumps(new))
+    with pytest.raises(config.ConfigError, match=r"classes\[1\].deadline_ms"):
+        r.load(CONFIG)
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -22,7 +22,7 @@
 def test_eligibility_is_staggered_by_slot() -> None:
     b = opened(cores=2, tenants=(Tenant(1.0), Tenant(1.0)))
     cheap, dear = b.flows[0], b.flows[1]
-    cheap.lmax[0], dear.lmax[0] = 1.0, 4.0
+    cheap.lmax[b.kinds[0]], dear.lmax[b.kinds[0]] = 1.0, 4.0
     b._arrive(request(1, 0))
     b._arrive(request(2, 1))
     b.v, cheap.tag, dear.tag = 0.0, 0.3 * b.cost, 1.0 * b.cost
@@ -87,7 +87,7 @@
 
 def test_a_start_is_charged_with_lmax_and_the_end_refunds() -> None:
     b = opened(cores=1)
-    b.flows[0].lmax[0] = 2.0
+    b.flows[0].lmax[b.kinds[0]] = 2.0
     b.step(0.0, [request(1)])
     paid = 2.0 * b.cost
     assert b.flows[0].tag == paid
@@ -97,7 +97,7 @@
 
 def test_refresh_charges_use_beyond_what_was_paid() -> None:
     b = opened(cores=1)
-    b.flows[0].lmax[0] = 10.0 / b.cost
+    b.flows[0].lmax[b.kinds[0]] = 10.0 / b.cost
     b.step(0.0, [request(1)])
     b.step(25.0, [Timer(0, (1.0,))])
     assert abs(b.flows[0].tag - 25.0) < 1e-6
@@ -109,7 +109,7 @@
         at = b.now + 500.0
         b.step(at, [request(i, tenant), Timer(0)])
         b.step(at + cost, [RunEnded(i, Outcome.OK)])
-    assert b.flows[1].lmax[0] > 2 * b.flows[0].lmax[0]
+    assert b.flows[1].lmax[b.kinds[0]] > 2 * b.flows[0].lmax[b.kinds[0]]
 
 
 def test_an_idle_tenant_gains_no_credit() -> None:
