A class that is not here yet ends no connection; no second process without room for two

Ruled out: a lost SIGHUP (the log has it at 20.7 s), the hand-over (0 at the door elsewhere).

Change: after 16 faults a connection is asked to leave, and ends after 64 more, what is open on it answered first; a process that finds another in service and no room for both ends with an error before it has imported anything large.

--- a/moorusher/fronts/jsonrpc.py
+++ b/moorusher/fronts/jsonrpc.py
@@ -21,8 +21,10 @@
 from .places import Places
 
 PARSE, INVALID, NO_METHOD, BAD_PARAMS, FAILED, REFUSED = -32700, -32600, -32601, -32602, -32000, -32014
-MOST_FAULTS = 16  # on one connection: a front end makes none
 MOST_OPEN = 32  # requests on one connection
+MOST_FAULTS = 16  # on one connection, until it is asked to leave: a front end makes none, but for classes that are not
+# here yet, and what it has on its way then has its answers
+END_FAULTS = MOST_FAULTS + 2 * MOST_OPEN  # it did not leave
 MOST_BODY = 2048
 MOST_LINE = 8192  # a body in base64 takes 2,732 of it
 SILENCE = 2 * SECOND  # until a message that gets an answer has come
@@ -265,7 +267,9 @@
 
     def _blame(self) -> None:
         self.faults += 1
-        if self.faults >= MOST_FAULTS and not self.doomed:
+        if self.faults == MOST_FAULTS:
+            self.leave()  # one that knows the protocol sends nothing new here; what is on its way has its answers
+        if self.faults >= END_FAULTS and not self.doomed:
             self.doomed = True  # nothing more is read; what is open on it has its answer first
             self.owner.places.busy(self)
             self._end_if_doomed()
--- a/moorusher/links/succession.py
+++ b/moorusher/links/succession.py
@@ -18,7 +18,6 @@
 from pathlib import Path
 from typing import Any, Protocol
 
-import xxhash
 from twisted.internet import tcp, unix
 from twisted.internet.interfaces import IFileDescriptorReceiver
 from twisted.internet.protocol import ClientFactory, Factory
@@ -39,7 +38,6 @@
 AGAIN = 200 * MS  # until the next look at a socket where nobody could be had
 TOLD_EVERY = 50 * MS  # what this process takes, to the one that replaces it
 MOST_FRAME = 65_536  # a result has 4 KiB
-MOST_PATH, MOST_PID = 107, 11  # bytes of a Unix socket's address; of what it has behind its name at first
 BATCH = 64  # keys said in one turn
 
 
@@ -59,13 +57,6 @@
     def take_out(self, told: dict[str, Any] | None) -> None: ...
 
 
-def path_for(folder: str, name: str, address: tuple[str, int]) -> str | None:
-    """Of this runner alone: many may share a folder. None where no socket can have a name as long as that."""
-    own = xxhash.xxh64_hexdigest(f"{name} {address[0]}:{address[1]}".encode())
-    path = os.path.join(folder, f"moorusher-{own}")
-    return path if len(os.fsencode(path)) + MOST_PID <= MOST_PATH else None
-
-
 @implementer(IFileDescriptorReceiver)
 class Peer(Int32StringReceiver):
     """The other process, as the claims see it, and what it says."""
--- a/moorusher/service.py
+++ b/moorusher/service.py
@@ -29,7 +29,7 @@
 from .loop import LoopTimer, listener, listens_at
 from .report import Reporter
 from .standing.observe import Maintenance
-from .succession.budget import Load
+from .succession.budget import Load, path_for
 
 log = logging.getLogger("moorusher")
 
@@ -138,7 +138,7 @@
         self.kernel.start()
         path = None
         if folder := os.environ.get("TMPDIR"):
-            from .links.succession import Succession, path_for
+            from .links.succession import Succession
 
             path = path_for(folder, config.name, config.listen)
         if path is not None:
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -18,6 +18,7 @@
 from moorusher.core.intake import Fault
 from moorusher.core.keys import MARGIN
 from moorusher.core.requests import Arrival
+from moorusher.succession.budget import path_for, room_for_two
 from moorusher.succession.role import TABLE, WAITS_MS, Event, Life, State, Step
 
 from .test_core import World
@@ -101,6 +102,18 @@
         seen |= reached
 
 
+def test_a_process_that_has_no_room_beside_the_other_does_not_begin() -> None:
+    assert room_for_two(80, 28.0) and room_for_two(32, 0.0)
+    assert not room_for_two(32, 22.0) and not room_for_two(40, 22.0)
+
+
+def test_processes_of_one_runner_meet_and_others_do_not() -> None:
+    here = path_for("/tmp/", "n1", ("127.0.0.1", 1))
+    assert here == path_for("/tmp", "n1", ("127.0.0.1", 1))
+    assert here not in (path_for("/tmp", "n2", ("127.0.0.1", 1)), path_for("/tmp", "n1", ("127.0.0.1", 2)), None)
+    assert path_for("/tmp/" + "x" * 80, "n1", ("127.0.0.1", 1)) is None
+
+
 # ---- keys ----
 
 
