--- a/moorusher/fronts/jsonrpc.py
+++ b/moorusher/fronts/jsonrpc.py
@@ -30,6 +30,7 @@
 SILENCE = 2 * SECOND  # until a message that gets an answer has come
 IDLENESS = 30 * SECOND  # where the settings name no time after which front ends close idle connections
 LINGER = SECOND  # for the other side to read why it is closed
+MOST_READ = 16_384  # in one turn, from one connection: two of the longest lines; a crowd of them must not hold the loop
 MOST_UNSENT = 256 * 1024  # 32 answers of 4 KiB in base64 are two thirds of it
 FAULT_CODES = {Fault.NO_SUCH_CLASS: NO_METHOD, Fault.NO_SUCH_TENANT: BAD_PARAMS, Fault.NO_SUCH_TIME: BAD_PARAMS,
                Fault.TOKEN_MISSING: BAD_PARAMS, Fault.RID_IN_USE: BAD_PARAMS,
@@ -131,6 +132,7 @@
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = MOST_READ
         # A front end that does not read is not read either; what is already owed is bounded in `_send`.
         self.transport.registerProducer(self, True)
         self.core.touch()
--- a/moorusher/lab/runners.py
+++ b/moorusher/lab/runners.py
@@ -6,6 +6,7 @@
 import json
 import logging
 import os
+import signal
 import socket
 import sys
 import tempfile
@@ -14,6 +15,7 @@
 from pathlib import Path
 from typing import Any
 
+from twisted.internet.process import reapAllProcesses
 from twisted.internet.protocol import ProcessProtocol
 
 from .load import Kind
@@ -56,6 +58,12 @@
     }
 
 
+def reap_children(reactor: Any) -> None:
+    """Where the reactor runs without its own handlers of signals: it looks for a child's end once, as the child's pipe
+    closes, and a child that has not quite ended by then would never be heard of."""
+    signal.signal(signal.SIGCHLD, lambda *_: reactor.callFromThread(reapAllProcesses))
+
+
 class Runner(ProcessProtocol):
     """One process. `ended` is called once, with its exit code, when it has gone."""
 
--- a/moorusher/lab/up.py
+++ b/moorusher/lab/up.py
@@ -10,7 +10,7 @@
 from .balancer import Choice, Prober, Server
 from .cores import Machine
 from .load import Arrival, Kind, Load, Target, draw
-from .runners import GAUGES, Runner, settings_of
+from .runners import GAUGES, Runner, reap_children, settings_of
 from .stand_ins import HOST, Database, Kernel, now_us
 
 CORES, WORK_MS = 4, 100.0
@@ -85,6 +85,7 @@
     runner.ended = gone
     for number in (signal.SIGINT, signal.SIGTERM):
         signal.signal(number, lambda *_: reactor.callFromThread(leave))
+    reap_children(reactor)
     say(f"requests  {HOST}:{runner.port} (JSON-RPC, a message a line)\nagent     {HOST}:{runner.agent}\n"
         f"health    http://{HOST}:{runner.health}/health\nadmin     http://{HOST}:{runner.admin}/standing\n"
         f"try       moorusher standing --address {HOST}:{runner.admin}")
--- a/moorusher/loop.py
+++ b/moorusher/loop.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import os
+import resource
 import socket
 import time
 from collections.abc import Callable
+from contextlib import suppress
+from types import SimpleNamespace
 from typing import Any
 
-from twisted.internet import epollreactor, main
+from twisted.internet import epollreactor, main, tcp
+
+ACCEPT_ALL = 1024  # the longest queue that a listening socket has here
 
 
 class MonotonicReactor(epollreactor.EPollReactor):
@@ -24,7 +29,7 @@
     return reactor
 
 
-def listener(address: tuple[str, int], backlog: int = 1024) -> socket.socket:
+def listener(address: tuple[str, int], backlog: int = ACCEPT_ALL) -> socket.socket:
     """A listening socket that a further process of this runner may share the address of. Made here, as Twisted's own
     can't be: one that it adopts is also never shut down for all who hold it."""
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
@@ -50,6 +55,49 @@
     return bool(port == address[1]) and host == ("127.0.0.1" if address[0] == "localhost" else address[0])
 
 
+def descriptors(wanted: int) -> int:
+    """How many this process may have, of those that its configuration speaks of: the platform's own limit may be lower.
+    It is raised where that is allowed."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft < wanted:
+        with suppress(OSError, ValueError):
+            resource.setrlimit(resource.RLIMIT_NOFILE, (min(wanted, hard), hard))
+            soft = min(wanted, hard)
+    return min(wanted, soft)
+
+
+_TcpPort: Any = tcp.Port  # Twisted's classes carry no types
+
+
+class Door(_TcpPort):  # type: ignore[misc]
+    """Twisted's listening port with two bounds. Accepts in one turn: a crowd must neither make it long, nor come in
+    faster than those who make way for it are closed. And Twisted closes at once what comes while no descriptor is left,
+    with a line in the log for each: here it is counted."""
+
+    most = 1
+
+    @classmethod
+    def of(cls, reactor: Any, made: socket.socket, factory: Any, most: int, count: Callable[[str], None]) -> Door:
+        door: Door = cls._fromListeningDescriptor(reactor, made.fileno(), made.family, factory)
+
+        def told(event: dict[str, Any]) -> None:
+            if "acceptError" in event or str(event.get("log_format")).startswith("EMFILE encountered"):
+                count("accepts without a descriptor")
+
+        door.most, door._logger = most, SimpleNamespace(namespace=__name__, observer=told)
+        door.startListening()
+        return door
+
+    def doRead(self) -> None:
+        self.numberAccepts = self.most  # Twisted's grows with the crowd
+        super().doRead()
+
+    def accept_all(self) -> None:
+        """Those that wait already: closing would lose them."""
+        self.most = ACCEPT_ALL
+        self.doRead()
+
+
 class LoopTimer:
     """Wakes the core at the time of its earliest alarm."""
 
--- a/moorusher/service.py
+++ b/moorusher/service.py
@@ -26,7 +26,7 @@
 from .links.database import DatabasePool
 from .links.kernel import KernelLink
 from .links.uwsgi import UwsgiCalls
-from .loop import LoopTimer, listener, listens_at
+from .loop import Door, LoopTimer, descriptors, listener, listens_at
 from .report import Reporter
 from .standing.observe import Maintenance
 from .succession.budget import Load, path_for
@@ -38,6 +38,7 @@
 LAST = 60 * MS  # before the time at which it would be killed, the program is gone in any case
 SPARE_SOCKETS = 160  # descriptors for the calls below, the links, the listening sockets, the console and the
 # interpreter
+ACCEPTS_SHARE = 8  # and for one in so many of them a listening socket may accept one more client in a turn
 LEAST_PLACES = 16  # for clients, whatever else there is
 REPLACED_MOST_MS, REPLACED_MORE_MS = 3_000.0, 700.0  # a replaced process is killed so long after SIGTERM: its longest
 # deadline, at most the first, and the second
@@ -151,7 +152,7 @@
 
     def _adopt(self, made: socket.socket, factory: Any) -> Any:
         with made:
-            return self.reactor.adoptStreamPort(made.fileno(), made.family, factory)
+            return Door.of(self.reactor, made, factory, max(1, self._spare // ACCEPTS_SHARE), self.core.counters.add)
 
     # ---- beside another process of this runner ----
 
@@ -305,8 +306,9 @@
 
     def _size(self, limits: Limits) -> None:
         """How many places and keys there are follows the limits. What is open stays open."""
-        self._spare = min(SPARE_SOCKETS, limits.sockets // 3)
-        self._most = max(LEAST_PLACES, limits.sockets - self._spare)
+        sockets = descriptors(limits.sockets)
+        self._spare = min(SPARE_SOCKETS, sockets // 3)
+        self._most = max(LEAST_PLACES, sockets - self._spare)
         if self.config.uwsgi.listen is not None:
             self._most //= 2  # the two fronts share the descriptors
         self.core.keys.limit(limits.memory_mb)
@@ -371,8 +373,7 @@
         process accepts on the same socket, it stays its."""
         port = self.ports.pop(label, None)
         if port is not None and label not in self._paused:
-            port.numberAccepts = 1024
-            port.doRead()
+            port.accept_all()
             port.stopListening()
 
     def _look_again(self) -> None:
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -6,6 +6,7 @@
 import base64
 import json
 import os
+import resource
 import signal
 import subprocess
 import sys
@@ -151,7 +152,8 @@
 
     def __init__(self, kernel_port: int, db_port: int | None, below_port: int | None,
                  announce: int | None, listen: int | None, settings: dict[str, Any], more: str = "",
-                 beside: Mapping[str, bytes] | None = None) -> None:
+                 beside: Mapping[str, bytes] | None = None, descriptors: int = 0) -> None:
+        self._descriptors = descriptors
         self.port, self.uwsgi, self.agent, self.health, self.admin, self.console = (free_port() for _ in range(6))
         self.port = listen or self.port
         self.dir = tempfile.TemporaryDirectory()
@@ -186,6 +188,8 @@
             [sys.executable, "-m", "moorusher", "serve", "--fronts", str(self.fronts)], cwd=ROOT,
             env=os.environ | {"GW_CONFIG": str(folder / "config.json"), "GW_CONSOLE": f"{HOST}:{self.console}",
                               "TMPDIR": str(self.spool)}, stdout=self.log, stderr=self.log))
+        if self._descriptors:
+            resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (self._descriptors, self._descriptors))
 
     @property
     def process(self) -> subprocess.Popen[bytes]:
@@ -247,11 +251,13 @@
 @asynccontextmanager
 async def running(kernel: Kernel, db: Database | None = None, below: int | None = None, wait: bool = True,
                   announce: int | None = None, listen: int | None = None, more: str = "",
-                  beside: Mapping[str, bytes] | None = None, **changes: Any) -> AsyncIterator[Runner]:
+                  beside: Mapping[str, bytes] | None = None, descriptors: int = 0,
+                  **changes: Any) -> AsyncIterator[Runner]:
     kernel.listen()
     if db is not None:
         db.listen()
-    runner = Runner(kernel.port, db.port if db else None, below, announce, listen, SETTINGS | changes, more, beside)
+    runner = Runner(kernel.port, db.port if db else None, below, announce, listen, SETTINGS | changes, more, beside,
+                    descriptors)
     try:
         if wait:
             await runner.ready()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -5,7 +5,10 @@
 import asyncio
 import json
 import os
+import resource
 import signal
+import socket
+import time
 from collections.abc import Callable, Coroutine
 from functools import wraps
 from typing import Any
@@ -456,3 +459,40 @@
         right = b"POST /drain HTTP/1.0\r\nAuthorization: Bearer t0p\r\n\r\n"
         assert json.loads(body_of(await exchange(r.admin, right))) == {"draining": True}
         await has(lambda: r.process.poll() is not None)
+
+
+# ---- a crowd that takes every descriptor ----
+
+
+@sockets
+async def test_a_crowd_beyond_the_descriptors_shuts_out_neither_operators_nor_the_kernel_nor_calls() -> None:
+    async with running(kernel := Kernel(calls=True), db := Database(), descriptors=100) as r:
+        crowd = [socket.create_connection((HOST, r.port)) for _ in range(300)]
+        for half in crowd[::2]:
+            half.send(b'{"jsonrpc":"2.0","id":1,"met')
+        silent = [socket.create_connection((HOST, r.console)) for _ in range(100)]
+        began = time.monotonic()
+        assert await r.asked("health") == 200 and time.monotonic() - began < 1
+        kernel.cut()
+        await r.says_yes()
+        f = await FrontEnd.connect(r.port)
+        assert "result" in await f.ask("check") and db.calls
+        assert len(os.listdir(f"/proc/{r.process.pid}/fd")) <= 100
+        assert r.process.poll() is None
+        for one in (*crowd, *silent):
+            one.close()
+
+
+@sockets
+async def test_what_comes_while_no_descriptor_is_left_is_turned_away_and_counted() -> None:
+    async with running(Kernel()) as r:
+        assert await r.asked("health") == 200
+        taken = len(os.listdir(f"/proc/{r.process.pid}/fd")) + 3
+        resource.prlimit(r.process.pid, resource.RLIMIT_NOFILE, (taken, taken))  # lower than what it was told
+        crowd = [socket.create_connection((HOST, r.port)) for _ in range(40)]
+        await asyncio.sleep(0.2)
+        for one in crowd:
+            one.close()
+        f = await FrontEnd.connect(r.port)
+        assert "result" in await f.ask("check")
+        assert (await r.counters())["accepts without a descriptor"] > 0
