Keys are scoped by tenant alone: a try under a new class's name ran beside the first

Change: a key is the tenant's name and the token, over every front and process; a longer window widens all keys. A class that comes later has its demand from its first window on: with the running mean it had a tenth of its room for seconds.

--- a/moorusher/core/decide.py
+++ b/moorusher/core/decide.py
@@ -367,7 +367,7 @@
         if run is not None and run.notice:
             self.counters.add("calls")
             request = run.request
-            token = request.key and f"{request.key[2]}.{run.calls}"
+            token = request.key and f"{request.key[1]}.{run.calls}"
             asked = Asked(request.rid, run.route, request.tenant, token, run.call,
                           max(1, round(a.timeout_ms)))
             self.calls.make(a.id, asked, self)
--- a/moorusher/core/intake.py
+++ b/moorusher/core/intake.py
@@ -56,9 +56,9 @@
         """New settings hold for what is read from here on."""
         windows = self.former | {c.name: c.window_ms for c in self.settings.classes}
         self._know(settings)
-        for cls in settings.classes:
-            if (longer := cls.window_ms - windows.pop(cls.name, cls.window_ms)) > 0:
-                self._keys.widen(cls.name, round(longer * MS))
+        longer = [cls.window_ms - windows.pop(cls.name, cls.window_ms) for cls in settings.classes]
+        if max(longer) > 0:
+            self._keys.widen(round(max(longer) * MS))
         self.former = dict(list(windows.items())[-MOST_FORMER:])
 
     def take(self, a: Arrival, reply: Reply, tag: int) -> Request | Fault:
@@ -84,7 +84,7 @@
             came = min(now, self._clock.from_unix_ms(a.t0_unix_ms))
         request = Request(self._table.number(), a.rid, cls, tenant, a.body, came, reply, tag, a)
         if keyed and a.token:
-            request.key = (cls.name, tenant, a.token)
+            request.key = (tenant, a.token)
             entry = self._keys.find(request.key, now)
             body = digest(a.body)
             if entry is not None:
--- a/moorusher/core/keys.py
+++ b/moorusher/core/keys.py
@@ -10,7 +10,9 @@
 
 from .clock import MS, SECOND
 
-Key = tuple[str, str | None, str]  # class and tenant, by name, and token: tenants never share results
+# Tenant, by name, and token: tenants never share results. Not the class: where one takes another's place in new
+# settings, front ends send further tries of an open request under the new name.
+Key = tuple[str | None, str]
 
 # The rule counts from t0 of the try that ran to the writing of a repeat, with 50 ms on top; a repeat may
 # also lie unread for a while. Serving a kept result late is allowed, a second run is not.
@@ -119,11 +121,11 @@
         self._by_number[number] = entry
         self.keep_until(number, until)
 
-    def widen(self, klass: str, by: int) -> None:
-        """The window of a class has become longer: what was read before counts for the longer one as well."""
+    def widen(self, by: int) -> None:
+        """The window of a class has become longer: what was read before counts for the longer one as well. All of it:
+        that a key is kept for too long costs a place, and nothing runs twice."""
         for entry in list(self._by_key.values()):
-            if entry.key[0] == klass:
-                self.keep_until(entry.number, entry.until + by)
+            self.keep_until(entry.number, entry.until + by)
 
     def forget(self, entry: Entry) -> list[int]:
         """The other process never ran it: the key is free again. Those that waited for it get no result."""
--- a/moorusher/core/requests.py
+++ b/moorusher/core/requests.py
@@ -77,7 +77,7 @@
     reply: Reply | None  # None once it is answered or the caller has gone
     tag: int
     arrival: Arrival
-    key: tuple[str, str | None, str] | None = None
+    key: tuple[str | None, str] | None = None
     stage: Stage = Stage.HELD
     repeats: int | None = None
 
--- a/moorusher/links/succession.py
+++ b/moorusher/links/succession.py
@@ -177,10 +177,10 @@
 
 
 def key_of(message: dict[str, Any]) -> Key:
-    klass, tenant, token = message["k"]
-    if not isinstance(klass, str) or not isinstance(token, str) or not isinstance(tenant, str | None):
+    tenant, token = message["k"]
+    if not isinstance(token, str) or not isinstance(tenant, str | None):
         raise ValueError("no key")
-    return klass, tenant, token
+    return tenant, token
 
 
 _UnixPort: Any = unix.Port  # Twisted's classes carry no types
--- a/peattack/balance.py
+++ b/peattack/balance.py
@@ -55,10 +55,10 @@
 class _Kind:
     """What this server has measured of one class."""
 
-    def __init__(self, cls: api.RequestClass, wall: float) -> None:
+    def __init__(self, cls: api.RequestClass, wall: float, windows: int = round(1 / RESERVE)) -> None:
         self.cls = cls
         self.wall, self.spread = wall, 0.0  # length of a run, and its mean deviation
-        self.came, self.demand, self.credit = 0, 0.0, NEVER  # see `_reserve`
+        self.came, self.demand, self.credit, self.windows = 0, 0.0, NEVER, windows  # see `_reserve`
         self.told: deque[float] = deque(maxlen=TOLD)  # the waits that callers stated, from the arrival
 
     def ended(self, took: float, whole: bool) -> None:
@@ -377,7 +377,9 @@
         the asked share of the denser ones leaves. Binds only in overload; the oldest-first hold would
         let any free slot go to whatever comes first, and all classes would lose alike."""
         for kind in self.kinds:
-            kind.demand += RESERVE * (kind.came * self.occupy / (self.n * past) - kind.demand)
+            kind.windows += 1  # a class that came later must not seem small beside the others for seconds
+            weight = max(RESERVE, 1 / kind.windows)
+            kind.demand += weight * (kind.came * self.occupy / (self.n * past) - kind.demand)
             kind.came = 0
         for kind in self.kinds:
             dense = sum(k.demand for k in self.kinds if _denser(k.cls, kind.cls))
@@ -546,7 +548,7 @@
     def _retune(self, e: api.Retune) -> None:
         """Whoever stays keeps what was learnt of it, wherever it stands; jobs keep their class."""
         old, flows, self.s = self.kinds, self.flows, e.settings
-        self.kinds = [_Kind(c, self.cost) if i < 0 else old[i].redefined(c)
+        self.kinds = [_Kind(c, self.cost, 0) if i < 0 else old[i].redefined(c)
                       for c, i in zip(e.settings.classes, e.classes, strict=True)]
         self.flows = {i: _Flow(phi) if was < 0 else flows.pop(was)
                       for i, (was, phi) in enumerate(zip(e.tenants, self._phis(e.settings), strict=True))}
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -280,15 +280,15 @@
 def test_keys_are_bounded_and_go_when_their_time_is_over() -> None:
     keys = Keys()
     for i in range(3):
-        keys.hold(("write", "acme", str(i)), i)
+        keys.hold(("acme", str(i)), i)
     assert keys.runs(0, 0, 1000.0) and not keys.runs(0, 0, 1000.0)
     keys.settle(0, b"12345")
     assert keys.bytes == 5
     end = SECOND + MARGIN
-    assert keys.find(("write", "acme", "0"), end - 1) is not None and keys.find(("write", "acme", "0"), end) is None
+    assert keys.find(("acme", "0"), end - 1) is not None and keys.find(("acme", "0"), end) is None
     assert keys.bytes == 0 and len(keys) == 2
     keys.runs(1, 0, 1000.0)  # a run that does not end keeps its key
-    assert keys.find(("write", "acme", "1"), end * 5) is not None
+    assert keys.find(("acme", "1"), end * 5) is not None
 
 
 @pytest.mark.parametrize("memory_mb, entries", [(8, 666), (32, 1_000), (80, 8_000), (192, 8_000)])
@@ -297,7 +297,7 @@
     assert keys.most_entries == entries and keys.most_bytes <= max(2e6, memory_mb * 1e6 - 26e6)
     for i in range(entries):
         assert not keys.full()
-        keys.hold(("write", "acme", str(i)), i)
+        keys.hold(("acme", str(i)), i)
     assert keys.full()
 
 
--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -159,7 +159,7 @@
      b"HTTP/1.1 503 N\r\nX-Moorusher-Never-Ran: 1\r\nContent-Length: 2\r\n\r\nab"),
     ("announce", announce, b"HTTP/1.1 204 No Content\r\n\r\n"),
     ("announce, spoilt", announce, b"HTTP/1.1 2\xff4\r\n\r\n"),
-    ("succession", succession, frame({"t": "KEY", "k": ["a", None, "b"]}, b"\x00\n\xff" * 9) + frame({"t": "GO"})),
+    ("succession", succession, frame({"t": "KEY", "k": [None, "b"]}, b"\x00\n\xff" * 9) + frame({"t": "GO"})),
     ("succession, nonsense", succession, frame({"t": "KEY"})[:-1] + b"!" + frame({"t": "GO"})),
 ]
 
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -141,6 +141,19 @@
     assert w.runs() == ["a"]
 
 
+def test_a_try_under_the_name_of_a_class_that_took_anothers_place_is_a_repeat() -> None:
+    w = World()
+    w.take("a", 1)
+    w.turn()
+    follow(w, classes(SAFE, KEYED, replace(KEYED, name="write-next")))
+    w.take("b", 2, klass="write-next")
+    w.turn()
+    assert w.runs() == ["a"]
+    w.core.run_over("a", Ending.RUN_PASSED, b"r")
+    w.turn()
+    assert sorted(tag for tag, verdict in w.verdicts() if verdict is Verdict.SERVED) == [1, 2]
+
+
 def test_a_request_whose_claim_is_under_way_keeps_its_class() -> None:
     class Silent:
         def __getattr__(self, kind: str) -> Any:
@@ -149,7 +162,7 @@
     w = World()
     w.core.claims.peer = Silent()
     w.take("a", 1)
-    key = ("write", "", "t")
+    key = ("", "t")
     follow(w, classes(SAFE))
     w.core.claims.granted(1, key)
     w.turn()
