--- /dev/null
+++ b/moorusher/fleet/keeper.py
@@ -0,0 +1,142 @@
+"""One keeper's part of the registers: what it has promised, what it has taken, and when that counts as a vote.
+
+The rule for keepers that forget is that of crash-consistent quorums (Michael, Ports, Sharma and Szekeres, "Recovering
+Shared Objects Without Stable Storage", DISC 2017): each life of a keeper has an incarnation, each vote names it and
+those that the voter has heard of, and votes of an incarnation that somebody knows to be past count for nothing.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from .messages import FAST, Ask, Ballot, Incs, Slots, Vote
+from .seats import majority
+from .work import Key
+
+NEVER: Ballot = (-1, 0)
+CLOSED: Ballot = (1, 0)  # under every classic ballot, over FAST
+BATCH = 64  # registers in one message of an answer to Sync
+
+
+@dataclass(slots=True)
+class Slot:
+    promised: Ballot = NEVER
+    ballot: Ballot | None = None
+    value: Any = None
+    until: int = 0  # us; forgotten from then on: the key no longer counts
+
+
+@dataclass(slots=True)
+class Keeper:
+    """`keepers` tells a key's seats. `remembers`: nothing was forgotten, or what was no longer counts."""
+
+    me: str
+    inc: int
+    keepers: Callable[[Key], tuple[str, ...]]
+    others: frozenset[str] = frozenset()  # all seats but this one
+    remembers: bool = False
+    most: int = 8_000
+    slots: dict[Key, Slot] = field(default_factory=dict)
+    incs: Incs = field(default_factory=dict)
+    synced: set[str] = field(default_factory=set)  # who has told all that it knows, in this life of ours
+    _ends: list[tuple[int, Key]] = field(default_factory=list)  # stale where the slot says otherwise
+    told: Callable[[Key, Slot], None] = lambda key, slot: None  # a slot has another value
+
+    def __post_init__(self) -> None:
+        self.incs[self.me] = self.inc
+
+    def votes_for(self, key: Key) -> bool:
+        """Where every majority that this keeper's last life may have been part of has a member that was heard since."""
+        if self.remembers:
+            return True
+        seats = self.keepers(key)
+        return len(self.synced.intersection(seats)) >= len(seats) - majority(len(seats)) + 1
+
+    def hear_of(self, incs: Incs) -> None:
+        for seat, inc in incs.items():
+            if inc > self.incs.get(seat, 0):
+                self.incs[seat] = inc
+
+    # ---- votes ----
+
+    def ask(self, now: int, a: Ask) -> Vote:
+        seats = self.keepers(a.key)
+        incs = {s: self.incs[s] for s in seats if s in self.incs}
+        if self.me not in seats or not self.votes_for(a.key):
+            return Vote(a.serial, a.key, False, NEVER, None, None, self.inc, incs, blank=True)
+        slot = self.slots.get(a.key)
+        if slot is None:
+            if len(self.slots) >= self.most:
+                return Vote(a.serial, a.key, False, NEVER, None, None, self.inc, incs, full=True)
+            slot = Slot()
+        taken = self._take(slot, a)
+        if taken:
+            self.slots[a.key] = slot
+            self._keep(a.key, slot, now + a.left_ms * 1000)
+            if a.value is not None:
+                self.told(a.key, slot)
+        return Vote(a.serial, a.key, taken, slot.promised, slot.ballot, slot.value, self.inc, incs)
+
+    def _take(self, slot: Slot, a: Ask) -> bool:
+        if a.ballot == FAST:
+            if slot.promised != NEVER:
+                return False
+        elif a.value is None:
+            if a.ballot <= slot.promised:
+                return False
+            slot.promised = a.ballot
+            return True
+        # A promise made by a keeper that has been another since is none: taken here, the value could hide one that
+        # was chosen meanwhile.
+        elif a.ballot < slot.promised or any(self.incs.get(seat, 0) > inc for seat, inc in a.quorum.items()):
+            return False
+        slot.ballot, slot.value, slot.promised = a.ballot, a.value, a.after
+        return True
+
+    def _keep(self, key: Key, slot: Slot, until: int) -> None:
+        if until > slot.until:
+            slot.until = until
+            heapq.heappush(self._ends, (until, key))
+
+    def expire(self, now: int) -> list[Key]:
+        """Forgets what no longer counts: the window is part of the promise, so time may end a key, and nothing else."""
+        gone = []
+        while self._ends and self._ends[0][0] <= now:
+            until, key = heapq.heappop(self._ends)
+            slot = self.slots.get(key)
+            if slot is not None and slot.until == until:
+                del self.slots[key]
+                gone.append(key)
+        return gone
+
+    # ---- a keeper that has forgotten ----
+
+    def answer_sync(self, now: int, seat: str, inc: int) -> list[Slots]:
+        """For the seat whose process begins anew. From here on its earlier lives count for nothing with us."""
+        known = self.incs.get(seat, 0)
+        if inc < known:
+            return [Slots(known, {}, [], True)]
+        self.hear_of({seat: inc})
+        if not self.remembers:  # what is not told counts as never written: who has forgotten any of it may not say so
+            return [Slots(inc, dict(self.incs), [], True, blank=True)]
+        theirs = [(key, s.promised, s.ballot, s.value, max(0, s.until - now) // 1000)
+                  for key, s in self.slots.items() if seat in self.keepers(key)]
+        parts = [theirs[i:i + BATCH] for i in range(0, len(theirs), BATCH)] or [[]]
+        return [Slots(inc, dict(self.incs), part, part is parts[-1]) for part in parts]
+
+    def take_slots(self, now: int, seat: str, told: Slots) -> None:
+        self.hear_of(told.incs)
+        for key, promised, ballot, value, left_ms in told.slots:
+            slot = self.slots.setdefault(key, Slot())
+            self._keep(key, slot, now + left_ms * 1000)
+            slot.promised = max(slot.promised, promised, CLOSED)
+            if ballot is not None and (slot.ballot is None or ballot > slot.ballot):
+                slot.ballot, slot.value = ballot, value
+                self.told(key, slot)
+        if told.last and not told.blank:
+            self.synced.add(seat)
+            if self.synced >= self.others:
+                self.remembers = True
--- /dev/null
+++ b/moorusher/fleet/messages.py
@@ -0,0 +1,169 @@
+"""What runners of a fleet say to each other. One form for all, versioned by `VERSION` in the greeting."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from .work import Key, Owner, Work
+
+VERSION = 1
+MOST_FRAME = 1 << 20  # bytes of one frame: all that is said to a peer in one turn, cut into as many as it takes
+
+Ballot = tuple[int, int]  # (round, the proposer's incarnation); compared as a whole
+FAST: Ballot = (0, 0)  # of a first write without a promise: anyone's, and chosen only where all keepers took it
+Incs = dict[str, int]  # incarnations of seats, the highest that somebody has heard of
+
+
+class _Message(msgspec.Struct, frozen=True, array_like=True, tag=True, omit_defaults=True):
+    pass
+
+
+class Hello(_Message, frozen=True, tag="hello"):
+    """The first word on a connection, by who made it."""
+
+    version: int
+    fleet: str
+    seats: str  # digest of the seats in the file
+    seat: str
+    inc: int
+    elder: int = 0  # the incarnation of a process that this one replaces, while that one still lives
+
+
+class Refused(_Message, frozen=True, tag="no"):
+    """The answer to a greeting that is not taken, with the reason; the connection closes."""
+
+    why: str
+
+
+# ---- registers ----
+
+
+class Ask(_Message, frozen=True, tag="ask"):
+    """To a keeper. `value` is None for a promise alone; `ballot` is FAST for a first write. Where the keeper takes the
+    value it promises `after` as well, so that the same proposer's next write needs no round of its own."""
+
+    serial: int
+    key: Key
+    ballot: Ballot
+    value: Work | None
+    after: Ballot
+    quorum: Incs  # who promised `ballot`, in which incarnation; empty for a promise and a first write
+    left_ms: int  # how long the key still counts, by the proposer's clock
+
+
+class Vote(_Message, frozen=True, tag="vote"):
+    serial: int
+    key: Key
+    taken: bool
+    promised: Ballot
+    ballot: Ballot | None  # of the value that the keeper has
+    value: Work | None
+    inc: int  # the keeper's own
+    incs: Incs  # of the key's keepers, as far as this one knows
+    blank: bool = False  # it may have forgotten: it has no vote
+    full: bool = False  # no room for a further key
+
+
+# ---- a keeper that has forgotten ----
+
+
+class Sync(_Message, frozen=True, tag="sync"):
+    """A keeper that remembers nothing asks for all that it may have known."""
+
+    inc: int
+
+
+class Slots(_Message, frozen=True, tag="slots"):
+    """(key, promised, ballot, value, left_ms) each; `last` ends the answer. `blank`: who was asked has forgotten too.
+    `inc` is what the asker's incarnation must be above, where it was too low."""
+
+    inc: int
+    incs: Incs
+    slots: list[tuple[Key, Ballot, Ballot | None, Work | None, int]]
+    last: bool
+    blank: bool = False
+
+
+class Begin(_Message, frozen=True, tag="begin"):
+    """An operator's word that nothing of this fleet ran before: all of its seats are up, and none remembers."""
+
+
+# ---- work ----
+
+
+class Has(_Message, frozen=True, tag="has"):
+    """To the owner of a key: have you still got it in hand?"""
+
+    key: Key
+    attempt: int
+
+
+class Had(_Message, frozen=True, tag="had"):
+    """`over`: it is, with this result; else whether it is in hand."""
+
+    key: Key
+    attempt: int
+    has: bool
+    over: bool = False
+    result: bytes | None = None
+
+
+class Take(_Message, frozen=True, tag="take"):
+    """To the seat whose turn it is: go on with this work, which its owner has left."""
+
+    key: Key
+    owner: Owner
+    attempt: int
+
+
+# ---- membership ----
+
+
+class About(msgspec.Struct, frozen=True, array_like=True):
+    """What is said of a member. `version` grows as it tells something new of itself."""
+
+    seat: str
+    inc: int
+    version: int
+    state: int  # of `member.State`
+    told: tuple[bool, int]  # fit to take work over; capacity, in cores
+
+
+class Ping(_Message, frozen=True, tag="ping"):
+    serial: int
+    news: list[About]
+    on_behalf: str = ""  # of the seat that asked for it
+
+
+class Pong(_Message, frozen=True, tag="pong"):
+    serial: int
+    news: list[About]
+    on_behalf: str = ""
+
+
+class PingFor(_Message, frozen=True, tag="pingfor"):
+    """Ask that one for me: I don't hear from it."""
+
+    serial: int
+    seat: str
+    news: list[About]
+
+
+Message = (Hello | Refused | Ask | Vote | Sync | Slots | Begin | Has | Had | Take | Ping | Pong | PingFor)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(list[Message])
+
+
+def encode(messages: list[Any]) -> bytes:
+    return _encoder.encode(messages)
+
+
+def decode(frame: bytes) -> list[Any]:
+    """Raises ValueError where it is no frame of ours."""
+    try:
+        return _decoder.decode(frame)
+    except (msgspec.MsgspecError, RecursionError) as exc:
+        raise ValueError(str(exc)) from exc
--- /dev/null
+++ b/moorusher/fleet/node.py
@@ -0,0 +1,721 @@
+"""One runner's part in a fleet: what it owns, what it waits for, what it keeps, what it goes on with for others.
+
+Every decision about another's work is a change of that work's register: `Take` of what never began, `Bury` of what
+may have. Who thinks of it, and when, is a matter of speed alone: the register tells two that do so at once apart.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from itertools import count
+from typing import Any, Protocol
+
+from .keeper import Keeper, Slot
+from .member import MS, Members
+from .messages import Ask, Begin, Had, Has, Ping, PingFor, Pong, Slots, Sync, Take, Vote
+from .register import Change, Done, Hold, Writer
+from .seats import Seats, majority
+from .work import Bury, Claim, Free, Key, Look, Order, Owner, Settle, State, Work
+from .work import Begin as BeginWork
+from .work import Take as TakeWork
+
+NUDGE = 6 * MS  # a first write goes on with a majority
+AGAIN = 40 * MS  # a round without a majority is asked again, with a higher ballot; twice as late each time
+MOST_AGAIN = 1_000 * MS
+ANSWERS = 150 * MS  # an owner says by then that it has the work, or is taken for silent
+WATCH = 400 * MS  # until it is asked again
+RANKS = 250 * MS  # between the keepers of a key, in their order, until the next one sees to it
+LOOK_AGAIN = 400 * MS
+SYNC = 500 * MS
+PACE, AT_ONCE = 10 * MS, 8  # of takeovers that are begun: a lost runner's work comes as a stream, not as a blow
+MOST_QUEUE = 4_000
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """Figures of `[fleet]`."""
+
+    claim_ms: float = 250.0  # a key whose majority has not answered by then is uncovered
+    copies: int = 3
+    alone: bool = False  # uncovered keyed requests are served as by a runner without a fleet; else refused
+
+
+class Stage(Enum):
+    CLAIMING = "claiming"
+    MINE = "held"
+    BEGINNING = "beginning"
+    BEGUN = "begun"
+    SETTLING = "over, and its register not yet"
+    JOINED = "another has it"
+
+
+@dataclass(slots=True, eq=False)
+class Tenure:
+    """A key that this runner has something to do with."""
+
+    key: Key
+    body: int
+    order: Order | None
+    until: int
+    stage: Stage
+    attempt: int = 0
+    owner: Owner | None = None  # where another has it
+    state: State = State.HELD  # of the register, as last read
+    hold: Hold | None = None
+    asked: int = 0  # serial of the watch: an answer or a delay that belongs to an older one counts for nothing
+    alive: bool = False  # the owner has answered since
+    askers: set[str] = field(default_factory=set)
+    queue: list[Callable[[], None]] = field(default_factory=list)
+    busy: bool = False
+    taken: bool = False  # it was another's
+    result: bytes | None = None
+
+
+class Host(Protocol):
+    """The runner, as its part in the fleet sees it."""
+
+    def send(self, seat: str, message: Any) -> None: ...
+    def random(self) -> float: ...
+    def clock(self) -> int: ...
+    def wake(self, when: int) -> None: ...  # call `ring` then
+    def count(self, name: str) -> None: ...
+
+    # What becomes of a key that was claimed.
+    def mine(self, key: Key) -> None: ...
+    def theirs(self, key: Key) -> None: ...
+    def differs(self, key: Key) -> None: ...
+    def uncovered(self, key: Key, why: str) -> None: ...
+    def over(self, key: Key, result: bytes | None) -> None: ...  # of another's run
+
+    # What becomes of a run that is to begin.
+    def begun(self, key: Key) -> None: ...
+    def lost(self, key: Key) -> None: ...  # another has it; `over` follows
+    def not_begun(self, key: Key, why: str) -> None: ...
+
+    def given(self, key: Key) -> None: ...  # held work was handed over; `over` follows
+    def take_up(self, key: Key, body: int, order: Order, until: int) -> bool: ...
+    def has(self, key: Key) -> tuple[bool, bool, bytes | None]: ...  # in hand, over, its result
+    def fit(self) -> bool: ...  # to take work over
+
+
+@dataclass(slots=True, eq=False)
+class _Job:
+    writer: Writer
+    then: Callable[[Done | None], None]
+    until: int  # given up then
+    wait: int = AGAIN
+    round: int = 0  # grows with each question, so that a delay which belongs to an older one does nothing
+
+
+class Node:
+    def __init__(self, me: str, inc: int, seats: Seats, host: Host, policy: Policy, longest_us: int,
+                 remembers: bool = False, most: int = 8_000) -> None:
+        """`longest_us`: the longest window there is, with its margin: what was forgotten before then no longer counts
+        once it has passed."""
+        self.seats, self.host, self.policy = seats, host, policy
+        self.owner = Owner(me, inc)
+        self.keeper = Keeper(me, inc, seats.keepers, frozenset(seats.names) - {me}, remembers, most, told=self._kept)
+        self.members = Members(me, inc, seats.names, self)
+        self.tenures: dict[Key, Tenure] = {}
+        self._longest = longest_us
+        self._jobs: dict[int, _Job] = {}
+        self._serial = 0
+        self._alarms: list[tuple[int, int, Callable[[], None]]] = []
+        self._order = count()
+        self._by_owner: dict[Owner, set[Key]] = {}
+        self._owner_of: dict[Key, Owner] = {}
+        self._tending: dict[Key, int] = {}
+        self._to_take: list[Take] = []
+        self._pacing = False
+        self.blank_peers: set[str] = set()
+        self._started = False
+        self._handlers: dict[type, Callable[[str, Any], None]] = {
+            Ask: self._ask, Vote: self._vote, Sync: self._sync, Slots: self._slots, Begin: self._begin_fleet,
+            Has: self._has, Had: self._had, Take: self._take,
+            Ping: self.members.ping, Pong: self.members.pong, PingFor: self.members.ping_for,
+        }
+
+    @property
+    def me(self) -> str:
+        return self.owner.seat
+
+    # ---- for the members ----
+
+    def send(self, seat: str, message: Any) -> None:
+        self.host.send(seat, message)
+
+    def clock(self) -> int:
+        return self.host.clock()
+
+    def random(self) -> float:
+        return self.host.random()
+
+    def at(self, when: int, action: Callable[[], None]) -> None:
+        heapq.heappush(self._alarms, (when, next(self._order), action))
+        if self._alarms[0][0] == when:
+            self.host.wake(when)
+
+    def ring(self) -> None:
+        """What is due by the host's clock."""
+        now = self.clock()
+        while self._alarms and self._alarms[0][0] <= now:
+            heapq.heappop(self._alarms)[2]()
+        for key in self.keeper.expire(now):
+            self._kept(key, None)
+        if self._alarms:
+            self.host.wake(self._alarms[0][0])
+
+    def start(self) -> None:
+        self._started = True
+        self.members.start(self.clock())
+        self.members.tell((self.host.fit(), 0))
+        if not self.keeper.remembers:
+            # Whatever an earlier process of this seat knew is out of its window by then.
+            self.at(self.clock() + self._longest, self._remember)
+            self._sync_all()
+
+    def _remember(self) -> None:
+        if not self.keeper.remembers:
+            self.keeper.remembers = True
+            self.host.count("fleet: remembers, as what was forgotten no longer counts")
+
+    # ---- messages ----
+
+    def heard(self, seat: str, inc: int, message: Any) -> None:
+        """From another seat's process of that incarnation."""
+        self.members.heard(seat, inc)
+        self._handlers[type(message)](seat, message)
+
+    def _ask(self, seat: str, m: Ask) -> None:
+        self.host.send(seat, self.keeper.ask(self.clock(), m))
+
+    def _vote(self, seat: str, m: Vote) -> None:
+        job = self._jobs.get(m.serial // 1000)
+        if job is not None:
+            self._went(job, job.writer.heard(seat, m))
+
+    # ---- a keeper that has forgotten ----
+
+    def _sync_all(self) -> None:
+        if self.keeper.remembers:
+            return
+        for seat in sorted(self.keeper.others - self.keeper.synced):
+            self.host.send(seat, Sync(self.owner.inc))
+        self.at(self.clock() + SYNC, self._sync_all)
+
+    def _sync(self, seat: str, m: Sync) -> None:
+        for part in self.keeper.answer_sync(self.clock(), seat, m.inc):
+            self.host.send(seat, part)
+
+    def _slots(self, seat: str, m: Slots) -> None:
+        if m.inc < self.owner.inc:
+            return  # to an earlier life
+        if m.inc > self.owner.inc:  # the clock of this machine was set back: what is past must not look like the future
+            self.owner = Owner(self.me, m.inc + 1)
+            self.keeper.inc = self.members.own.inc = m.inc + 1
+            self.keeper.incs[self.me] = m.inc + 1
+            self.keeper.synced.clear()
+            self.host.count("fleet: incarnation raised")
+            return
+        if m.blank:
+            self.blank_peers.add(seat)
+        else:
+            self.blank_peers.discard(seat)
+            self.keeper.take_slots(self.clock(), seat, m)
+
+    def begin_fleet(self) -> str | None:
+        """An operator's word that nothing ran here before. The reason where it can't be taken: one that remembers may
+        know better, and one that is not there may remember."""
+        if self.keeper.remembers:
+            return "this runner remembers: the fleet has begun"
+        if missing := sorted(self.keeper.others - self.blank_peers):
+            return f"not heard as one that remembers nothing: {', '.join(missing)}"
+        for seat in self.keeper.others:
+            self.host.send(seat, Begin())
+        self._begin_fleet(self.me, Begin())
+        return None
+
+    def _begin_fleet(self, seat: str, m: Begin) -> None:
+        if not self.keeper.remembers and not self.keeper.synced:
+            self.keeper.remembers = True
+            self.host.count("fleet: begun")
+
+    # ---- changes of registers ----
+
+    def _change(self, key: Key, change: Change, until: int, wait_us: int, then: Callable[[Done | None], None],
+                hold: Hold | None = None) -> None:
+        self._serial += 1
+        now = self.clock()
+        writer = Writer(key, self.seats.keepers(key), self.owner.inc, change, max(1, (until - now) // 1000), hold)
+        job = self._jobs[self._serial] = _Job(writer, then, now + wait_us)
+        self._went(job, writer.begin(self._serial * 1000))
+
+    def _went(self, job: _Job, asks: list[Ask]) -> None:
+        """After each step of a writer: its questions go out, its end is told."""
+        writer = job.writer
+        while asks:
+            job.round += 1
+            for ask in asks:
+                for seat in writer.keepers:
+                    if seat != self.me:
+                        self.host.send(seat, ask)
+            self._wait(job)
+            if self.me not in writer.keepers:
+                break
+            # Last, so that the others are under way already; its answer may be what completes the round.
+            asks = [a for ask in asks for a in writer.heard(self.me, self.keeper.ask(self.clock(), ask))]
+        if writer.done is not None:
+            if self._jobs.pop(writer.serial // 1000, None) is not None:
+                job.then(writer.done)
+        elif writer.blanks > len(writer.keepers) - majority(len(writer.keepers)) or writer.full:
+            self._give_up(job)
+        elif writer.stuck:
+            writer.conflicts += 1
+            if writer.conflicts == 1:
+                self._went(job, writer.again())
+            else:
+                job.round += 1
+                self._later(job, round(min(writer.conflicts, 10) * 2 * MS * (0.5 + self.random())))
+        elif writer.fast and self._rest_is_gone(writer):
+            self._went(job, writer.nudge())
+
+    def _rest_is_gone(self, writer: Writer) -> bool:
+        return all(seat in writer.took or not self.members.by_seat[seat].up for seat in writer.keepers)
+
+    def _wait(self, job: _Job) -> None:
+        mark = job.round
+
+        def nudge() -> None:
+            if job.round == mark and job.writer.done is None:
+                self._went(job, job.writer.nudge())
+
+        if job.writer.fast:
+            self.at(self.clock() + NUDGE, nudge)
+        self._later(job, job.wait)
+
+    def _later(self, job: _Job, wait: int) -> None:
+        mark = job.round
+
+        def again() -> None:
+            if job.round != mark or job.writer.done is not None:
+                return
+            if self.clock() >= job.until or job.writer.serial % 1000 > 900:
+                return self._give_up(job)
+            job.wait = min(MOST_AGAIN, job.wait * 2)
+            self._went(job, job.writer.again())
+
+        self.at(min(self.clock() + wait, max(job.until, self.clock() + MS)), again)
+
+    def _give_up(self, job: _Job) -> None:
+        if self._jobs.pop(job.writer.serial // 1000, None) is not None:
+            job.then(None)
+
+    # ---- one thing after the other on each key ----
+
+    def _do(self, t: Tenure, step: Callable[[], None]) -> None:
+        if t.busy:
+            t.queue.append(step)
+        else:
+            t.busy = True
+            step()
+
+    def _next(self, t: Tenure) -> None:
+        if t.queue:
+            t.queue.pop(0)()
+        else:
+            t.busy = False
+
+    def _forget(self, t: Tenure) -> None:
+        if self.tenures.get(t.key) is t:
+            del self.tenures[t.key]
+
+    # ---- an owner's path ----
+
+    def claim(self, key: Key, body: int, order: Order, until: int) -> None:
+        """One of `mine`, `theirs`, `over`, `differs` and `uncovered` follows, maybe at once."""
+        t = self.tenures[key] = Tenure(key, body, order, until, Stage.CLAIMING)
+
+        def claimed(done: Done | None) -> None:
+            if t.stage is not Stage.CLAIMING:  # its caller has gone meanwhile: what was written is taken back
+                work: Work | None = None if done is None else done.value
+                t.attempt = work.attempt if work is not None and work.owner == self.owner else 0
+                return self._next(t)
+            if done is None:
+                self._forget(t)
+                self.host.count("fleet: uncovered")
+                return self.host.uncovered(key, "no majority of its keepers answers")
+            self._read(t, done)
+            self._next(t)
+
+        self._do(t, lambda: self._change(key, Claim(self.owner, body, order), until,
+                                         round(self.policy.claim_ms * MS), claimed))
+
+    def _read(self, t: Tenure, done: Done) -> None:
+        """What a claim, or a look at another's work, has found."""
+        work: Work | None = done.value
+        claiming = t.stage is Stage.CLAIMING
+        if work is not None and work.body != t.body:
+            self._forget(t)
+            return self.host.differs(t.key) if claiming else self.host.over(t.key, None)
+        if work is not None and work.state is State.HELD and work.owner == self.owner:
+            t.stage, t.attempt, t.hold, t.owner = Stage.MINE, work.attempt, done.hold, None
+            if claiming:
+                self.host.count("fleet: covered")
+                return self.host.mine(t.key)
+            t.taken, t.order = True, work.order
+            self.host.count("fleet: taken over")
+            if work.order is None or not self.host.take_up(t.key, t.body, work.order, t.until):
+                self.free(t.key, turned=True)
+            return None
+        if work is not None and work.state is State.OVER:
+            self._forget(t)
+            self.host.count("fleet: ended without a result" if work.result is None else "fleet: result of another")
+            return self.host.over(t.key, work.result)
+        t.stage = Stage.JOINED
+        if work is None:  # forgotten, as its time is over
+            t.owner, t.state = None, State.FREE
+        else:
+            t.owner, t.attempt, t.state = work.owner, work.attempt, work.state
+            if work.state is State.FREE and self.me in work.turned and t.stage is Stage.JOINED and not claiming:
+                self._forget(t)  # all that can run it have turned it away, and this one has too
+                return self.host.over(t.key, None)
+        if claiming:
+            self.host.count("fleet: joined")
+            self.host.theirs(t.key)
+        self._watch(t)
+        return None
+
+    def begin(self, key: Key) -> bool:
+        """Before a run is commanded: `begun`, `lost` or `not_begun` follows. False where it is not the fleet's."""
+        t = self.tenures.get(key)
+        if t is None or t.stage is not Stage.MINE:
+            return False
+        t.stage = Stage.BEGINNING
+
+        def answered(done: Done | None) -> None:
+            if done is None:
+                self.host.count("fleet: not begun")
+                if self.policy.alone:
+                    t.stage = Stage.BEGUN
+                    self.host.begun(key)
+                else:
+                    t.stage = Stage.MINE
+                    self.host.not_begun(key, "no majority of its keepers answers")
+                return self._next(t)
+            work: Work | None = done.value
+            if work is not None and work.state is State.BEGUN and work.owner == self.owner \
+                    and work.attempt == t.attempt:
+                t.stage, t.hold = Stage.BEGUN, done.hold
+                self.host.begun(key)
+            else:
+                self.host.count("fleet: lost to another")
+                self.host.lost(key)
+                t.stage, t.hold = Stage.JOINED, None
+                self._read(t, done)
+            return self._next(t)
+
+        def step() -> None:
+            if t.stage is not Stage.BEGINNING:  # given away meanwhile
+                return self._next(t)
+            hold, t.hold = t.hold, None
+            self._change(key, BeginWork(self.owner, t.attempt), t.until, round(self.policy.claim_ms * MS), answered,
+                         hold)
+
+        self._do(t, step)
+        return True
+
+    def settle(self, key: Key, result: bytes | None) -> None:
+        """A run of ours is over."""
+        t = self.tenures.get(key)
+        if t is None or t.stage is Stage.JOINED:
+            return
+        t.stage, t.result = Stage.SETTLING, result
+        for seat in t.askers:
+            self.host.send(seat, Had(key, t.attempt, False, True, result))
+        t.askers.clear()
+        self._persist(t, Settle(self.owner, t.attempt, result))
+
+    def free(self, key: Key, turned: bool = False) -> None:
+        """A try of ours is over, and never ran. `turned`: work that was another's, or that others wait for, goes on to
+        the next one."""
+        t = self.tenures.get(key)
+        if t is None or t.stage is Stage.JOINED:
+            return
+        offer = t.order if t.taken or t.askers else None
+        t.stage = Stage.SETTLING
+
+        def step() -> None:
+            attempt = t.attempt or 1
+
+            def freed(done: Done | None) -> None:
+                self._forget(t)
+                work = None if done is None else done.value
+                if work is not None and work.state is State.FREE and work.order is not None:
+                    self._offer(key, work)
+                for seat in t.askers:
+                    self.host.send(seat, Had(key, t.attempt, False))
+                self._next(t)
+
+            hold, t.hold = t.hold, None
+            self._change(key, Free(self.owner, attempt, offer, turned), t.until, max(MS, t.until - self.clock()),
+                         freed, hold)
+
+        self._do(t, step)
+
+    def _persist(self, t: Tenure, change: Change) -> None:
+        """Tried until it is chosen, or no longer counts."""
+
+        def settled(done: Done | None) -> None:
+            self._forget(t)
+            self._next(t)
+
+        def step() -> None:
+            hold, t.hold = t.hold, None
+            self._change(t.key, change, t.until, max(MS, t.until - self.clock()), settled, hold)
+
+        self._do(t, step)
+
+    def hand_over(self, key: Key) -> None:
+        """Held work of ours, to whoever can run it: `given` follows once nobody can lose it any more."""
+        t = self.tenures.get(key)
+        if t is None or t.stage is not Stage.MINE or t.order is None:
+            return
+        order = t.order
+
+        def freed(done: Done | None) -> None:
+            work = None if done is None else done.value
+            if done is not None and work is not None and not (work.owner == self.owner and work.state is State.HELD):
+                self.host.given(key)
+                self.host.count("fleet: handed over")
+                t.stage, t.hold = Stage.JOINED, None
+                if work.state is State.FREE:
+                    self._offer(key, work)
+                for seat in t.askers:
+                    self.host.send(seat, Had(key, t.attempt, False))
+                t.askers.clear()
+                self._read(t, done)
+            self._next(t)
+
+        def step() -> None:
+            if t.stage is not Stage.MINE:
+                return self._next(t)
+            hold, t.hold = t.hold, None
+            self._change(key, Free(self.owner, t.attempt, order, turned=True), t.until,
+                         round(self.policy.claim_ms * MS), freed, hold)
+
+        self._do(t, step)
+
+    # ---- work that another has ----
+
+    def _watch(self, t: Tenure) -> None:
+        """Asks the owner whether it still has it. Who does not answer is not waited for."""
+        t.asked += 1
+        mark, t.alive = t.asked, False
+        if t.owner is not None and t.owner.seat != self.me and t.state is not State.FREE:
+            self.host.send(t.owner.seat, Has(t.key, t.attempt))
+
+        def silent() -> None:
+            if t.asked == mark and t.stage is Stage.JOINED and self.tenures.get(t.key) is t:
+                self._go_on(t)
+
+        self.at(self.clock() + ANSWERS, silent)
+
+    def _go_on(self, t: Tenure, gone: bool = False) -> None:
+        """Its owner is silent, or has said that it is not in its hands (`gone`)."""
+        t.asked += 1
+        if self.clock() >= t.until:
+            self._forget(t)
+            return self.host.over(t.key, None)
+        owner = t.owner
+        past = owner is not None and (owner.inc < self.members.by_seat[owner.seat].inc
+                                      if owner.seat in self.members.by_seat else True)
+        change: Change
+        if t.state is State.BEGUN and owner is not None and (gone or past or self._dead(owner)):
+            change = Bury(owner, t.attempt)
+        elif t.state is State.BEGUN or not self.host.fit():
+            change = Look()
+        elif t.state is State.FREE and t.order is not None:
+            change = _Either(TakeWork(self.owner, owner or self.owner, t.attempt),
+                             Claim(self.owner, t.body, t.order))
+        else:
+            change = TakeWork(self.owner, owner or self.owner, t.attempt)
+
+        def looked(done: Done | None) -> None:
+            if self.tenures.get(t.key) is t and t.stage is Stage.JOINED:
+                if done is None:
+                    self._watch_later(t)
+                else:
+                    self._read(t, done)
+            self._next(t)
+
+        self._do(t, lambda: self._change(t.key, change, t.until, round(self.policy.claim_ms * MS), looked))
+        return None
+
+    def _dead(self, owner: Owner) -> bool:
+        member = self.members.by_seat.get(owner.seat)
+        return member is None or (member.state.name == "DEAD" and member.inc == owner.inc)
+
+    def _watch_later(self, t: Tenure) -> None:
+        t.asked += 1
+        mark = t.asked
+
+        def again() -> None:
+            if t.asked == mark and t.stage is Stage.JOINED and self.tenures.get(t.key) is t:
+                self._watch(t)
+
+        self.at(self.clock() + WATCH, again)
+
+    def _has(self, seat: str, m: Has) -> None:
+        t = self.tenures.get(m.key)
+        if t is not None and t.stage is Stage.JOINED:
+            return self.host.send(seat, Had(m.key, m.attempt, False))
+        in_hand, over, result = self.host.has(m.key)
+        if t is not None and t.stage is Stage.SETTLING:
+            over, result = over or t.result is not None, result if t.result is None else t.result
+        elif in_hand and t is not None:
+            t.askers.add(seat)
+        return self.host.send(seat, Had(m.key, m.attempt, in_hand, over, result))
+
+    def _had(self, seat: str, m: Had) -> None:
+        t = self.tenures.get(m.key)
+        if t is None or t.stage is not Stage.JOINED or t.owner is None or t.owner.seat != seat \
+                or t.attempt != m.attempt:
+            return
+        if m.over:
+            self._forget(t)
+            self.host.count("fleet: result of another")
+            self.host.over(t.key, m.result)
+        elif m.has:
+            self._watch_later(t)
+        else:
+            self._go_on(t, gone=True)
+
+    # ---- work whose owner is lost ----
+
+    def died(self, seat: str, inc: int) -> None:
+        """From the members. What this runner keeps of that owner is seen to."""
+        self.host.count("fleet: members lost")
+        for key in sorted(self._by_owner.get(Owner(seat, inc), ())):
+            self._tend(key)
+
+    def _kept(self, key: Key, slot: Slot | None) -> None:
+        """From the keeper: a register has another value, or is forgotten."""
+        before = self._owner_of.pop(key, None)
+        if before is not None:
+            keys = self._by_owner[before]
+            keys.discard(key)
+            if not keys:
+                del self._by_owner[before]
+        work: Work | None = None if slot is None else slot.value
+        if work is None or work.state is State.OVER or (work.state is State.FREE and work.order is None):
+            return
+        self._by_owner.setdefault(work.owner, set()).add(key)
+        self._owner_of[key] = work.owner
+        if work.state is State.FREE and key not in self._tending:
+            # Its owner sends it on; where that one is lost before it does, somebody else has to.
+            self._tending[key] = 0
+            self.at(self.clock() + LOOK_AGAIN, lambda: self._see_to(key))
+
+    def _tend(self, key: Key) -> None:
+        if key in self._tending:
+            return
+        self._tending[key] = 0
+        up = [s for s in self.seats.keepers(key) if s == self.me or self.members.by_seat[s].up]
+        rank = up.index(self.me) if self.me in up else 0
+        if rank == 0:
+            self._see_to(key)
+        else:
+            self.at(self.clock() + rank * RANKS, lambda: self._see_to(key))
+
+    def _see_to(self, key: Key) -> None:
+        """Again and again, until it is somebody's or over."""
+        slot = self.keeper.slots.get(key)
+        work = None if slot is None else slot.value
+        left = work is not None and (work.order is not None if work.state is State.FREE else self._past(work.owner))
+        if work is None or slot is None or work.state is State.OVER or not left:
+            self._tending.pop(key, None)
+            return
+        tries = self._tending[key] = self._tending.get(key, 0) + 1
+        self.at(self.clock() + LOOK_AGAIN * min(tries, 5), lambda: self._see_to(key))
+        if work.state is State.BEGUN:
+            self._change(key, Bury(work.owner, work.attempt), slot.until, round(self.policy.claim_ms * MS),
+                         lambda done: None)
+            self.host.count("fleet: buried")
+        else:
+            self._offer(key, work, tries - 1)
+
+    def _past(self, owner: Owner) -> bool:
+        member = self.members.by_seat.get(owner.seat)
+        return member is None or owner.inc < member.inc or self._dead(owner)
+
+    def _offer(self, key: Key, work: Work, tries: int = 0) -> None:
+        """To the seat whose turn it is; where that one does not take it, to the next."""
+        able = [s for s in self.seats.takers(key) if s not in work.turned
+                and (self.host.fit() if s == self.me else self.members.by_seat[s].fit)]
+        if not able:
+            return
+        seat, take = able[tries % len(able)], Take(key, work.owner, work.attempt)
+        if seat == self.me:
+            self._take(seat, take)
+        else:
+            self.host.send(seat, take)
+
+    def _take(self, seat: str, m: Take) -> None:
+        if len(self._to_take) < MOST_QUEUE and self.host.fit():
+            self._to_take.append(m)
+            if not self._pacing:
+                self._pacing = True
+                self._take_some()
+
+    def _take_some(self) -> None:
+        now, self._to_take = self._to_take[:AT_ONCE], self._to_take[AT_ONCE:]
+        for m in now:
+            t = self.tenures.get(m.key)
+            if t is None:
+                self._take_over(m)
+            elif t.stage is Stage.JOINED and not t.busy:
+                t.owner, t.attempt, t.state = m.owner, m.attempt, State.HELD
+                self._go_on(t)
+        if now:
+            self.at(self.clock() + PACE, self._take_some)
+        else:
+            self._pacing = False
+
+    def _take_over(self, m: Take) -> None:
+        def taken(done: Done | None) -> None:
+            work: Work | None = None if done is None else done.value
+            if done is None or work is None or not done.made or work.owner != self.owner or work.order is None \
+                    or m.key in self.tenures:
+                return
+            t = Tenure(m.key, work.body, work.order, until, Stage.MINE, work.attempt, hold=done.hold, taken=True)
+            self.tenures[m.key] = t
+            self.host.count("fleet: taken over")
+            if not self.host.take_up(m.key, work.body, work.order, until):
+                self.free(m.key, turned=True)
+
+        until = self.clock() + self._longest
+        slot = self.keeper.slots.get(m.key)
+        if slot is not None:
+            until = min(until, slot.until)
+        self._change(m.key, TakeWork(self.owner, m.owner, m.attempt), until, round(self.policy.claim_ms * MS), taken)
+
+    # ---- what is told ----
+
+    def leave(self) -> None:
+        """No longer fit: what is held here and has not begun goes to others."""
+        self.members.tell((False, self.members.own.told[1]))
+        for key in [t.key for t in self.tenures.values() if t.stage is Stage.MINE]:
+            self.hand_over(key)
+
+
+class _Either:
+    def __init__(self, first: Callable[[Work | None], Work | None], second: Callable[[Work | None], Work | None],
+                 ) -> None:
+        self._first, self._second = first, second
+
+    def __call__(self, old: Work | None) -> Work | None:
+        made = self._first(old)
+        return self._second(old) if made is None else made
--- /dev/null
+++ b/moorusher/fleet/seats.py
@@ -0,0 +1,70 @@
+"""The places of a fleet, as the operator's file lists them, and which of them keep what is known of a key.
+
+Rendezvous hashing (Thaler and Ravishankar 1998), over the places in the file and not over who is up: all runners work
+out the same keepers, whatever each has heard of the others.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+SLICES = 4096  # keys share their keepers by slices: that is worked out once for each, however many seats there are
+
+
+@dataclass(frozen=True, slots=True)
+class Seat:
+    name: str
+    address: tuple[str, int]
+    zone: str = ""
+
+
+def score(name: str, what: bytes) -> int:
+    return xxhash.xxh64_intdigest(what, xxhash.xxh32_intdigest(name.encode()))
+
+
+def majority(of: int) -> int:
+    return of // 2 + 1
+
+
+class Seats:
+    """`copies`: how many seats keep each key; fewer where there are fewer."""
+
+    def __init__(self, seats: Sequence[Seat], copies: int = 3) -> None:
+        self.by_name = {seat.name: seat for seat in seats}
+        self.names = tuple(sorted(self.by_name))
+        self._copies = copies
+        self._slices: dict[int, tuple[str, ...]] = {}
+
+    def digest(self) -> str:
+        """Of what all must agree on. Not of addresses: one machine may be reached by several."""
+        told = [f"{name} {self.by_name[name].zone}" for name in self.names]
+        return xxhash.xxh64_hexdigest("\n".join([str(self._copies), *told]).encode())
+
+    def keepers(self, key: bytes) -> tuple[str, ...]:
+        """The seats that keep this key, the first choice first; in different zones as far as there are some."""
+        part = xxhash.xxh64_intdigest(key) % SLICES
+        found = self._slices.get(part)
+        if found is None:
+            found = self._slices[part] = self._choose(part.to_bytes(4, "big"))
+        return found
+
+    def _choose(self, part: bytes) -> tuple[str, ...]:
+        ranked = sorted(self.names, key=lambda name: score(name, part), reverse=True)
+        chosen: list[str] = []
+        zones: set[str] = set()
+        for name in ranked:
+            if len(chosen) < self._copies and self.by_name[name].zone not in zones:
+                chosen.append(name)
+                zones.add(self.by_name[name].zone)
+        for name in ranked:
+            if len(chosen) < self._copies and name not in chosen:
+                chosen.append(name)
+        return tuple(chosen)
+
+    def takers(self, key: bytes) -> list[str]:
+        """All seats in the order in which they are asked to go on with a key's work: another for each key, so that the
+        work of one that is lost spreads over all."""
+        return sorted(self.names, key=lambda name: score(name, key), reverse=True)
