--- a/moorusher/admin.py
+++ b/moorusher/admin.py
@@ -230,8 +230,30 @@
     }
 
 
+class _Fleet(Guarded):
+    """GET /fleet and /fleet/work; POST /fleet/begin, the operator's word that nothing of it ran before."""
+
+    def __init__(self, token: str, fleet: Any) -> None:
+        super().__init__(token)
+        self._fleet = fleet
+
+    def render_GET(self, request: Any) -> bytes:
+        path = [p for p in request.postpath if p]
+        if path == [b"work"]:
+            return reply(request, 200, self._fleet.work())
+        return reply(request, 200, self._fleet.told()) if not path else reply(request, 404, {"error": "no such page"})
+
+    def render_POST(self, request: Any) -> bytes:
+        if [p for p in request.postpath if p] != [b"begin"]:
+            return reply(request, 404, {"error": "expected /fleet/begin"})
+        if not self.allowed(request):
+            return reply(request, 401, {"error": "a bearer token is needed"})
+        why = self._fleet.begin()
+        return reply(request, 200, {"begun": True}) if why is None else reply(request, 409, {"error": why})
+
+
 def admin_site(core: Decider, reporter: Reporter, name: str, token: str, drain: Callable[[], None],
-               tier: Any = None, condition: Callable[[], Any] = lambda: None) -> Any:
+               tier: Any = None, condition: Callable[[], Any] = lambda: None, fleet: Any = None) -> Any:
     def leave() -> object:
         drain()
         return {"draining": True}
@@ -250,6 +272,8 @@
 
         root.putChild(b"servers", _Servers(token, tier, core))
         root.putChild(b"knowledge", _Json(knowledge))
+    if fleet is not None:
+        root.putChild(b"fleet", _Fleet(token, fleet))
     root.putChild(b"tenants", _Tenants(core))
     root.putChild(b"drain", _Change(token, leave))
     return quiet_site(root)
--- a/moorusher/config.py
+++ b/moorusher/config.py
@@ -19,6 +19,8 @@
 from peattack.wire import WireError, parse_settings
 
 from .core.requests import is_word
+from .fleet.policy import MOST_SEATS, Seat
+from .fleet.policy import Policy as FleetPolicy
 from .standing.policy import Policy
 from .standing.words import Codes
 from .tier.policy import MOST_SERVERS, Server, Speaks
@@ -70,6 +72,16 @@
     knowledge: Path | None = None  # the file in which what was learnt of them lasts
 
 
+@dataclass(frozen=True, slots=True)
+class FleetConfig:
+    """Runners that talk with each other; none where `listen` is not set."""
+
+    listen: Address | None = None
+    name: str = ""
+    seats: tuple[Seat, ...] = ()
+    policy: FleetPolicy = field(default_factory=FleetPolicy)
+
+
 @dataclass(frozen=True, slots=True)
 class AdminConfig:
     listen: Address | None = None
@@ -91,6 +103,7 @@
     probes: ProbeConfig = field(default_factory=ProbeConfig)
     tier: TierConfig = field(default_factory=TierConfig)
     console: Address | None = None  # the operators' second address
+    fleet: FleetConfig = field(default_factory=FleetConfig)
     raw: Any = None  # the file as it was read, for the next one to be held against
 
 
@@ -234,16 +247,63 @@
     return TierConfig(servers, policy, folder / kept if kept else None)
 
 
-def read_fronts(path: Path) -> tuple[UwsgiConfig, ProbeConfig, AdminConfig, TierConfig]:
+def _inside(address: Address | None, key: str) -> Address | None:
+    """What runners say to each other is neither sealed nor signed: it stays on networks of one's own."""
+    if address is not None and address[0] != "localhost":
+        try:
+            inside = ipaddress.ip_address(address[0]).is_private
+        except ValueError:
+            inside = False
+        if not inside:
+            raise ConfigError(f"{key}: expected a loopback or private address, got {address[0]}")
+    return address
+
+
+def _fleet(section: Section) -> FleetConfig:
+    section.unknown({"listen", "name", "uncovered", "claim_ms", "copies", "seat"})
+    listen = _inside(section.address("listen"), section.key("listen"))
+    d = FleetPolicy()
+    uncovered = section.get("uncovered", "refuse")
+    if uncovered not in ("refuse", "alone"):
+        raise ConfigError(f"{section.key('uncovered')}: expected one of refuse, alone, got {uncovered!r}")
+    policy = FleetPolicy(section.between("claim_ms", d.claim_ms, 10, 10_000), section.between("copies", d.copies, 1, 7),
+                         uncovered == "alone")
+    if policy.copies % 2 == 0:
+        raise ConfigError(f"{section.key('copies')}: expected an odd number, got {policy.copies}")
+    if listen is None:
+        return FleetConfig(policy=policy)
+    name = section.get("name", "")
+    if not is_word(name, 64):
+        raise ConfigError(f"{section.key('name')}: expected letters, digits and -_.:, got {name!r}")
+    listed: list[Any] = section.get("seat", [])
+    if not 1 <= len(listed) <= MOST_SEATS:
+        raise ConfigError(f"{section.key('seat')}: expected 1 to {MOST_SEATS} of them, got {len(listed)}")
+    seats: list[Seat] = []
+    for i, raw in enumerate(listed):
+        one = Section(raw, f"{section.key('seat')}[{i}]")
+        one.unknown({"name", "address", "zone"})
+        seat, address = one.get("name", ""), _inside(one.address("address"), one.key("address"))
+        if not is_word(seat, 64) or any(seat == s.name for s in seats):
+            raise ConfigError(f"{one.key('name')}: expected letters, digits and -_.: that no other has, got {seat!r}")
+        if address is None:
+            raise ConfigError(f"{one.key('address')}: required, as HOST:PORT")
+        seats.append(Seat(seat, address, one.get("zone", "")))
+    return FleetConfig(listen, name, tuple(seats), policy)
+
+
+Fronts = tuple[UwsgiConfig, ProbeConfig, AdminConfig, TierConfig, FleetConfig]
+
+
+def read_fronts(path: Path) -> Fronts:
     """The second front and what goes with it: all off where the file or its keys are missing."""
     try:
         raw = tomllib.loads(path.read_text())
     except FileNotFoundError:
-        return UwsgiConfig(), ProbeConfig(), AdminConfig(), TierConfig()
+        return UwsgiConfig(), ProbeConfig(), AdminConfig(), TierConfig(), FleetConfig()
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as exc:
         raise ConfigError(f"{path.name}: {exc}") from exc
     root = Section(raw, "")
-    root.unknown({"uwsgi", "health", "agent", "admin", "standing", "tier"})
+    root.unknown({"uwsgi", "health", "agent", "admin", "standing", "tier", "fleet"})
     uwsgi, health, agent, admin = (root.section(n) for n in ("uwsgi", "health", "agent", "admin"))
     uwsgi.unknown({"listen", "below", "body_bytes", "idle_s", "load_report"})
     admin.unknown({"listen", "token", "token_file"})
@@ -266,6 +326,7 @@
             health.get("load_report", False), _policy(root.section("standing"))),
         AdminConfig(_loopback(admin.address("listen"), "admin.listen"), token),
         _tier(root.section("tier"), path.parent),
+        _fleet(root.section("fleet")),
     )
 
 
@@ -303,8 +364,7 @@
     return read(text, env, read_fronts(fronts or FRONTS_FILE), running)
 
 
-def read(text: bytes, env: Mapping[str, str], fronts: tuple[UwsgiConfig, ProbeConfig, AdminConfig, TierConfig],
-         running: Any = None) -> Config:
+def read(text: bytes, env: Mapping[str, str], fronts: Fronts, running: Any = None) -> Config:
     """`running`: the file that the runner has in service, where it has one; the new one must have all of its keys."""
     try:
         raw = json.loads(text)
@@ -344,10 +404,12 @@
         for i, one in enumerate(names):
             if not one or one in names[:i]:
                 raise ConfigError(f"settings.{listed}[{i}].name: expected one that no other has, got {one!r}")
-    uwsgi, probes, admin, tier = fronts
+    uwsgi, probes, admin, tier, fleet = fronts
+    if fleet.listen is not None and all(seat.name != name for seat in fleet.seats):
+        raise ConfigError(f"fleet.seat: none has this runner's name, {name}")
     return Config(
         name, listen, kernel, root.address("announce"), root.address("db"),
         root.positive("stop_ms", 3000.0),
         Limits(limits.positive("cores", d.cores), limits.positive("memory_mb", d.memory_mb),
                limits.positive("sockets", d.sockets)),
-        settings, uwsgi, admin, probes, tier, console, raw)
+        settings, uwsgi, admin, probes, tier, console, fleet, raw)
--- a/moorusher/core/claims.py
+++ b/moorusher/core/claims.py
@@ -51,7 +51,7 @@
         self.unanswered: Callable[[], bool] = lambda: False  # True where the other is given up, and all is ours
         self._asked: dict[Key, _Asked] = {}
         self._serial = 0
-        keys.told = self
+        keys.told.append(self)
 
     # ---- from here ----
 
--- a/moorusher/core/clock.py
+++ b/moorusher/core/clock.py
@@ -36,6 +36,9 @@
     def from_unix_ms(self, unix_ms: float) -> int:
         return round(unix_ms * MS) - self._unix_at_zero
 
+    def to_unix_ms(self, at: int) -> float:
+        return (at + self._unix_at_zero) / MS
+
     def module_ms(self, at: int | None = None) -> float:
         return ((self.now if at is None else at) - self._zero) / MS
 
--- a/moorusher/core/decide.py
+++ b/moorusher/core/decide.py
@@ -12,13 +12,14 @@
 
 from .answer import Answer, Cause, Reply, Verdict
 from .call import Asked, Calls, OpenCalls
+from .care import Care, NoCare
 from .claims import Claims
 from .clock import MS, Alarms, Clock
 from .counters import Counters
 from .endings import OUTCOMES, Ending
 from .intake import BUSY_MS, Fault, Intake
-from .keys import Keys, window_end
-from .requests import Arrival, Request, Stage, Table
+from .keys import Key, Keys, window_end
+from .requests import UNDER_WAY, Arrival, Request, Stage, Table
 from .retune import Plan
 from .run import Kernel, Runs
 from .watch import Watch
@@ -42,8 +43,10 @@
         self.counters, self.table, self.keys = Counters(), Table(), Keys(memory_mb)
         self.intake = Intake(settings, clock, self.table, self.keys)
         self.runs = Runs(kernel, clock)
-        self.claims = Claims(self.keys, self.table, clock, alarms, self.counters, self._hand_on, self._turn_away,
+        self.claims = Claims(self.keys, self.table, clock, alarms, self.counters, self._claimed, self._turn_away,
                              self._shared)
+        self.care: Care = NoCare()
+        self._unwanted: set[int] = set()  # stopped while others were asked whether they may begin
         self.calls = OpenCalls(calls, clock, alarms)
         self._kernel, self._soon, self._make = kernel, soon, make
         self._balancer: Balancer | None = None
@@ -52,6 +55,7 @@
         self._gauges: tuple[float, ...] = ()
         self.gauges_at = 0  # by the clock of the turn before they came: never told younger than they are
         self.watch = Watch()
+        self.link_since: int | None = 0  # without the kernel's link since then; None while there is one
         self._stop_at: int | None = None
         self.replaced = False  # leaving, and another process of this runner serves on
         self._beside = api.Beside()
@@ -62,7 +66,7 @@
         self.trim: Callable[[int], None] = lambda idle: None  # set by the fronts' owner
         self.settled: Callable[[], None] = lambda: None  # called after each turn while draining
         self._carry_out: dict[type, Callable[[Any], None]] = {
-            api.Start: self._start, api.Stop: lambda a: self.runs.stop(a.id), api.Reject: self._reject,
+            api.Start: self._start, api.Stop: self._stop, api.Reject: self._reject,
             api.Fail: self._fail, api.Call: self._call, api.SkipCall: self._skip_call,
             api.Remember: self._remember, api.Forget: lambda a: self._unheld(a.id),
             api.ShareResult: self._share, api.SetHealth: self._set_health, api.Signal: self._signal,
@@ -115,7 +119,7 @@
         if (request := self.table.by_number.get(number)) is None:
             return
         self._answer(request, Answer(Verdict.FAILED, cause=Cause.FAULT))
-        if request.stage is not Stage.RUNNING:
+        if request.stage not in UNDER_WAY:
             self._unheld(number)
         elif request.cls.effect is api.Effect.SAFE:
             self.runs.stop(number)
@@ -169,9 +173,14 @@
         self.counters.add("taken", taken.tenant)
         self.watch.came(self.clock.now)
         if not self.claims.hold_back(taken):
-            self._hand_on(taken)
+            self._claimed(taken)
         return taken
 
+    def _claimed(self, request: Request) -> None:
+        """No other process of this runner has its key: are there runners that may?"""
+        if not self.care.hold_back(request):
+            self._hand_on(request)
+
     def _hand_on(self, request: Request) -> None:
         self.touch()
         self._events.append(self.intake.event(request))
@@ -191,7 +200,7 @@
         request.reply = None
         self.counters.add("gone", request.tenant)
         self._events.append(api.CallerGone(request.number))
-        if request.stage is not Stage.RUNNING:
+        if request.stage not in UNDER_WAY:
             self._unheld(request.number)
 
     def load(self) -> float:
@@ -242,9 +251,103 @@
         self._beside = api.Beside(on_cores, running, memory_kb)
         self._events.append(self._beside)
 
+    def keyed_windows(self) -> list[float]:
+        return [c.window_ms for c in self.settings.classes if c.effect is api.Effect.KEYED]
+
     def unsure_for_a_window(self) -> None:
-        longest = max((c.window_ms for c in self.settings.classes if c.effect is api.Effect.KEYED), default=0.0)
-        self.keys.unsure_until = window_end(self.clock.now, longest)
+        self.keys.unsure_until = window_end(self.clock.now, max(self.keyed_windows(), default=0.0))
+
+    # ---- beside other runners ----
+
+    def granted(self, request: Request) -> None:
+        """Its key is this runner's."""
+        if request.number in self.table.by_number:
+            self._hand_on(request)
+
+    def joined(self, request: Request) -> None:
+        """Another runner has its key: it waits for that try's result, as a repeat of it."""
+        self._give(request)
+        if request.number in self.table.by_number:
+            self._hand_on(request)
+
+    def uncovered(self, request: Request, why: str) -> None:
+        if request.number in self.table.by_number:
+            self._turn_away(request, why)
+
+    def _give(self, request: Request) -> None:
+        entry = self.keys.of_try(request.number)
+        if entry is not None and not entry.theirs:
+            self.keys.give(entry, self.table.number(), entry.body, entry.until)
+            request.repeats = entry.number
+
+    def given(self, request: Request) -> None:
+        """Another runner has what the module here held or had started: it waits for the result beside the module, until
+        it is due."""
+        entry = self.keys.of_try(request.number)
+        if request.number not in self.table.by_number or entry is None:
+            return
+        self.touch()
+        self._give(request)
+        self._events.append(api.RunEnded(request.number, api.Outcome.MOOT) if request.stage is Stage.BEGINNING
+                            else api.CallerGone(request.number))
+        request.stage = Stage.SHARING
+        if request.reply is None:
+            self.table.remove(request)
+            return
+        entry.waiters.append(request.number)
+        a = request.arrival
+        ms = min(request.cls.deadline_ms, request.cls.deadline_ms if a.budget_ms is None else a.budget_ms)
+        due = request.came + round((ms - self.settings.answer_slack_ms) * MS)
+        self.alarms.at(max(due, self.clock.now), lambda: self._shared(request.number, None))
+
+    def begun(self, request: Request) -> None:
+        """Enough others know that it may run."""
+        if self.table.by_number.get(request.number) is not request or request.stage is not Stage.BEGINNING:
+            return
+        self.touch()
+        if request.reply is None or request.number in self._unwanted:
+            self._never(request)
+        else:
+            self._command(request)
+
+    def not_begun(self, request: Request, why: str) -> None:
+        """Nobody could be told: it is not commanded, and never will be."""
+        if self.table.by_number.get(request.number) is not request or request.stage is not Stage.BEGINNING:
+            return
+        self.touch()
+        log.warning("request %s turned away: %s", request.rid, why)
+        self._answer(request, Answer(Verdict.REFUSED, b"", Cause.KEY_UNSURE, BUSY_MS))
+        self._never(request)
+
+    def _never(self, request: Request) -> None:
+        """Started by the module, and not commanded."""
+        self._unwanted.discard(request.number)
+        if request.reply is not None:
+            self._answer(request, Answer(Verdict.FAILED, cause=Cause.GIVEN_UP))
+        self._events.append(api.RunEnded(request.number, api.Outcome.MOOT))
+        self.table.remove(request)
+        for waiter in self.keys.drop(request.number):
+            self._shared(waiter, None)
+
+    def take_up(self, arrival: Arrival, reply: Reply, tag: int) -> Request | Fault:
+        """Work that another runner held. Its key is this runner's already."""
+        self.touch()
+        if self._balancer is None:
+            return Fault.NOT_READY
+        taken = self.intake.take(arrival, reply, tag, takes_up=True)
+        if isinstance(taken, Request):
+            self.counters.add("taken up", taken.tenant)
+            self.watch.came(self.clock.now)
+            self._hand_on(taken)
+        return taken
+
+    def result_of_another(self, key: Key, result: bytes | None) -> None:
+        """What another runner held under this key is over."""
+        self.touch()
+        entry = self.keys.find(key, self.clock.now)
+        if entry is not None and entry.theirs and not entry.over:
+            for waiter in self.keys.settle(entry.number, result):
+                self._shared(waiter, result)
 
     # ---- what links tell ----
 
@@ -259,10 +362,13 @@
 
     def link_up(self) -> None:
         self.touch()
+        self.link_since = None
         self.watch.link_up(self.clock.now)
 
     def link_lost(self) -> None:
         self.touch()
+        if self.link_since is None:
+            self.link_since = self.clock.now
         self.watch.link_lost(self.clock.now)
 
     def kernel_read_again(self, since: int) -> None:
@@ -323,6 +429,19 @@
             self._events.append(api.RunEnded(a.id, api.Outcome.MOOT))
             self.touch()
             return
+        if request.key is not None and self.care.begins(request):
+            request.stage = Stage.BEGINNING
+            return
+        self._command(request)
+
+    def _stop(self, a: api.Stop) -> None:
+        request = self.table.by_number.get(a.id)
+        if request is not None and request.stage is Stage.BEGINNING:
+            self._unwanted.add(a.id)
+        else:
+            self.runs.stop(a.id)
+
+    def _command(self, request: Request) -> None:
         if request.key is not None and not self.keys.runs(request.number, request.came, request.cls.window_ms):
             # Never twice by one key, whatever the module says.
             log.error("request %s was to run, and another try holds its key", request.rid)
@@ -348,15 +467,15 @@
         if (request := self.table.by_number.get(a.id)) is None:
             return
         self._answer(request, Answer(Verdict.FAILED, cause=Cause.GIVEN_UP))
-        if request.stage is not Stage.RUNNING:
+        if request.stage not in UNDER_WAY:
             self._unheld(a.id)
 
     def _unheld(self, number: int) -> None:
         """Over without a run of its own."""
         request = self.table.by_number.get(number)
-        if request is None or request.stage is Stage.RUNNING:
+        if request is None or request.stage in UNDER_WAY:
             return
-        if request.reply is not None and request.stage is Stage.HELD:
+        if request.reply is not None:
             return  # a key is forgotten before its request is over: the table keeps it until then
         self.table.remove(request)
         for waiter in self.keys.drop(number):
--- a/moorusher/core/intake.py
+++ b/moorusher/core/intake.py
@@ -61,8 +61,8 @@
             self._keys.widen(round(max(longer) * MS))
         self.former = dict(list(windows.items())[-MOST_FORMER:])
 
-    def take(self, a: Arrival, reply: Reply, tag: int) -> Request | Fault:
-        """The request, in the table."""
+    def take(self, a: Arrival, reply: Reply, tag: int, takes_up: bool = False) -> Request | Fault:
+        """The request, in the table. `takes_up`: it goes on with what another runner held under this key."""
         klass, now = self.classes.get(a.klass), self._clock.now
         if klass is None:
             return Fault.NO_SUCH_CLASS
@@ -90,8 +90,11 @@
             if entry is not None:
                 if entry.body != body:
                     return Fault.BODY_DIFFERS  # another request under this key: its result would be wrong
-                request.repeats = entry.number
-            elif now < self._keys.unsure_until:
+                if takes_up and entry.theirs and not entry.over:
+                    self._keys.take_up(entry, request.number, window_end(came, cls.window_ms))
+                else:
+                    request.repeats = entry.number
+            elif now < self._keys.unsure_until and not takes_up:
                 return Fault.KEY_UNSURE
             elif self._keys.full():
                 return Fault.KEYS_FULL  # without its key remembered it could run twice
--- a/moorusher/core/keys.py
+++ b/moorusher/core/keys.py
@@ -36,7 +36,7 @@
     result: bytes | None = None  # kept where the run passed
     waiters: list[int] = field(default_factory=list)
     theirs: bool = False  # held by the runner's other process; counts as run, since it may have been
-    ours: int | None = None  # the try here that gave way to that one
+    also: list[int] = field(default_factory=list)  # numbers that it went by before another try held the key
 
 
 class Told(Protocol):
@@ -66,7 +66,7 @@
         self._ends: list[tuple[int, int]] = []  # (until, number of the try); stale where the entry says otherwise
         self.bytes = 0
         self._theirs_most: int | None = None  # of bytes; how far the other process's results are kept
-        self.told: Told | None = None
+        self.told: list[Told] = []
         self.unsure_until = 0  # what ran before, and where, is not known: until then a new key may be an old one's
 
     def __len__(self) -> int:
@@ -116,11 +116,20 @@
 
     def give(self, entry: Entry, number: int, body: int, until: int) -> None:
         """A try of ours gives way to one of the other process, and goes on as a repeat of it."""
-        entry.ours, entry.number, entry.body = entry.number, number, body
+        entry.also.append(entry.number)
+        entry.number, entry.body = number, body
         entry.theirs = entry.ran = True
         self._by_number[number] = entry
         self.keep_until(number, until)
 
+    def take_up(self, entry: Entry, number: int, until: int) -> None:
+        """What another held is ours to run from now on; those that wait for its result go on waiting."""
+        entry.also.append(entry.number)
+        entry.number = number
+        entry.theirs = entry.ran = False
+        self._by_number[number] = entry
+        self.keep_until(number, until)
+
     def widen(self, by: int) -> None:
         """The window of a class has become longer: what was read before counts for the longer one as well. All of it:
         that a key is kept for too long costs a place, and nothing runs twice."""
@@ -158,8 +167,9 @@
         if result is not None and entry.result is None and not (entry.theirs and self.bytes >= most):
             entry.result = result
             self.bytes += len(result)
-        if self.told is not None and not entry.theirs:
-            self.told.settled(entry)
+        if not entry.theirs:
+            for told in self.told:
+                told.settled(entry)
         waiters, entry.waiters = entry.waiters, []
         return waiters
 
@@ -169,8 +179,8 @@
         if entry is None or entry.ran:
             return []
         self._remove(entry)
-        if self.told is not None:
-            self.told.freed(entry)
+        for told in self.told:
+            told.freed(entry)
         return entry.waiters
 
     def _expire(self, now: int) -> None:
@@ -187,6 +197,6 @@
     def _remove(self, entry: Entry) -> None:
         del self._by_key[entry.key]
         del self._by_number[entry.number]
-        if entry.ours is not None:
-            self._by_number.pop(entry.ours, None)
+        for number in entry.also:
+            self._by_number.pop(number, None)
         self.bytes -= len(entry.result or b"")
--- a/moorusher/core/requests.py
+++ b/moorusher/core/requests.py
@@ -12,10 +12,14 @@
 
 class Stage(Enum):
     HELD = "held"
+    BEGINNING = "beginning"  # the module has started it; others must know before it is commanded
     RUNNING = "running"  # from the command to the kernel until its end is known, calls included
     SHARING = "sharing"  # waits for the result of another try
 
 
+UNDER_WAY = (Stage.BEGINNING, Stage.RUNNING)  # for the module: it runs
+
+
 def is_word(text: str, most: int) -> bool:
     """Of the characters that rids and tokens may have. They go on into lines and headers of other protocols: a
     line end in one would let a client write headers of its own."""
--- a/moorusher/fleet/keeper.py
+++ b/moorusher/fleet/keeper.py
@@ -16,8 +16,8 @@
 from .seats import majority
 from .work import Key
 
-NEVER: Ballot = (-1, 0)
-CLOSED: Ballot = (1, 0)  # under every classic ballot, over FAST
+NEVER: Ballot = (-1, 0, 0)
+CLOSED: Ballot = (1, 0, 0)  # under every classic ballot, over FAST
 BATCH = 64  # registers in one message of an answer to Sync
 
 
--- a/moorusher/fleet/member.py
+++ b/moorusher/fleet/member.py
@@ -44,7 +44,7 @@
     inc: int = 0
     version: int = 0
     state: State = State.UNKNOWN
-    told: tuple[bool, int] = (False, 0)  # fit to take work over; its cores
+    told: tuple[bool, int, int] = (False, 0, 0)  # see `messages.About`
     since: int = 0
     refused: bool = False
     heard: int = -1  # us, of its last word to us
@@ -53,6 +53,10 @@
     def up(self) -> bool:
         return self.state is State.ALIVE
 
+    def past(self, inc: int) -> bool:
+        """That process of the seat is lost, as far as is known."""
+        return self.state is State.DEAD or (inc not in (self.inc, self.told[2]) and inc < self.inc)
+
     @property
     def fit(self) -> bool:
         return self.up and self.told[0]
@@ -62,6 +66,7 @@
     """Who carries out what is decided here."""
 
     def send(self, seat: str, message: Ping | Pong | PingFor) -> None: ...
+    def reply(self, seat: str, message: Pong) -> None: ...
     def at(self, when: int, action: Callable[[], None]) -> None: ...
     def died(self, seat: str, inc: int) -> None: ...
     def random(self) -> float: ...
@@ -168,6 +173,8 @@
         self._news[member.seat] = 0
         if state is State.DEAD and was is not State.DEAD:
             self._host.died(member.seat, member.inc)
+            if member.told[2]:
+                self._host.died(member.seat, member.told[2])
 
     def heard(self, seat: str, inc: int) -> None:
         """Anything at all has come from it, in this life of it."""
@@ -181,17 +188,20 @@
 
     def _reborn(self, member: Member, inc: int, now: int) -> None:
         was, member.inc, member.refused = member.inc, inc, False
-        if was and member.state is not State.DEAD:
-            member.state = State.DEAD
-            self._host.died(member.seat, was)
+        self._told(member, (False, 0, was if member.state is not State.DEAD else 0))  # until it says itself
 
-    def tell(self, told: tuple[bool, int]) -> None:
+    def tell(self, told: tuple[bool, int, int]) -> None:
         """Of this member itself, where it has changed."""
         if told != self.own.told:
             self.own.told = told
             self.own.version += 1
             self._news[self.me] = 0
 
+    def _told(self, member: Member, told: tuple[bool, int, int]) -> None:
+        elder, member.told = member.told[2], told
+        if elder and told[2] != elder:
+            self._host.died(member.seat, elder)
+
     # ---- news ----
 
     def _tell(self, to: str) -> list[About]:
@@ -228,8 +238,8 @@
             newer = a.version > member.version
             if newer or (a.version == member.version and (RANK[state] > RANK[member.state]
                                                           or member.state is State.UNKNOWN)):
-                if newer and state is State.ALIVE or member.state is State.UNKNOWN:
-                    member.told = a.told
+                if (newer and state is State.ALIVE) or member.state is State.UNKNOWN:
+                    self._told(member, a.told)
                 if state is not member.state or newer:
                     self._set(member, state, a.version, now)
                 if state is State.SUSPECT:
@@ -239,7 +249,7 @@
 
     def ping(self, seat: str, m: Ping) -> None:
         self._hear(m.news)
-        self._host.send(seat, Pong(m.serial, self._tell(seat), m.on_behalf))
+        self._host.reply(seat, Pong(m.serial, self._tell(seat), m.on_behalf))
 
     def ping_for(self, seat: str, m: PingFor) -> None:
         self._hear(m.news)
--- a/moorusher/fleet/messages.py
+++ b/moorusher/fleet/messages.py
@@ -11,8 +11,8 @@
 VERSION = 1
 MOST_FRAME = 1 << 20  # bytes of one frame: all that is said to a peer in one turn, cut into as many as it takes
 
-Ballot = tuple[int, int]  # (round, the proposer's incarnation); compared as a whole
-FAST: Ballot = (0, 0)  # of a first write without a promise: anyone's, and chosen only where all keepers took it
+Ballot = tuple[int, int, int]  # (round, the proposer's incarnation, which of its writers); compared as a whole
+FAST: Ballot = (0, 0, 0)  # of a first write without a promise: anyone's, and chosen only where all keepers took it
 Incs = dict[str, int]  # incarnations of seats, the highest that somebody has heard of
 
 
@@ -28,7 +28,6 @@
     seats: str  # digest of the seats in the file
     seat: str
     inc: int
-    elder: int = 0  # the incarnation of a process that this one replaces, while that one still lives
 
 
 class Refused(_Message, frozen=True, tag="no"):
@@ -128,7 +127,7 @@
     inc: int
     version: int
     state: int  # of `member.State`
-    told: tuple[bool, int]  # fit to take work over; capacity, in cores
+    told: tuple[bool, int, int]  # fit to take work over; its cores; the process that it replaces, while that one lives
 
 
 class Ping(_Message, frozen=True, tag="ping"):
--- a/moorusher/fleet/node.py
+++ b/moorusher/fleet/node.py
@@ -16,10 +16,11 @@
 from .keeper import Keeper, Slot
 from .member import MS, Members
 from .messages import Ask, Begin, Had, Has, Ping, PingFor, Pong, Slots, Sync, Take, Vote
+from .policy import Policy
 from .register import Change, Done, Hold, Writer
 from .seats import Seats, majority
-from .work import Bury, Claim, Free, Key, Look, Order, Owner, Settle, State, Work
 from .work import Begin as BeginWork
+from .work import Bury, Claim, Free, Key, Look, Order, Owner, Settle, State, Work
 from .work import Take as TakeWork
 
 NUDGE = 6 * MS  # a first write goes on with a majority
@@ -34,15 +35,6 @@
 MOST_QUEUE = 4_000
 
 
-@dataclass(frozen=True, slots=True)
-class Policy:
-    """Figures of `[fleet]`."""
-
-    claim_ms: float = 250.0  # a key whose majority has not answered by then is uncovered
-    copies: int = 3
-    alone: bool = False  # uncovered keyed requests are served as by a runner without a fleet; else refused
-
-
 class Stage(Enum):
     CLAIMING = "claiming"
     MINE = "held"
@@ -78,6 +70,7 @@
     """The runner, as its part in the fleet sees it."""
 
     def send(self, seat: str, message: Any) -> None: ...
+    def reply(self, seat: str, message: Any) -> None: ...  # to the process whose message is being heard
     def random(self) -> float: ...
     def clock(self) -> int: ...
     def wake(self, when: int) -> None: ...  # call `ring` then
@@ -99,6 +92,7 @@
     def take_up(self, key: Key, body: int, order: Order, until: int) -> bool: ...
     def has(self, key: Key) -> tuple[bool, bool, bytes | None]: ...  # in hand, over, its result
     def fit(self) -> bool: ...  # to take work over
+    def forgot(self, key: Key) -> None: ...  # nothing more is said of it
 
 
 @dataclass(slots=True, eq=False)
@@ -131,7 +125,7 @@
         self._to_take: list[Take] = []
         self._pacing = False
         self.blank_peers: set[str] = set()
-        self._started = False
+        self._began = 0
         self._handlers: dict[type, Callable[[str, Any], None]] = {
             Ask: self._ask, Vote: self._vote, Sync: self._sync, Slots: self._slots, Begin: self._begin_fleet,
             Has: self._has, Had: self._had, Take: self._take,
@@ -147,6 +141,9 @@
     def send(self, seat: str, message: Any) -> None:
         self.host.send(seat, message)
 
+    def reply(self, seat: str, message: Any) -> None:
+        self.host.reply(seat, message)
+
     def clock(self) -> int:
         return self.host.clock()
 
@@ -169,15 +166,17 @@
             self.host.wake(self._alarms[0][0])
 
     def start(self) -> None:
-        self._started = True
         self.members.start(self.clock())
-        self.members.tell((self.host.fit(), 0))
+        self.tell()
         if not self.keeper.remembers:
             # Whatever an earlier process of this seat knew is out of its window by then.
-            self.at(self.clock() + self._longest, self._remember)
+            self._began = self.clock()
+            self.at(self._began + self._longest, self._remember)
             self._sync_all()
 
     def _remember(self) -> None:
+        if self.clock() < self._began + self._longest:
+            return self.at(self._began + self._longest, self._remember)
         if not self.keeper.remembers:
             self.keeper.remembers = True
             self.host.count("fleet: remembers, as what was forgotten no longer counts")
@@ -190,7 +189,7 @@
         self._handlers[type(message)](seat, message)
 
     def _ask(self, seat: str, m: Ask) -> None:
-        self.host.send(seat, self.keeper.ask(self.clock(), m))
+        self.host.reply(seat, self.keeper.ask(self.clock(), m))
 
     def _vote(self, seat: str, m: Vote) -> None:
         job = self._jobs.get(m.serial // 1000)
@@ -208,7 +207,7 @@
 
     def _sync(self, seat: str, m: Sync) -> None:
         for part in self.keeper.answer_sync(self.clock(), seat, m.inc):
-            self.host.send(seat, part)
+            self.host.reply(seat, part)
 
     def _slots(self, seat: str, m: Slots) -> None:
         if m.inc < self.owner.inc:
@@ -249,7 +248,8 @@
                 hold: Hold | None = None) -> None:
         self._serial += 1
         now = self.clock()
-        writer = Writer(key, self.seats.keepers(key), self.owner.inc, change, max(1, (until - now) // 1000), hold)
+        writer = Writer(key, self.seats.keepers(key), self.owner.inc, self._serial, change,
+                        max(1, (until - now) // 1000), hold)
         job = self._jobs[self._serial] = _Job(writer, then, now + wait_us)
         self._went(job, writer.begin(self._serial * 1000))
 
@@ -328,14 +328,22 @@
         else:
             t.busy = False
 
+    def _over(self, t: Tenure, result: bytes | None) -> None:
+        """Of another's work."""
+        self.host.count("fleet: ended without a result" if result is None else "fleet: result of another")
+        self.host.over(t.key, result)
+        self._forget(t)
+
     def _forget(self, t: Tenure) -> None:
         if self.tenures.get(t.key) is t:
             del self.tenures[t.key]
+            self.host.forgot(t.key)
 
     # ---- an owner's path ----
 
     def claim(self, key: Key, body: int, order: Order, until: int) -> None:
         """One of `mine`, `theirs`, `over`, `differs` and `uncovered` follows, maybe at once."""
+        before = self.tenures.get(key)
         t = self.tenures[key] = Tenure(key, body, order, until, Stage.CLAIMING)
 
         def claimed(done: Done | None) -> None:
@@ -344,22 +352,41 @@
                 t.attempt = work.attempt if work is not None and work.owner == self.owner else 0
                 return self._next(t)
             if done is None:
-                self._forget(t)
                 self.host.count("fleet: uncovered")
-                return self.host.uncovered(key, "no majority of its keepers answers")
+                self.host.uncovered(key, "no majority of its keepers answers")
+                return self._forget(t)
             self._read(t, done)
             self._next(t)
 
-        self._do(t, lambda: self._change(key, Claim(self.owner, body, order), until,
-                                         round(self.policy.claim_ms * MS), claimed))
+        def step() -> None:
+            if t.stage is not Stage.CLAIMING:
+                return self._next(t)
+            self._change(key, Claim(self.owner, body, order), until, round(self.policy.claim_ms * MS), claimed)
+
+        def late() -> None:
+            if self.tenures.get(key) is t and t.stage is Stage.CLAIMING and not t.busy:
+                t.stage = Stage.SETTLING
+                self.host.count("fleet: uncovered")
+                self.host.uncovered(key, "an earlier try is not taken back yet")
+                self._forget(t)
+
+        if before is not None and before.busy:  # an earlier try is still being taken back: that goes first
+            self.at(self.clock() + round(self.policy.claim_ms * MS), late)
+            def after() -> None:
+                self._do(t, step)
+                self._next(before)
+
+            before.queue.append(after)
+        else:
+            self._do(t, step)
 
     def _read(self, t: Tenure, done: Done) -> None:
         """What a claim, or a look at another's work, has found."""
         work: Work | None = done.value
         claiming = t.stage is Stage.CLAIMING
         if work is not None and work.body != t.body:
-            self._forget(t)
-            return self.host.differs(t.key) if claiming else self.host.over(t.key, None)
+            self.host.differs(t.key) if claiming else self.host.over(t.key, None)
+            return self._forget(t)
         if work is not None and work.state is State.HELD and work.owner == self.owner:
             t.stage, t.attempt, t.hold, t.owner = Stage.MINE, work.attempt, done.hold, None
             if claiming:
@@ -371,17 +398,14 @@
                 self.free(t.key, turned=True)
             return None
         if work is not None and work.state is State.OVER:
-            self._forget(t)
-            self.host.count("fleet: ended without a result" if work.result is None else "fleet: result of another")
-            return self.host.over(t.key, work.result)
+            return self._over(t, work.result)
         t.stage = Stage.JOINED
         if work is None:  # forgotten, as its time is over
             t.owner, t.state = None, State.FREE
         else:
             t.owner, t.attempt, t.state = work.owner, work.attempt, work.state
             if work.state is State.FREE and self.me in work.turned and t.stage is Stage.JOINED and not claiming:
-                self._forget(t)  # all that can run it have turned it away, and this one has too
-                return self.host.over(t.key, None)
+                return self._over(t, None)  # all that can run it have turned it away, and this one has too
         if claiming:
             self.host.count("fleet: joined")
             self.host.theirs(t.key)
@@ -503,7 +527,7 @@
             if t.stage is not Stage.MINE:
                 return self._next(t)
             hold, t.hold = t.hold, None
-            self._change(key, Free(self.owner, t.attempt, order, turned=True), t.until,
+            self._change(key, Free(self.owner, t.attempt, order, turned=False), t.until,
                          round(self.policy.claim_ms * MS), freed, hold)
 
         self._do(t, step)
@@ -527,13 +551,10 @@
         """Its owner is silent, or has said that it is not in its hands (`gone`)."""
         t.asked += 1
         if self.clock() >= t.until:
-            self._forget(t)
-            return self.host.over(t.key, None)
+            return self._over(t, None)
         owner = t.owner
-        past = owner is not None and (owner.inc < self.members.by_seat[owner.seat].inc
-                                      if owner.seat in self.members.by_seat else True)
         change: Change
-        if t.state is State.BEGUN and owner is not None and (gone or past or self._dead(owner)):
+        if t.state is State.BEGUN and owner is not None and (gone or self._past(owner)):
             change = Bury(owner, t.attempt)
         elif t.state is State.BEGUN or not self.host.fit():
             change = Look()
@@ -554,10 +575,6 @@
         self._do(t, lambda: self._change(t.key, change, t.until, round(self.policy.claim_ms * MS), looked))
         return None
 
-    def _dead(self, owner: Owner) -> bool:
-        member = self.members.by_seat.get(owner.seat)
-        return member is None or (member.state.name == "DEAD" and member.inc == owner.inc)
-
     def _watch_later(self, t: Tenure) -> None:
         t.asked += 1
         mark = t.asked
@@ -571,13 +588,13 @@
     def _has(self, seat: str, m: Has) -> None:
         t = self.tenures.get(m.key)
         if t is not None and t.stage is Stage.JOINED:
-            return self.host.send(seat, Had(m.key, m.attempt, False))
+            return self.host.reply(seat, Had(m.key, m.attempt, False))
         in_hand, over, result = self.host.has(m.key)
         if t is not None and t.stage is Stage.SETTLING:
             over, result = over or t.result is not None, result if t.result is None else t.result
         elif in_hand and t is not None:
             t.askers.add(seat)
-        return self.host.send(seat, Had(m.key, m.attempt, in_hand, over, result))
+        return self.host.reply(seat, Had(m.key, m.attempt, in_hand, over, result))
 
     def _had(self, seat: str, m: Had) -> None:
         t = self.tenures.get(m.key)
@@ -585,9 +602,7 @@
                 or t.attempt != m.attempt:
             return
         if m.over:
-            self._forget(t)
-            self.host.count("fleet: result of another")
-            self.host.over(t.key, m.result)
+            self._over(t, m.result)
         elif m.has:
             self._watch_later(t)
         else:
@@ -648,8 +663,9 @@
             self._offer(key, work, tries - 1)
 
     def _past(self, owner: Owner) -> bool:
+        """It was lost, as far as is known here: nobody else acts for it any more."""
         member = self.members.by_seat.get(owner.seat)
-        return member is None or owner.inc < member.inc or self._dead(owner)
+        return member is None or member.past(owner.inc)
 
     def _offer(self, key: Key, work: Work, tries: int = 0) -> None:
         """To the seat whose turn it is; where that one does not take it, to the next."""
@@ -704,9 +720,22 @@
 
     # ---- what is told ----
 
+    def tell(self, elder: int = 0, cores: int = 0) -> None:
+        """Of this runner, where it has changed. `elder`: the process that this one replaces, while that one lives."""
+        self.members.tell((self.host.fit(), cores, elder))
+
+    @property
+    def pending(self) -> int:
+        """Ends and givings back that are not yet known to enough."""
+        return sum(t.stage is Stage.SETTLING or t.busy for t in self.tenures.values())
+
+    def lengthen(self, longest_us: int) -> None:
+        """The longest window has become another."""
+        self._longest = max(self._longest, longest_us)
+
     def leave(self) -> None:
         """No longer fit: what is held here and has not begun goes to others."""
-        self.members.tell((False, self.members.own.told[1]))
+        self.tell()
         for key in [t.key for t in self.tenures.values() if t.stage is Stage.MINE]:
             self.hand_over(key)
 
--- a/moorusher/fleet/register.py
+++ b/moorusher/fleet/register.py
@@ -54,7 +54,8 @@
 
     key: Key
     keepers: tuple[str, ...]
-    inc: int  # the proposer's incarnation: no two have the same
+    inc: int  # the proposer's incarnation: no two processes have the same,
+    number: int  # and no two writers of one process the same of these: a ballot has one value
     change: Change
     left_ms: int
     hold: Hold | None = None
@@ -90,12 +91,12 @@
         return [Ask(self.serial, self.key, ballot, value, self._after(ballot), quorum, self.left_ms)]
 
     def _after(self, ballot: Ballot) -> Ballot:
-        return (ballot[0] + 1, self.inc)
+        return (ballot[0] + 1, self.inc, self.number)
 
     def _prepare(self) -> list[Ask]:
         self._seen += 1
         self._value = None
-        return self._ask((self._seen, self.inc), None, {})
+        return self._ask((self._seen, self.inc, self.number), None, {})
 
     def again(self) -> list[Ask]:
         """From the promise on, with a higher ballot: after a conflict, or where no majority has answered."""
--- a/moorusher/fleet/seats.py
+++ b/moorusher/fleet/seats.py
@@ -7,18 +7,12 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 
 import xxhash
 
-SLICES = 4096  # keys share their keepers by slices: that is worked out once for each, however many seats there are
-
+from .policy import Seat
 
-@dataclass(frozen=True, slots=True)
-class Seat:
-    name: str
-    address: tuple[str, int]
-    zone: str = ""
+SLICES = 4096  # keys share their keepers by slices: that is worked out once for each, however many seats there are
 
 
 def score(name: str, what: bytes) -> int:
--- a/moorusher/service.py
+++ b/moorusher/service.py
@@ -77,7 +77,8 @@
         self.keeper: Any = None  # of what is learnt of the tier
         self.reporter = Reporter(self.core, config.probes.policy, config.name)
         probes = config.probes
-        if not (probes.agent or probes.health or config.admin.listen or config.uwsgi.load_report or self.tier):
+        if not (probes.agent or probes.health or config.admin.listen or config.uwsgi.load_report or self.tier
+                or config.fleet.listen):
             self.core.watched_by(Watch())  # nobody asks, as on the platform: each run is spared what it would tell
         self.announcer = Announcer(reactor, config.announce, config.name) if config.announce else None
         self._beside = 0  # connections of another process of this runner
@@ -91,6 +92,12 @@
         self.ports: dict[str, Any] = {}  # what listens, but for the console
         self._paused: set[str] = set()  # of them, those on which a further process accepts
         self.succession: Any = None
+        self.fleet: Any = None  # other runners, imported only where they are set
+        if config.fleet.listen is not None:
+            from .links.fleet import FleetLink
+
+            self.fleet = FleetLink(reactor, self.core, config.fleet, config.name, self._fit_for_more,
+                                   random.Random(config.name).random)
         self.serving = False  # clients are let in, here or by the process that replaces this one
         self.failed = False  # it could not start
         self._listen_by: int | None = None
@@ -108,6 +115,10 @@
         self._doors: dict[str, tuple[Address, Any]] = {"listen": (config.listen, self.front)}
         if config.uwsgi.listen is not None:
             self._doors["uwsgi"] = config.uwsgi.listen, self.uwsgi
+        if self.fleet is not None and config.fleet.listen is not None:
+            from .links.fleet import Doors
+
+            self._doors["fleet"] = config.fleet.listen, Doors(self.fleet)
         probes = config.probes
         if probes.agent is not None:
             from .fronts.agent import AgentFront
@@ -129,7 +140,7 @@
             from .admin import admin_site  # Twisted's web server: 6 MB that the platform does not need
 
             site = admin_site(self.core, self.reporter, config.name, config.admin.token, self.drain, self.tier,
-                              self._condition)
+                              self._condition, self.fleet)
             self._doors["admin"] = config.admin.listen, site
         if self.tier is not None and config.tier.knowledge is not None:
             from .links.knowledge import Keeper
@@ -176,6 +187,8 @@
             self.announcer.fit = self._fit
             self.announcer.start()
         self.serving = True
+        if first and self.fleet is not None:
+            self.fleet.start()
         log.info("%s listens on %s:%d", self.config.name, *self.config.listen)
 
     def _not_free(self, exc: OSError, handed: dict[str, int]) -> None:
@@ -249,6 +262,12 @@
     def _fit(self) -> bool:
         return self.reporter.fit
 
+    def _fit_for_more(self) -> bool:
+        """For work that another runner has left: not where there is too much already."""
+        from .standing.states import Standing
+
+        return self.reporter.fit and self.reporter.report().standing is not Standing.CROWDED
+
     def _condition(self) -> Any:
         """How this runner is, for whoever is told what it knows."""
         from .knowledge.value import Condition
@@ -321,6 +340,8 @@
         """What is told to balancers, and when; listeners stay where they are until the next start."""
         probes = new.probes
         self.reporter.set_policy(probes.policy)
+        if self.fleet is not None:
+            self.fleet.follow(new.fleet)
         if self.agent is not None:
             self.agent.maxconn = probes.maxconn
         if self.health is not None:
@@ -383,7 +404,7 @@
         """Once all is answered, and front ends have closed their connections or say nothing more on them."""
         open_doors = {"listen", "uwsgi"} & self.ports.keys() - self._paused
         runs = self.core.replaced and len(self.core.runs)  # their results go to the one that serves on
-        if self.core.owed or open_doors or runs:
+        if self.core.owed or open_doors or runs or (self.fleet is not None and self.fleet.busy):
             self._heard = self.clock.now
             return
         heard = max((c.active for c in self.front.connections), default=0)
@@ -403,6 +424,8 @@
             connection.close()  # what is written goes out first
         if self.succession is not None:
             self.succession.close()
+        if self.fleet is not None:
+            self.fleet.close()
         self.kernel.close()
         self.reactor.callLater(0.03, self.reactor.stop)
 
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -152,7 +152,7 @@
 
     def __init__(self, kernel_port: int, db_port: int | None, below_port: int | None,
                  announce: int | None, listen: int | None, settings: dict[str, Any], more: str = "",
-                 beside: Mapping[str, bytes] | None = None, descriptors: int = 0) -> None:
+                 beside: Mapping[str, bytes] | None = None, descriptors: int = 0, name: str = "n1") -> None:
         self._descriptors = descriptors
         self.port, self.uwsgi, self.agent, self.health, self.admin, self.console = (free_port() for _ in range(6))
         self.port = listen or self.port
@@ -166,7 +166,7 @@
             f'[admin]\nlisten = "{HOST}:{self.admin}"\ntoken = "t0p"\n{more}')
         for name, raw in (beside or {}).items():
             (folder / name).write_bytes(raw)
-        config = {"name": "n1", "listen": f"{HOST}:{self.port}", "kernel": f"{HOST}:{kernel_port}", "seed": "ab",
+        config = {"name": name, "listen": f"{HOST}:{self.port}", "kernel": f"{HOST}:{kernel_port}", "seed": "ab",
                   "console": f"{HOST}:{self.console}", "stop_ms": 4000, "settings": settings} | {
             name: f"{HOST}:{port}" for name, port in (("db", db_port), ("announce", announce)) if port}
         (folder / "config.json").write_text(json.dumps(config))
@@ -182,7 +182,7 @@
         folder = Path(self.dir.name)
         if self.processes:
             self.console = free_port()
-            self.config |= {"kernel": f"{HOST}:{kernel_port}"}
+            self.config |= {"kernel": f"{HOST}:{kernel_port}"} if kernel_port else {}
             (folder / "config.json").write_text(json.dumps(self.config))
         self.processes.append(subprocess.Popen(
             [sys.executable, "-m", "moorusher", "serve", "--fronts", str(self.fronts)], cwd=ROOT,
@@ -191,6 +191,12 @@
         if self._descriptors:
             resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (self._descriptors, self._descriptors))
 
+    def again(self) -> None:
+        """Another process after the last one has ended, with the same configuration and addresses."""
+        for left in self.spool.iterdir():  # a machine that starts anew has an empty $TMPDIR
+            left.unlink()
+        self.start(0)
+
     @property
     def process(self) -> subprocess.Popen[bytes]:
         """The one that was started last."""
--- a/tests/test_core_shape.py
+++ b/tests/test_core_shape.py
@@ -9,7 +9,7 @@
 
 CORE = sorted((Path(__file__).resolve().parent.parent / "moorusher" / "core").glob("*.py"))
 WIRES = {"twisted", "json", "base64", "binascii", "socket", "struct", "asyncio", "threading"}
-ALLOWED_PARENTS = {None, "watch", "answer", "call", "claims", "clock", "counters", "endings", "intake", "keys",
+ALLOWED_PARENTS = {None, "watch", "answer", "call", "care", "claims", "clock", "counters", "endings", "intake", "keys",
                    "requests", "retune", "run"}
 
 
@@ -30,7 +30,7 @@
         p.stem for p in CORE}
 
 
-PURE = ("standing", "succession", "tier", "knowledge")
+PURE = ("standing", "succession", "tier", "knowledge", "fleet")
 DECIDES = [p for name in PURE for p in sorted((CORE[0].parent.parent / name).glob("*.py"))]
 CALCULATES = {"__future__", "collections", "dataclasses", "enum", "heapq", "itertools", "math", "struct", "typing",
               "msgspec", "xxhash"}
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -192,7 +192,8 @@
 
 def test_the_shipped_fronts_file_has_everything_off() -> None:
     got = config.read_fronts(config.FRONTS_FILE)
-    assert got == (config.UwsgiConfig(), config.ProbeConfig(), config.AdminConfig(), config.TierConfig())
+    assert got == (config.UwsgiConfig(), config.ProbeConfig(), config.AdminConfig(), config.TierConfig(),
+                   config.FleetConfig())
 
 
 SERVER_KEYS = {"name", "address", "weight", "zone", "protocol"}  # of the sample server
@@ -204,6 +205,7 @@
     on = "\n".join(line.removeprefix("# ") if " = " in line and line[2:].split(" ")[0] not in off else line
                    for line in shipped.splitlines())
     (tmp_path / "fronts.toml").write_text(on)
-    uwsgi_config, probes, _, tier = config.read_fronts(tmp_path / "fronts.toml")
-    assert (uwsgi_config, probes, tier) == (config.UwsgiConfig(), config.ProbeConfig(), config.TierConfig())
+    uwsgi_config, probes, _, tier, fleet = config.read_fronts(tmp_path / "fronts.toml")
+    assert (uwsgi_config, probes, tier, fleet) == (config.UwsgiConfig(), config.ProbeConfig(), config.TierConfig(),
+                                                   config.FleetConfig())
     assert all(f"# {name} = " in shipped for name in {**config.POLICY_BOUNDS, **config.TIER_BOUNDS})
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -201,7 +201,8 @@
         self.service = Service(self.load(), MemoryReactorClock())  # type: ignore[no-untyped-call]
 
     def load(self, running: Any = None) -> config.Config:
-        off = config.UwsgiConfig(), config.ProbeConfig(), config.AdminConfig(), config.TierConfig()
+        off = config.UwsgiConfig(), config.ProbeConfig(), config.AdminConfig(), config.TierConfig(), \
+            config.FleetConfig()
         return config.read(self.file, {}, off, running)
 
     def reload(self, text: str | bytes) -> bool:
