A replaced process stays the same member of its fleet; experiment takeover

Ruled out: handing the keeper's promises on over $TMPDIR: the other keepers tell the new process all they know anyway, by the rule for keepers that have forgotten, and until then two of three still vote.

The change: the new process says which one it replaces for as long as that one lives; peers talk to the newer process; it answers for what the older one has in hand. Measured: a replacement with held work takes nothing over, all its callers are served, a repeat elsewhere finds the old process's work (test).

--- a/moorusher/check/explore.py
+++ b/moorusher/check/explore.py
@@ -43,12 +43,12 @@
     return xxhash.xxh3_128_digest(repr(state.print()).encode())
 
 
-def explore(first: Case, most: int = 1_000_000) -> Found:
-    """Breadth first, so that the way that is told is the shortest."""
+def explore(first: Case, most: int = 1_000_000, deep: bool = False) -> Found:
+    """Breadth first, so that the way that is told is the shortest; `deep`: depth first, which finds some way sooner."""
     seen: dict[bytes, tuple[bytes, str] | None] = {digest(first): None}
     queue: deque[tuple[bytes, Case]] = deque([(digest(first), first)])
     while queue:
-        here, state = queue.popleft()
+        here, state = queue.pop() if deep else queue.popleft()
         for name in state.moves():
             then = state.copied()
             then.move(name)
--- a/moorusher/fleet/node.py
+++ b/moorusher/fleet/node.py
@@ -167,7 +167,6 @@
 
     def start(self) -> None:
         self.members.start(self.clock())
-        self.tell()
         if not self.keeper.remembers:
             # Whatever an earlier process of this seat knew is out of its window by then.
             self._began = self.clock()
--- a/moorusher/lab/experiment.py
+++ b/moorusher/lab/experiment.py
@@ -91,10 +91,11 @@
 
 def known() -> dict[str, Experiment]:
     from .shed import SHED
+    from .takeover import TAKEOVER
     from .tier import TIER
     from .warm import WARM
 
-    return {e.name: e for e in (SHED, TIER, WARM)}
+    return {e.name: e for e in (SHED, TAKEOVER, TIER, WARM)}
 
 
 def run(name: str, quick: bool, seed: int, folder: Path, say: Callable[[str], None]) -> bool:
--- a/moorusher/lab/runners.py
+++ b/moorusher/lab/runners.py
@@ -68,7 +68,8 @@
     """One process. `ended` is called once, with its exit code, when it has gone."""
 
     def __init__(self, reactor: Any, kernel: Kernel, settings: dict[str, Any], below: int | None = None,
-                 standing: str = "", name: str = "n1", maxconn: bool = False) -> None:
+                 standing: str = "", name: str = "n1", maxconn: bool = False,
+                 more: str = "") -> None:
         self.kernel, self.name = kernel, name
         self.port, self.agent, self.health, self.admin = (free_port() for _ in range(4))
         self.exit: int | None = None
@@ -78,7 +79,7 @@
         (folder / "fronts.toml").write_text(
             f'[agent]\nlisten = "{HOST}:{self.agent}"\nmaxconn = {str(maxconn).lower()}\n'
             f'[health]\nlisten = "{HOST}:{self.health}"\n'
-            f'[admin]\nlisten = "{HOST}:{self.admin}"\ntoken = "lab"\n[standing]\n{standing}\n')
+            f'[admin]\nlisten = "{HOST}:{self.admin}"\ntoken = "lab"\n[standing]\n{standing}\n{more}')
         (folder / "config.json").write_text(json.dumps(
             {"name": name, "listen": f"{HOST}:{self.port}", "kernel": f"{HOST}:{kernel.port}", "seed": "ab",
              "stop_ms": 4000, "settings": settings} | ({"db": f"{HOST}:{below}"} if below else {})))
@@ -97,6 +98,6 @@
         self._dir.cleanup()
         self.ended(self.exit)
 
-    def signal(self, name: str) -> None:
+    def signal(self, name: str | int) -> None:
         if self.exit is None:
             self.process.signalProcess(name)
--- a/moorusher/links/fleet.py
+++ b/moorusher/links/fleet.py
@@ -205,6 +205,7 @@
         self._flush: list[Peer] = []
         self._names: dict[Key, CoreKey] = {}
         self._woken: int | None = None
+        self.elder = 0  # the process of this seat that this one replaces
         self._away = False  # what is held here is for others to take
         self.closed = False
         self._sink = TakenOver()
@@ -213,6 +214,7 @@
 
     def start(self) -> None:
         self.core.touch()
+        self.node.tell(self.elder, self.core.settings.cores)
         self.node.start()
         self._look()
 
@@ -240,6 +242,9 @@
         elif m.seat != peer.seat:
             return f"{m.seat!r} answers where {peer.seat!r} should"
         peer.seat, peer.inc = m.seat, m.inc
+        there = self._dials[m.seat].peer
+        if there is not None and 0 < there.inc < m.inc:  # another process has the seat: what we say is for that one
+            there.transport.loseConnection()
         self.node.members.heard(m.seat, m.inc)
         return None
 
@@ -301,7 +306,8 @@
 
     def _look(self) -> None:
         core = self.core
-        self.node.tell(cores=core.settings.cores)
+        elder = self.elder if core.claims.first and core.claims.peer is not None else 0
+        self.node.tell(elder, core.settings.cores)
         gone = core.link_since is not None and core.clock.now - core.link_since >= KERNEL_GONE
         if core.draining or (gone and core.ready):
             if not self._away:
@@ -460,6 +466,8 @@
     def has(self, key: Key) -> tuple[bool, bool, bytes | None]:
         name = self._names.get(key)
         entry = None if name is None else self.core.keys.find(name, self.core.clock.now)
+        if entry is None and self.core.claims.peer is not None:  # of the other process of this runner?
+            entry = next((e for e in self.core.keys.entries() if e.theirs and key_of(*e.key) == key), None)
         if entry is None:
             return False, False, None
         ours = not entry.theirs or self.core.claims.peer is not None
--- a/moorusher/links/succession.py
+++ b/moorusher/links/succession.py
@@ -55,6 +55,8 @@
     def beside(self, load: Load) -> None: ...
     def taken_out(self) -> dict[str, Any] | None: ...
     def take_out(self, told: dict[str, Any] | None) -> None: ...
+    def incarnation(self) -> int: ...  # among the runners of a fleet; 0 where there is none
+    def follows(self, incarnation: int) -> None: ...  # the process that this one replaces
 
 
 @implementer(IFileDescriptorReceiver)
@@ -354,6 +356,7 @@
             self._handed = self._owner.usable(handed)
             self._drop({label: fd for label, fd in handed.items() if label not in self._handed})
             self._owner.take_out(m["out"])
+            self._owner.follows(int(m.get("fleet", 0)))
             self._unsure_until = int(m["unsure"])
             self.core.keys.beside(m["bytes"])
             self.hear(Event.WELCOME)
@@ -415,7 +418,7 @@
             for fd in listeners.values():
                 peer.transport.sendFileDescriptor(fd)
             peer.say("WELCOME", v=VERSION, labels=list(listeners), out=self._owner.taken_out(),
-                     bytes=core.keys.size, unsure=core.keys.unsure_until)
+                     bytes=core.keys.size, unsure=core.keys.unsure_until, fleet=self._owner.incarnation())
             peer.hand_keys(claims.snapshot())
             self._told = Load()
             self._tell()
--- a/moorusher/service.py
+++ b/moorusher/service.py
@@ -249,6 +249,13 @@
     def take_out(self, told: dict[str, Any] | None) -> None:
         self.reporter.follow(None if told is None else Maintenance(**told))
 
+    def incarnation(self) -> int:
+        return 0 if self.fleet is None else int(self.fleet.node.owner.inc)
+
+    def follows(self, incarnation: int) -> None:
+        if self.fleet is not None:
+            self.fleet.elder = incarnation
+
     def finish(self) -> None:
         """Replaced: what was read is answered, and nobody is told to keep away."""
         if self.core.leaving:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -204,7 +204,7 @@
 ], ids=["commanded before it is begun", "other seats in one step"])
 def test_every_interleaving_finds_the_seeded_mistakes(limits: Limits, how: dict[str, Any]) -> None:
     case = Registers.begun(limits, **how)
-    found = explore(case, 60_000)
+    found = explore(case, 60_000, deep=True)
     assert found.broken is not None, str(found)
     assert replay(case, found.way) == found.broken, "the way that is told leads there"
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -13,7 +13,7 @@
 from moorusher.fleet.messages import VERSION, Hello, Refused, decode, encode
 
 from .fleets import Fleet, fleet, token
-from .stand_ins import HOST, body_of, content, exchange, status, until, uwsgi_request
+from .stand_ins import HOST, Kernel, body_of, content, exchange, status, until, uwsgi_request
 from .test_sockets import has, sockets
 
 
@@ -314,6 +314,29 @@
         assert all(served(t, a) for t, a in got.items()), [a for t, a in got.items() if not served(t, a)]
 
 
+@sockets
+async def test_a_replaced_process_is_the_same_member_and_what_it_holds_stays_its_own() -> None:
+    async with fleet(work=0.5) as f:
+        asked = await many(f, 10)
+        r = f.runners[0]
+        kernel = Kernel(work=0.02)
+        kernel.listen()
+        r.start(kernel.port)
+        await r.says_yes()
+        t = next(iter(asked))
+        assert served(t, (await ask_again(f, 2, [t]))[t]), "a repeat elsewhere finds the old process's work"
+        r.processes[0].send_signal(signal.SIGTERM)
+        assert all([served(t, await a) for t, a in asked.items()])
+        await has(lambda: r.processes[0].poll() == 0)
+        assert not f.began(1, 2, 3) and not kernel.runs, "nothing was taken from a process that lived"
+        await remembers(f, 0)
+        more = token()
+        assert served(more, (await ask_again(f, 0, [more]))[more])
+        assert all(served(t, a) for t, a in (await ask_again(f, 3, asked)).items())
+        once(f, asked)
+        kernel.close()
+
+
 async def remembers(f: Fleet, i: int) -> None:
     async def does() -> bool:
         return bool((await f.runners[i].counters("fleet"))["remembers"])
