What never ran and nobody goes on with is refused, not failed; the core's seam has its tests

Cause: two of six runners lost at 90% load left 44% of what they held served: what every survivor turned away was failed, though it never ran, so callers could not return.

Also: a failed probe made a member doubt itself although others answered it, so losses were seen 0.3 s late; an address that takes a connection and drops it at once counts as one that refuses.

--- a/moorusher/check/fleets.py
+++ b/moorusher/check/fleets.py
@@ -131,6 +131,10 @@
         self.state[key], self.results[key] = "over", result
         self._answer(key, result, "told")
 
+    def none_ran(self, key: Key) -> None:
+        self.state.pop(key, None)
+        self._answer(key, None, "refused")
+
     def lost(self, key: Key) -> None:
         self.state[key] = "theirs"
 
--- a/moorusher/core/decide.py
+++ b/moorusher/core/decide.py
@@ -349,6 +349,17 @@
             for waiter in self.keys.settle(entry.number, result):
                 self._shared(waiter, result)
 
+    def none_ran(self, key: Key) -> None:
+        """What another runner held under this key never ran, and nobody goes on with it: who waits here may return."""
+        self.touch()
+        entry = self.keys.find(key, self.clock.now)
+        if entry is None or not entry.theirs or entry.over:
+            return
+        for number in self.keys.forget(entry):
+            if (request := self.table.by_number.get(number)) is not None:
+                self._answer(request, Answer(Verdict.REFUSED, b"", Cause.TURNED_AWAY, BUSY_MS))
+                self._over(request, Ending.RUN_NEVER_BEGAN)
+
     # ---- what links tell ----
 
     def kernel_up(self, cold: bool, age_ms: float) -> None:
--- a/moorusher/fleet/member.py
+++ b/moorusher/fleet/member.py
@@ -121,20 +121,22 @@
         self._waits[serial] = seat
         self._host.send(seat, Ping(serial, self._tell(seat)))
         wait = ANSWER * (1 + self.health)
-        self._host.at(self.now() + wait, lambda: self._no_answer(serial, seat, self.now()))
+        sent = self.now()
+        self._host.at(sent + wait, lambda: self._no_answer(serial, seat, sent))
 
-    def _no_answer(self, serial: int, seat: str, now: int) -> None:
+    def _no_answer(self, serial: int, seat: str, sent: int) -> None:
         if serial not in self._waits:
             return
         helpers = sorted((s for s in self._others if s != seat and self.by_seat[s].up),
                          key=lambda _: self._host.random())[:HELPERS]
         for helper in helpers:
             self._host.send(helper, PingFor(serial, seat, self._tell(helper)))
-        self._host.at(now + ANSWER * (1 + self.health), lambda: self._failed(serial, seat))
+        self._host.at(self.now() + ANSWER * (1 + self.health), lambda: self._failed(serial, seat, sent))
 
-    def _failed(self, serial: int, seat: str) -> None:
+    def _failed(self, serial: int, seat: str, sent: int) -> None:
         if self._waits.pop(serial, None) is not None:
-            self.health = min(MOST_HEALTH, self.health + 1)
+            if all(self.by_seat[s].heard < sent for s in self._others):
+                self.health = min(MOST_HEALTH, self.health + 1)  # nobody is heard: it may be us
             self.suspect(seat)
 
     # ---- judgements ----
--- a/moorusher/fleet/node.py
+++ b/moorusher/fleet/node.py
@@ -83,6 +83,8 @@
     def uncovered(self, key: Key, why: str) -> None: ...
     def over(self, key: Key, result: bytes | None) -> None: ...  # of another's run
 
+    def none_ran(self, key: Key) -> None: ...  # another's work, that nobody goes on with
+
     # What becomes of a run that is to begin.
     def begun(self, key: Key) -> None: ...
     def lost(self, key: Key) -> None: ...  # another has it; `over` follows
@@ -408,7 +410,10 @@
         else:
             t.owner, t.attempt, t.state = work.owner, work.attempt, work.state
             if work.state is State.FREE and self.me in work.turned and t.stage is Stage.JOINED and not claiming:
-                return self._over(t, None)  # all that can run it have turned it away, and this one has too
+                # All that can run it have turned it away, and this one has too.
+                self.host.count("fleet: turned away by all")
+                self.host.none_ran(t.key)
+                return self._forget(t)
         if claiming:
             self.host.count("fleet: joined")
             self.host.theirs(t.key)
--- a/moorusher/lab/takeover.py
+++ b/moorusher/lab/takeover.py
@@ -24,6 +24,7 @@
 KINDS = [Kind("check", 0.7, WORK_MS, False, 1500, 4000), Kind("submit", 0.3, WORK_MS, False, 3000, 8000, keyed=True)]
 TENANTS = ["north", "south"]
 SECONDS, LOST_AT, SILENT_S = 9.0, 3.0, 2.0
+BURST = 10
 FAULTS = ("one", "two", "stopped", "cut")
 
 
@@ -94,6 +95,7 @@
             await self._pause(0.2)
         await self._pause(0.5)
         self._began = now_us()
+        self.reactor.callLater(LOST_AT - 0.1, self._burst)
         self.reactor.callLater(LOST_AT, self._lose)
         for arrival in self.arrivals:
             if arrival.at > self.now:
@@ -105,6 +107,15 @@
         self.close()
         return self.figures()
 
+    def _burst(self) -> None:
+        """So that there is something in hand to be lost: keyed work beyond what a runner's cores take at once."""
+        for i in (1, 4):
+            for _ in range(BURST):
+                body, token = f"work {WORK_MS * 4:.1f}".encode(), f"{self.rng.getrandbits(64):016x}"
+                one = Asked(Arrival(self.now, KINDS[1], TENANTS[0], body, token), token, self.now)
+                self.asked.append(one)
+                self._try(one, i)
+
     # ---- callers: the same token at the next runner after silence, or where a connection broke ----
 
     def _try(self, one: Asked, at: int) -> None:
@@ -126,6 +137,8 @@
                     one.outcome, one.ended = outcome, self.now
                 else:
                     self.reactor.callLater(0.2, lambda: self._next(one, at))
+            elif outcome == "refused" and one.token and self.now > LOST_AT:
+                self.reactor.callLater(0.4, lambda: self._next(one, at))
             else:
                 one.outcome, one.ended = outcome, self.now
 
--- a/moorusher/links/fleet.py
+++ b/moorusher/links/fleet.py
@@ -49,7 +49,7 @@
         self.link, self.seat, self.inc = link, seat, 0
         self.dialled = bool(seat)
         self.out: list[Message] = []
-        self.unsent = 0
+        self.told_no = False
         self._late: Alarm | None = None
 
     def connectionMade(self) -> None:
@@ -254,11 +254,14 @@
     def refused(self, peer: Peer, why: str) -> None:
         log.error("fleet: %s does not take this runner for one of its fleet: %s", peer.seat, why)
         self.count("fleet links: refused by another")
+        peer.told_no = True
         peer.transport.loseConnection()
 
     def hung_up(self, peer: Peer) -> None:
         self.open.discard(peer)
         if peer.dialled and self._dials[peer.seat].peer is peer:
+            if not peer.inc and not peer.told_no:  # taken and dropped at once: nobody is behind that address
+                self.unreached(peer.seat, refused=True)
             self._dials[peer.seat].down()
 
     def unreached(self, seat: str, refused: bool) -> None:
@@ -437,6 +440,10 @@
         if name is not None:
             self.core.result_of_another(name, result)
 
+    def none_ran(self, key: Key) -> None:
+        if (name := self._names.get(key)) is not None:
+            self.core.none_ran(name)
+
     def begun(self, key: Key) -> None:
         if (request := self._request(key)) is not None:
             self.core.begun(request)
