--- /dev/null
+++ b/moorusher/lab/many.py
@@ -0,0 +1,183 @@
+"""Several runners as a fleet, each with its kernel, under a trickle of keyed load; `kill NAME` and `stop NAME` on the
+terminal, and a line each second that shows what became of the work."""
+
+from __future__ import annotations
+
+import json
+import random
+import signal
+import sys
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+from urllib.request import Request, urlopen
+
+from twisted.internet.stdio import StandardIO
+from twisted.internet.task import LoopingCall
+from twisted.internet.threads import deferToThread
+from twisted.protocols.basic import LineOnlyReceiver
+
+from .cores import Machine
+from .load import Arrival, Kind, Target, draw
+from .runners import GAUGES, Runner, free_port, reap_children, settings_of
+from .stand_ins import HOST, Kernel
+
+CORES, WORK_MS, AHEAD_S = 2, 150.0, 3600.0
+KINDS = [Kind("check", 0.6, WORK_MS, False, 2000, 6000), Kind("submit", 0.4, WORK_MS, False, 4000, 10000, keyed=True)]
+SILENT_S = 2.0
+
+
+def fleet_toml(name: str, ports: dict[str, int]) -> str:
+    seats = "".join(f'[[fleet.seat]]\nname = "{n}"\naddress = "{HOST}:{p}"\nzone = "z{i % 3}"\n'
+                    for i, (n, p) in enumerate(ports.items()))
+    return f'[fleet]\nlisten = "{HOST}:{ports[name]}"\nname = "demo"\n{seats}'
+
+
+class _Words(LineOnlyReceiver):
+    """What is typed: a verb and a runner's name."""
+
+    delimiter = b"\n"
+
+    def __init__(self, told: Callable[[list[str]], None]) -> None:
+        self.told = told
+
+    def lineReceived(self, line: bytes) -> None:
+        self.told(line.decode("utf-8", "replace").split())
+
+
+class Many:
+    def __init__(self, reactor: Any, count: int, load: float, say: Callable[[str], None]) -> None:
+        self.reactor, self.say, self.rng = reactor, say, random.Random(1)
+        ports = {f"n{i + 1}": free_port() for i in range(count)}
+        self.kernels = {n: Kernel(reactor, machine=Machine(CORES), gauges=GAUGES) for n in ports}
+        for kernel in self.kernels.values():
+            kernel.listen()
+        settings = settings_of(KINDS, ["north", "south"], CORES, below="off", classCalls=[False, False],
+                               worthWithout=[0, 0])
+        self.runners = {n: Runner(reactor, self.kernels[n], settings, name=n, more=fleet_toml(n, ports)) for n in ports}
+        self.targets = {n: Target(reactor, r.port, i) for i, (n, r) in enumerate(self.runners.items())}
+        self.lost: set[str] = set()
+        self.counts: Counter[str] = Counter()
+        self.told: dict[str, Counter[str]] = {}
+        self.leaving = False
+        self._arrivals = iter(draw(1, KINDS, ["north", "south"], load * count * CORES / (WORK_MS / 1000), AHEAD_S))
+        self._number = 0
+        for n, r in self.runners.items():
+            r.ended = lambda code, n=n: self._gone(n)  # type: ignore[misc]
+            say(f"{n}  requests {HOST}:{r.port}  admin {HOST}:{r.admin}")
+        say(f"try       moorusher fleet show --address {HOST}:{self.runners['n1'].admin}\n"
+            "type      kill NAME, stop NAME, go NAME")
+        reactor.callLater(1.0, self._begin)
+
+    def _admin(self, name: str, path: str, method: str = "GET") -> Any:
+        def ask() -> Any:
+            try:
+                with urlopen(Request(f"http://{HOST}:{self.runners[name].admin}/{path}", method=method,
+                                     headers={"Authorization": "Bearer lab"}), timeout=1) as got:
+                    return json.load(got)
+            except (OSError, ValueError):
+                return None
+        return deferToThread(ask)
+
+    def _begin(self) -> None:
+        def begun(got: Any) -> None:
+            if got is None and not self.leaving:
+                self.reactor.callLater(0.3, self._begin)
+            elif not self.leaving:
+                self._next()
+                LoopingCall(self._tell).start(1.0, now=False)
+
+        self._admin("n1", "fleet/begin", "POST").addCallback(begun)
+
+    # ---- callers ----
+
+    def _next(self) -> None:
+        arrival = next(self._arrivals, None)
+        if arrival is None or self.leaving:
+            return
+        self._try(arrival, self.rng.choice(list(self.runners)), 1)
+        self.reactor.callLater(self.rng.expovariate(1.0) * WORK_MS / 1000 / (len(self.runners) * CORES * 0.6),
+                               self._next)
+
+    def _try(self, arrival: Arrival, name: str, tries: int) -> None:
+        self._number += 1
+
+        def done(outcome: str) -> None:
+            if late.active():
+                late.cancel()
+                if outcome in ("lost", "unreached") and tries < 4:
+                    self._again(arrival, name, tries)
+                else:
+                    self.counts[outcome] += 1
+
+        late = self.reactor.callLater(SILENT_S, lambda: self._again(arrival, name, tries))
+        self.targets[name].send(arrival, f"m{self._number:08x}", done)
+
+    def _again(self, arrival: Arrival, name: str, tries: int) -> None:
+        names = [n for n in self.runners if n not in self.lost]
+        if tries < 4 and names and not self.leaving:
+            self._try(arrival, self.rng.choice(names), tries + 1)
+        else:
+            self.counts["no answer"] += 1
+
+    # ---- what is typed, and shown ----
+
+    def command(self, words: list[str]) -> None:
+        verbs: dict[str, Any] = {"kill": "KILL", "stop": "STOP", "go": signal.SIGCONT}
+        if len(words) != 2 or words[0] not in verbs or words[1] not in self.runners:
+            return self.say(f"expected kill, stop or go, and one of {', '.join(self.runners)}")
+        verb, name = words
+        self.runners[name].signal(verbs[verb])
+        if verb == "kill":
+            self.lost.add(name)
+            self.kernels[name].close()
+        self.say(f"{name}: {verb}")
+
+    def _gone(self, name: str) -> None:
+        self.lost.add(name)
+        if self.leaving and len(self.lost) == len(self.runners):
+            self.reactor.stop()
+
+    def _tell(self) -> None:
+        for name in self.runners:
+            if name not in self.lost:
+                self._admin(name, "fleet").addCallback(lambda got, name=name: self._heard(name, got))
+        new, self.counts = self.counts, Counter()
+        fleet = Counter[str]()
+        for told in self.told.values():
+            fleet.update(told)
+        shown = ("covered", "joined", "taken over", "buried", "uncovered")
+        self.say("  ".join(f"{k} {new[k]:>3}" for k in ("served", "refused", "failed", "no answer")) + "  |  "
+                 + "  ".join(f"{k} {fleet['fleet: ' + k]}" for k in shown))
+
+    def _heard(self, name: str, got: Any) -> None:
+        if got is not None:
+            self.told[name] = Counter(got["counters"])
+
+    def leave(self) -> None:
+        if self.leaving:
+            return
+        self.leaving = True
+        for name, runner in self.runners.items():
+            if name not in self.lost:
+                runner.signal(signal.SIGCONT)
+                runner.signal("TERM")
+        if len(self.lost) == len(self.runners):
+            self.reactor.stop()
+
+
+def up(count: int, seconds: float, load: float, say: Callable[[str], None]) -> int:
+    """Until ^C, or for `seconds`."""
+    from .. import loop
+
+    reactor = loop.install()
+    many = Many(reactor, count, load, say)
+    if sys.stdin.isatty():
+        StandardIO(_Words(many.command))  # type: ignore[no-untyped-call]
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, lambda *_: reactor.callFromThread(many.leave))
+    reap_children(reactor)
+    if seconds:
+        reactor.callLater(seconds, many.leave)
+    reactor.run(installSignalHandlers=False)
+    return 0
