Seats that are reached elsewhere are followed by SIGHUP, and are not named for the next start

Cause: the address of a seat was taken at once, and the log named it for the next start, again at each reload; other seats were named too but their addresses taken half.

Measured: its test fails without the change.

--- a/moorusher/config.py
+++ b/moorusher/config.py
@@ -11,7 +11,7 @@
 import os
 import tomllib
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any, TypeVar, cast
 
@@ -81,6 +81,10 @@
     seats: tuple[Seat, ...] = ()
     policy: FleetPolicy = field(default_factory=FleetPolicy)
 
+    def but_for_addresses(self) -> FleetConfig:
+        """What can't change while the runner serves: who keeps which key follows from it."""
+        return replace(self, seats=tuple(replace(seat, address=("", 0)) for seat in self.seats))
+
 
 @dataclass(frozen=True, slots=True)
 class AdminConfig:
--- a/moorusher/fleet/node.py
+++ b/moorusher/fleet/node.py
@@ -390,7 +390,10 @@
         work: Work | None = done.value
         claiming = t.stage is Stage.CLAIMING
         if work is not None and work.body != t.body:
-            self.host.differs(t.key) if claiming else self.host.over(t.key, None)
+            if claiming:
+                self.host.differs(t.key)
+            else:
+                self.host.over(t.key, None)
             return self._forget(t)
         if work is not None and work.state is State.HELD and work.owner == self.owner:
             t.stage, t.attempt, t.hold, t.owner = Stage.MINE, work.attempt, done.hold, None
--- a/moorusher/service.py
+++ b/moorusher/service.py
@@ -299,6 +299,8 @@
         """Raises ConfigError before anything is changed."""
         odd = [f.name for f in fields(Config) if getattr(new, f.name) != getattr(old, f.name)
                and f.name not in LIVE]
+        if "fleet" in odd and old.fleet.but_for_addresses() == new.fleet.but_for_addresses():
+            odd.remove("fleet")  # its seats are reached elsewhere: that is followed at once
         odd += [f"{name}.listen" for name in ("agent", "health")
                 if getattr(new.probes, name) != getattr(old.probes, name)]
         below = new.uwsgi.below or new.db if old.uwsgi.below is None else new.uwsgi.below
@@ -309,7 +311,8 @@
             raise ConfigError(f"{'db' if announced else 'announce'}: can't be set or taken away without a restart")
         self.core.touch()
         retune = plan(self.core.settings, new.settings)
-        self.config = replace(old, **{name: getattr(new, name) for name in LIVE})
+        self.config = replace(old, **{name: getattr(new, name) for name in LIVE},
+                              fleet=old.fleet if "fleet" in odd else new.fleet)
         if retune.settings != self.core.settings:
             self.core.retune(retune)
             self.reporter.retune(retune.settings)
@@ -348,7 +351,7 @@
         probes = new.probes
         self.reporter.set_policy(probes.policy)
         if self.fleet is not None:
-            self.fleet.follow(new.fleet)
+            self.fleet.follow(self.config.fleet)
         if self.agent is not None:
             self.agent.maxconn = probes.maxconn
         if self.health is not None:
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -17,6 +17,7 @@
 from moorusher.core.intake import Fault
 from moorusher.core.requests import Arrival
 from moorusher.core.retune import NEW, plan
+from moorusher.fleet.policy import Seat
 from moorusher.fronts.jsonrpc import END_FAULTS, MOST_FAULTS, MOST_OPEN
 from moorusher.service import Service
 from peattack import Balancer
@@ -195,14 +196,19 @@
     "stop_ms": 4000, "limits": {"cores": 1.0, "memory_mb": 80, "sockets": 512}, "settings": SETTINGS}
 
 
+def fleet(*seats: Seat) -> config.FleetConfig:
+    return config.FleetConfig(("127.0.0.1", 1), "f", seats)
+
+
 class Running:
-    def __init__(self) -> None:
+    def __init__(self, fleet: config.FleetConfig | None = None) -> None:
+        self.fleet = fleet or config.FleetConfig()
         self.file = json.dumps(CONFIG).encode()
         self.service = Service(self.load(), MemoryReactorClock())  # type: ignore[no-untyped-call]
 
     def load(self, running: Any = None) -> config.Config:
         off = config.UwsgiConfig(), config.ProbeConfig(), config.AdminConfig(), config.TierConfig(), \
-            config.FleetConfig()
+            self.fleet
         return config.read(self.file, {}, off, running)
 
     def reload(self, text: str | bytes) -> bool:
@@ -283,3 +289,18 @@
     assert not r.reload(json.dumps(new))
     with pytest.raises(config.ConfigError, match=r"classes\[1\].deadline_ms"):
         r.load(CONFIG)
+
+
+def test_seats_of_a_fleet_may_be_reached_elsewhere_and_are_otherwise_for_the_next_start(
+        caplog: pytest.LogCaptureFixture) -> None:
+    here, there = Seat("n1", ("127.0.0.1", 1)), Seat("n2", ("127.0.0.1", 2))
+    running = Running(fleet(here, there))
+    link = running.service.fleet
+    running.fleet = fleet(here, Seat("n2", ("127.0.0.1", 3)))
+    with caplog.at_level("INFO"):
+        assert running.reload(json.dumps(CONFIG))
+    assert link._dials["n2"].address == ("127.0.0.1", 3) and "for the next start" not in caplog.text
+    running.fleet = fleet(here, Seat("n2", ("127.0.0.1", 4)), Seat("n3", ("127.0.0.1", 5)))
+    with caplog.at_level("INFO"):
+        running.reload(json.dumps(CONFIG))
+    assert "fleet: changed, for the next start" in caplog.text and link._dials["n2"].address == ("127.0.0.1", 3)
