The word that a fleet is new counts for one process, not for a later one of its seat

Begin named no process. Queued for a link that broke, it could reach a process that started after keys had run: a keeper that had forgotten would then vote as one that remembers.

Ruled out: clearing what waits for a link alone (a connection may carry it across as well).

The change: it names the incarnation that was heard as blank. Measured: its test fails without the change; forgetting and whole-fleet tests with real processes pass.

--- a/moorusher/fleet/messages.py
+++ b/moorusher/fleet/messages.py
@@ -86,7 +86,10 @@
 
 
 class Begin(_Message, frozen=True, tag="begin"):
-    """An operator's word that nothing of this fleet ran before: all of its seats are up, and none remembers."""
+    """An operator's word that nothing of this fleet ran before: all of its seats are up, and none remembers. For that
+    incarnation alone: one that is heard late must not have a later process vote as if it remembered."""
+
+    inc: int
 
 
 # ---- work ----
--- a/moorusher/fleet/node.py
+++ b/moorusher/fleet/node.py
@@ -236,12 +236,12 @@
         if missing := sorted(self.keeper.others - self.blank_peers):
             return f"not heard as one that remembers nothing: {', '.join(missing)}"
         for seat in self.keeper.others:
-            self.host.send(seat, Begin())
-        self._begin_fleet(self.me, Begin())
+            self.host.send(seat, Begin(self.keeper.incs[seat]))
+        self._begin_fleet(self.me, Begin(self.owner.inc))
         return None
 
     def _begin_fleet(self, seat: str, m: Begin) -> None:
-        if not self.keeper.remembers and not self.keeper.synced:
+        if m.inc == self.owner.inc and not self.keeper.remembers and not self.keeper.synced:
             self.keeper.remembers = True
             self.host.count("fleet: begun")
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -16,6 +16,7 @@
 from moorusher.fleet.keeper import Keeper
 from moorusher.fleet.member import Members, State
 from moorusher.fleet.messages import FAST, Ask, Ping, Pong, decode, encode
+from moorusher.fleet.messages import Begin as BeginFleet
 from moorusher.fleet.policy import Seat
 from moorusher.fleet.register import Writer
 from moorusher.fleet.seats import Seats
@@ -190,6 +191,14 @@
     assert not k["y"].ask(0, Ask(2, b"k", first[0].ballot, held(), first[0].after, {"x": 1, "y": 1}, 1000)).taken
 
 
+def test_the_word_that_a_fleet_is_new_counts_for_no_later_process() -> None:
+    process = Simulation(1, Course(seats=3, keys=0, faults=0)).born(0, remembers=False, inc=7)
+    process.node.heard("n1", 9, BeginFleet(6))
+    assert not process.node.keeper.remembers
+    process.node.heard("n1", 9, BeginFleet(7))
+    assert process.node.keeper.remembers
+
+
 # ---- every interleaving ----
 
 
