A tenant past its share gives way; no call goes out that could only be given up

Looked for with a count of refusals by line and tenant, and of calls by length: - Few first tries of the small tenants were refused (40 of 2,800); a tenth of the tries never reached a server. `_refuse` gave every refusal `backoff`, callers obey it for all their tenants, and sent nothing of the others. The length of a call was learnt from those that ended alone.

Beside such a tenant the others' further tries wait as first ones do.

--- a/peattack/balance.py
+++ b/peattack/balance.py
@@ -2,7 +2,6 @@
 
 The ordinary path is 2DFQ^E (2DFQ paper, sections 4 and 5, Figure 7). Work is counted in core milliseconds;
 weights are scaled to a mean of 1, so start tags S_f, the virtual time v and L_max/phi_f share that unit.
-Order: tags and slots; slot count n; hold and refusals; calls below; keys; drain; health and signals.
 """
 
 from __future__ import annotations
@@ -14,30 +13,26 @@
 from peattack.interface import Below, Effect, Halting, Outcome, SignalKind
 
 NEVER = float("inf")
-ALPHA = 0.99  # decay of L_max at each completion
+ALPHA, LEARN = 0.99, 0.1  # decay of L_max at each completion; weight of a new sample in a running mean
 TICK_MS = 25.0  # refresh charging, due times, late work; only while something is outstanding
 WINDOW_MS = 500.0  # slot count, rate of the virtual clock, signals
 BUSY = 0.8  # use of the cores under which more may run
-LEARN = 0.1  # weight of a new sample in a running mean
-MEMORY_FILL = 0.97  # share of the memory that is given out
-CROWD_FILL = 0.8  # share of the survivable crowd that is used
+MEMORY_FILL, CROWD_FILL = 0.97, 0.8  # shares of the memory and of the survivable crowd that are used
 PATIENCE = 0.55  # of the spare time, in the hold: late refusals are no use elsewhere
 RETRY_BUDGET = 0.2  # share of marked retries among arrivals up to which other servers seem to have room
 TOLD = 32  # stated waits that are kept for each class; a quarter of them are shorter than the usual wait
-RESERVE = 0.2  # weight of the newest window in the demand of a class
+RESERVE = 0.2  # weight of the newest window in the demand of a class or tenant
+OVER, SELDOM = 1.25, 0.05  # times its share of what is asked that is past it; requests a window that are none
 DENSER = 1.5  # times the worth from which a class goes before another
-SPREAD = 0.5  # mean deviations that are added to a usual run
-MOST_NEED = 0.5  # of its aim: the longest that a run is expected to take
+SPREAD, MOST_NEED = 0.5, 0.5  # mean deviations added to a usual run; of its aim: the longest it may need
 LEAST_ROOM = 0.1  # of the slots that are left to a class, however much of more worth is asked
 FIRST_COST = 0.2  # of the shortest aim: a cost before any is known
 CALL_BURST, TIER_CALLS = 0.5, 4.0  # of a window's share of calls, at once; calls a core at a further tier
-CALL_PATIENCE = 0.7  # of a run's length: wait for a call after which calls count as scarce
-LAST_STRETCH = 1.5  # usual stretches after a call: what a run needs of its time once it goes on
+CALL_ROOM, CALL_FILL = 2.0, 0.5  # times its usual length that a call needs; at most, of an idle budget's
+CALL_PATIENCE, LAST_STRETCH = 0.7, 1.5  # usual stretches: wait for a call that is scarce; need after it
 CALL_BACKOFF_MS = 50.0  # before a failed call is made again, times the tries so far
-# Wait in the hold, as a share of the shortest aim, that callers may cause: after refusals, and else
-HOLD_PRESSED, HOLD_ROOMY = 0.25, 0.5
-SAID_AGAIN = 0.05  # change of the allowance from which it is told anew
-SHED_FADES = 0.9  # of the refusals that are remembered, with each window
+HOLD_PRESSED, HOLD_ROOMY = 0.25, 0.5  # of the shortest aim: wait that callers may cause after refusals; else
+SAID_AGAIN, SHED_FADES = 0.05, 0.9  # change from which it is told anew; what a window leaves of refusals
 SERVE_ON = 0.4  # of the time between the notice to leave and the stop
 CALLERS_PER_CORE, SHORT_IDLE_MS = 16, 100.0  # connected callers a server can bear; idle time of surplus ones
 HELD, RUNNING, WAITING, CALLING, SHARED = range(5)  # states of a job: WAITING and CALLING stand at a call
@@ -48,6 +43,7 @@
 
     def __init__(self, phi: float) -> None:
         self.phi, self.tag, self.active = phi, 0.0, False
+        self.came, self.demand, self.over = 0, 0.0, False  # see `_shares`
         self.queue: deque[_Job] = deque()
         self.lmax: dict[_Kind, float] = {}
 
@@ -134,10 +130,9 @@
         self.callers: list[_Job] = []
         self.call_most = max(1.0, s.fair_calls) if s.below is Below.SHARED else TIER_CALLS * s.cores
         burst = CALL_BURST * s.fair_calls * s.call_window_ms
-        self.call_budget = {Below.OFF: 0.0, Below.SHARED: burst, Below.TIER: NEVER}[s.below]
+        self.call_budget = {Below.OFF: 0.0, Below.TIER: NEVER}.get(s.below, burst)
         self.drain_at = self.stop_at = self.serve_until = self.timer_due = NEVER
-        self.sent_away, self.beside = False, api.Beside()
-        self.asked, self.keep_open = 0, s.idle_connection_ms
+        self.sent_away, self.beside, self.asked, self.keep_open = False, api.Beside(), 0, s.idle_connection_ms
         self.shed, self.said = 0.0, -1.0  # refusals of the last windows; what callers were allowed last
         self.busy, self.full_ms, self.retries = 1.0, 0.0, 0.0
 
@@ -213,8 +208,7 @@
         if not job.flow.active:
             job.flow.active, job.flow.tag = True, max(job.flow.tag, self.v)
             self.phi_sum += job.flow.phi
-        queue = job.flow.queue  # oldest first, but what is worth clearly more goes before
-        queue.insert(self._ahead(job, job.flow), job)
+        job.flow.queue.insert(self._ahead(job, job.flow), job)  # oldest first, after what is worth more
         self.queued += 1
 
     def _pick(self, slot: int, anyone: bool) -> _Flow | None:
@@ -306,8 +300,7 @@
         speed = s.cold_speed + (1 - s.cold_speed) * part
         return max(1.0, CROWD_FILL * s.cores * (1 + (s.crowd_per_core - 1) * speed) - self.beside.running)
 
-    def _own(self) -> int:
-        """Of the n slots, those that the process that this one replaces has left."""
+    def _own(self) -> int:  # of the n slots, those that the process that this one replaces has left
         return max(1, self.n - self.beside.on_cores)
 
     def _window(self) -> None:
@@ -324,6 +317,7 @@
         self._connections()
         self._allow()
         self._reserve(self.now - self.window_at)
+        self._shares()
         self.window_at, self.work, self.full_ms = self.now, 0.0, 0.0
         # Callers may stand for tenants, thousands of them: one without work or debt is as good as new.
         known = range(len(self.s.tenants))
@@ -347,11 +341,8 @@
             return
         if job.born > self.drain_at + self.s.drain_grace_ms or not self._room(job):
             return self._refuse(job)
-        job.kind.came += 1
-        # A marked retry is older at its client than it looks here: it takes a free slot or none. In a storm
-        # held retries crowd out the fresh, are late themselves, and come again.
-        spare = 0.0 if req.is_retry else (job.aim - self.now - job.kind.need()) * PATIENCE
-        wait = self._wait(job)
+        job.kind.came, flow.came = job.kind.came + 1, flow.came + 1
+        spare, wait = self._spare(job), self._wait(job)
         if wait > 0.0 and job.kind.credit < 0:
             wait = NEVER  # a slot that is free now is kept for nobody
         if wait > spare and self.in_run + self.queued:  # what is worth less makes room
@@ -363,6 +354,14 @@
     def _ahead(self, job: _Job, flow: _Flow) -> int:
         return sum(not _denser(job.cls, j.cls) for j in flow.queue)
 
+    def _spare(self, job: _Job) -> float:
+        """How long it may be held. Marked retries, older than they look: not at all (retry storm), except
+        beside a tenant that is past its share. That one: as its most urgent class, else that is shut out."""
+        if job.req.is_retry and (job.flow.over or not any(f.over for f in self.flows.values())):
+            return 0.0
+        spare = job.aim - self.now - job.kind.need()
+        return PATIENCE * min([spare] + [k.cls.aim_ms - k.need() for k in self.kinds if job.flow.over])
+
     def _wait(self, job: _Job) -> float:
         """How long a new request would be held: its tenant's queue at its share, at most all that is held."""
         if self.on_cores + self.queued < self._own():
@@ -372,10 +371,18 @@
         ahead = min(self._ahead(job, job.flow) * phis / job.flow.phi, held)
         return (ahead + 0.5) * self._slot_ms() / self.n
 
+    def _shares(self) -> None:
+        """Which tenants ask for clearly more than their share of what is asked, where that is worth less."""
+        for f in self.flows.values():
+            f.demand, f.came = f.demand + RESERVE * (f.came - f.demand), 0
+        asking = [f for f in self.flows.values() if f.demand > SELDOM]
+        fair = sum(f.demand for f in asking) / max(1e-9, sum(f.phi for f in asking))
+        for f in self.flows.values():
+            f.over = self.s.over_share_worth < 1 and f.demand > OVER * f.phi * fair
+
     def _reserve(self, past: float) -> None:
-        """Slots are kept for what is worth clearly more for its work: a class may take no more of them than
-        the asked share of the denser ones leaves. Binds only in overload; the oldest-first hold would
-        let any free slot go to whatever comes first, and all classes would lose alike."""
+        """Slots are kept for what is worth clearly more: a class may take no more than the asked share of the
+        denser ones leaves. Binds only in overload: oldest first alone would let all classes lose alike."""
         for kind in self.kinds:
             kind.windows += 1  # a class that came later must not seem small beside the others for seconds
             weight = max(RESERVE, 1 / kind.windows)
@@ -396,8 +403,7 @@
     def _used(self) -> float:
         return self.used_kb + self.s.key_entry_kb * len(self.entries) + self.beside.memory_kb
 
-    def _room(self, job: _Job) -> bool:
-        """Held, running and remembered share the memory; the run of this one must fit too."""
+    def _room(self, job: _Job) -> bool:  # held, running and remembered share the memory; its run must fit too
         return self._used() + self.s.key_entry_kb + job.kb * (self.s.run_memory_factor - 1) <= self.memory
 
     def _prune(self, f: _Flow) -> None:
@@ -408,10 +414,12 @@
 
     def _refuse(self, job: _Job) -> None:
         """Turn away what never ran. Where retries are marked and few, others have room: it may go on.
-        Else none is asked for: where one server is full most are, and each try costs a read (retry storm)."""
+        Else none is asked for: where one server is full most are, and each try costs a read (retry storm).
+        Callers stay away with all their tenants: one that is past its share is no reason for that."""
         self.shed += 1.0
         final = not self.s.retries_marked or job.req.is_retry or self.retries > RETRY_BUDGET
-        self.out.append(api.Reject(job.id, min(self.s.retry_after_max_ms, self._slot_ms()), final))
+        stay = 0.0 if job.flow.over and self.now < self.drain_at else self._slot_ms()
+        self.out.append(api.Reject(job.id, min(self.s.retry_after_max_ms, stay), final))
         self._close(job)
 
     def _close(self, job: _Job, fail: bool = False) -> None:
@@ -456,9 +464,8 @@
         if (job := self.jobs.get(e.id)) is None or job.state == HELD:
             return
         if job.state != SHARED:
-            if job.state == CALLING:
-                self.calling -= 1
-            elif job.state == RUNNING:
+            self.calling -= job.state == CALLING
+            if job.state == RUNNING:
                 self.occupy += LEARN * (self.now - job.on_core - self.occupy)
             whole = e.outcome is Outcome.OK  # a run that failed early tells nothing of cost
             job.kind.ended(self.now - job.began, whole)
@@ -484,10 +491,9 @@
             if job.cls.worth_without_call > 0 and (late or scarce) and not job.answered:
                 self.out.append(api.SkipCall(job.id))
                 self._on_core(job)
-            elif job.call_at <= self.now and self._may_call() and not job.answered:
+            elif job.call_at <= self.now and self._may_call(job) and not job.answered:
                 job.state, self.calling, job.called_at = CALLING, self.calling + 1, self.now
-                left = (self.call_budget - self.call_debt) / self.call_most - self.s.abandoned_call_stays_ms
-                timeout = max(1.0, min(job.due - self.now, self.stop_at - self.now, left))
+                timeout = max(1.0, min(min(job.due, self.stop_at) - self.now, self._longest(self.call_debt)))
                 job.call_paid = timeout + self.s.abandoned_call_stays_ms
                 self.call_debt += job.call_paid
                 self.out.append(api.Call(job.id, timeout))
@@ -500,11 +506,17 @@
         self.out.append(api.SkipCall(job.id))
         self._on_core(job)
 
-    def _may_call(self) -> bool:
+    def _longest(self, debt: float) -> float:
+        """How long a call may take if all that may be out at once are to stay within the budget."""
+        return (self.call_budget - debt) / self.call_most - self.s.abandoned_call_stays_ms
+
+    def _may_call(self, job: _Job) -> bool:
         """Over every window no more in the mean than this server's share. As with tags, the most is paid at
-        the start and the rest given back: by what the call took, not by when a slow server hears of it."""
-        room = self.call_debt < self.call_budget * (1 - 0.5 / self.call_most)
-        return room and self.calling + 1 <= self.call_most
+        the start and the rest given back: by what the call took, not by when a slow server hears of it.
+        None goes out that could only be given up: it would take from those that could end (slow below)."""
+        usual, most = (1 + job.cls.worth_without_call) * self.call_ms, self._longest(0.0)
+        enough = self._longest(self.call_debt) >= min(CALL_ROOM * usual, CALL_FILL * most, most)
+        return enough and self.call_debt < self.call_budget and self.calling + 1 <= self.call_most
 
     def _call_ended(self, job: _Job, e: api.CallEnded) -> None:
         if job.state != CALLING:
@@ -512,8 +524,9 @@
         self.calling -= 1
         stays = self.s.abandoned_call_stays_ms if e.outcome is Outcome.TIMEOUT else 0.0
         self.call_debt += e.latency_ms + stays - job.call_paid
+        given_up = e.outcome is Outcome.TIMEOUT and e.latency_ms > self.call_ms  # it would have taken longer
+        self.call_ms += LEARN * (e.latency_ms - self.call_ms) * (given_up or e.outcome is Outcome.OK)
         if e.outcome is Outcome.OK:
-            self.call_ms += LEARN * (e.latency_ms - self.call_ms)
             return self._on_core(job)
         job.state, job.tries = WAITING, job.tries + 1
         job.call_at = self.now + CALL_BACKOFF_MS * job.tries
@@ -600,8 +613,7 @@
             self.out.append(api.Signal(level))
 
     def _connections(self) -> None:
-        """Idle connections take cores and places: where a caller is not expected back before they would end
-        anyway, they close at once."""
+        """Idle connections take cores and places: they close at once where no caller is expected in time."""
         longest = self.s.idle_connection_ms
         back = self.s.callers * (self.now - self.window_at) / max(1, self.asked)
         surplus = self.s.callers > CALLERS_PER_CORE * self.s.cores and back > longest
