Keepers may have a disk that lasts; no promise that a request never ran without proof

Need: a fleet that loses its power forgets what ran, and refuses keyed work for a window; two keepers of a key that are lost within one leave it without a majority.

One file a life, under a lock, the next life's written before the last one's is removed; full disk: no vote until a whole new file could be written. Off as shipped.

`_take_over` dropped a takeover that was not heard chosen in 250 ms; its keepers saw the taker alive and waited. It is asked again now, until the window is over.

Refused with the promise is what every keeper it went to has turned down (`Writer.unsure`). Ruled out: to hold the answer until it is taken back (final answers are never delayed).

The folder is ended at each write, fsync, rename and removal, with what is not confirmed lost, torn or there; without fsync that fails. Real processes: three runners and kernels killed at once go on without a word; held work of one that stays away is run by the others within 2 s; EFBIG on one and two of three.

--- a/moorusher/check/registers.py
+++ b/moorusher/check/registers.py
@@ -114,7 +114,7 @@
             new.runners[name] = other = copy(r)
             if r.writer is not None:
                 other.writer = w = copy(r.writer)
-                w._votes, w._refused = dict(w._votes), set(w._refused)
+                w._votes, w._refused, w._may_have = dict(w._votes), set(w._refused), set(w._may_have)
         return new
 
     @staticmethod
--- a/moorusher/config.py
+++ b/moorusher/config.py
@@ -80,6 +80,7 @@
     name: str = ""
     seats: tuple[Seat, ...] = ()
     policy: FleetPolicy = field(default_factory=FleetPolicy)
+    journal: str = ""  # a folder on a disk that lasts
 
     def but_for_addresses(self) -> FleetConfig:
         """What can't change while the runner serves: who keeps which key follows from it."""
@@ -264,7 +265,7 @@
 
 
 def _fleet(section: Section) -> FleetConfig:
-    section.unknown({"listen", "name", "uncovered", "claim_ms", "copies", "seat"})
+    section.unknown({"listen", "name", "uncovered", "claim_ms", "copies", "seat", "journal"})
     listen = _inside(section.address("listen"), section.key("listen"))
     d = FleetPolicy()
     uncovered = section.get("uncovered", "refuse")
@@ -279,6 +280,9 @@
     name = section.get("name", "")
     if not is_word(name, 64):
         raise ConfigError(f"{section.key('name')}: expected letters, digits and -_.:, got {name!r}")
+    journal = section.get("journal", "")
+    if journal and not Path(journal).is_absolute():
+        raise ConfigError(f"{section.key('journal')}: expected an absolute path, got {journal!r}")
     listed: list[Any] = section.get("seat", [])
     if not 1 <= len(listed) <= MOST_SEATS:
         raise ConfigError(f"{section.key('seat')}: expected 1 to {MOST_SEATS} of them, got {len(listed)}")
@@ -292,7 +296,7 @@
         if address is None:
             raise ConfigError(f"{one.key('address')}: required, as HOST:PORT")
         seats.append(Seat(seat, address, one.get("zone", "")))
-    return FleetConfig(listen, name, tuple(seats), policy)
+    return FleetConfig(listen, name, tuple(seats), policy, journal)
 
 
 Fronts = tuple[UwsgiConfig, ProbeConfig, AdminConfig, TierConfig, FleetConfig]
--- a/moorusher/core/answer.py
+++ b/moorusher/core/answer.py
@@ -25,6 +25,7 @@
     FAULT = "fault in this runner"
     STOPPING = "the runner stops"
     KEY_UNSURE = "its key can't be told from one that ran"
+    MAY_GO_ON = "others may go on with it"
 
 
 @dataclass(slots=True, frozen=True)
--- a/moorusher/core/decide.py
+++ b/moorusher/core/decide.py
@@ -185,11 +185,12 @@
         self.touch()
         self._events.append(self.intake.event(request))
 
-    def _turn_away(self, request: Request, why: str) -> None:
+    def _turn_away(self, request: Request, why: str, proven: bool = True) -> None:
         """Before the module has heard of it: its key is the other process's business, or that one is silent."""
         self.touch()
         log.warning("request %s turned away: %s", request.rid, why)
-        self._answer(request, Answer(Verdict.REFUSED, b"", Cause.KEY_UNSURE, BUSY_MS))
+        self._answer(request, Answer(Verdict.REFUSED, b"", Cause.KEY_UNSURE, BUSY_MS) if proven
+                     else Answer(Verdict.FAILED, cause=Cause.MAY_GO_ON))
         self._unheld(request.number)
 
     def gone(self, request: Request) -> None:
@@ -270,9 +271,10 @@
         if request.number in self.table.by_number:
             self._hand_on(request)
 
-    def uncovered(self, request: Request, why: str) -> None:
+    def uncovered(self, request: Request, why: str, proven: bool = True) -> None:
+        """`proven`: nobody else knows of it. Else it is told without the promise that it never runs."""
         if request.number in self.table.by_number:
-            self._turn_away(request, why)
+            self._turn_away(request, why, proven)
 
     def _give(self, request: Request) -> None:
         entry = self.keys.of_try(request.number)
@@ -311,12 +313,13 @@
             self._command(request)
 
     def not_begun(self, request: Request, why: str) -> None:
-        """Nobody could be told: it is not commanded, and never will be."""
+        """Nobody could be told: it is not commanded here, and never will be. Others may take this runner for lost, and
+        run it: its caller gets no promise."""
         if self.table.by_number.get(request.number) is not request or request.stage is not Stage.BEGINNING:
             return
         self.touch()
         log.warning("request %s turned away: %s", request.rid, why)
-        self._answer(request, Answer(Verdict.REFUSED, b"", Cause.KEY_UNSURE, BUSY_MS))
+        self._answer(request, Answer(Verdict.FAILED, cause=Cause.MAY_GO_ON))
         self._never(request)
 
     def _never(self, request: Request) -> None:
--- a/moorusher/fleet/keeper.py
+++ b/moorusher/fleet/keeper.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from .journal import Heard, Image, Line, Remembers
 from .messages import FAST, Ask, Ballot, Incs, Slots, Vote
 from .seats import majority
 from .work import Key
@@ -44,6 +45,11 @@
     synced: set[str] = field(default_factory=set)  # who has told all that it knows, in this life of ours
     _ends: list[tuple[int, Key]] = field(default_factory=list)  # stale where the slot says otherwise
     told: Callable[[Key, Slot], None] = lambda key, slot: None  # a slot has another value
+    notes: bool = False  # there is a disk: what changes is noted until it is written
+    mute: bool = False  # and it does not take what is written: no vote may leave
+    _unsaved: set[Key] = field(default_factory=set)
+    _unsaved_incs: bool = True
+    _unsaved_end: bool = True  # that it remembers
 
     def __post_init__(self) -> None:
         self.incs[self.me] = self.inc
@@ -59,13 +65,14 @@
         for seat, inc in incs.items():
             if inc > self.incs.get(seat, 0):
                 self.incs[seat] = inc
+                self._unsaved_incs = True
 
     # ---- votes ----
 
     def ask(self, now: int, a: Ask) -> Vote:
         seats = self.keepers(a.key)
         incs = {s: self.incs[s] for s in seats if s in self.incs}
-        if self.me not in seats or not self.votes_for(a.key):
+        if self.me not in seats or self.mute or not self.votes_for(a.key):
             return Vote(a.serial, a.key, False, NEVER, None, None, self.inc, incs, blank=True)
         slot = self.slots.get(a.key)
         if slot is None:
@@ -97,6 +104,8 @@
         return True
 
     def _keep(self, key: Key, slot: Slot, until: int) -> None:
+        if self.notes:
+            self._unsaved.add(key)
         if until > slot.until:
             slot.until = until
             heapq.heappush(self._ends, (until, key))
@@ -141,3 +150,38 @@
             self.synced.add(seat)
             if self.synced >= self.others:
                 self.remembers = True
+
+    # ---- a disk ----
+
+    def unsaved(self, now: int) -> list[Any]:
+        """Records of all that has changed since the last call; that it remembers comes after what it remembers."""
+        lines: list[Any] = [self._line(now, key) for key in self._unsaved if key in self.slots]
+        if self._unsaved_incs:
+            lines.append(Heard(dict(self.incs)))
+        if self.remembers and self._unsaved_end:
+            lines.append(Remembers())
+            self._unsaved_end = False
+        self._unsaved.clear()
+        self._unsaved_incs = False
+        return lines
+
+    def whole(self, now: int) -> list[Any]:
+        """Records of all that there is, in place of all that was written before."""
+        self._unsaved.update(self.slots)
+        self._unsaved_incs = self._unsaved_end = True
+        return self.unsaved(now)
+
+    def _line(self, now: int, key: Key) -> Line:
+        slot = self.slots[key]
+        return Line(key, slot.promised, slot.ballot, slot.value, max(1, (slot.until - now) // 1000))
+
+    def recall(self, now: int, image: Image) -> None:
+        """As an earlier life of this seat has left it."""
+        self.hear_of({seat: inc for seat, inc in image.incs.items() if seat != self.me})
+        for key, line in image.slots.items():
+            slot = self.slots[key] = Slot(line.promised, line.ballot, line.value)
+            self._keep(key, slot, now + line.left_ms * 1000)
+            if line.value is not None:
+                self.told(key, slot)
+        self.remembers = image.remembers
+        self._unsaved.clear()  # it is in the file already
--- a/moorusher/fleet/node.py
+++ b/moorusher/fleet/node.py
@@ -13,6 +13,7 @@
 from itertools import count
 from typing import Any, Protocol
 
+from .journal import Image
 from .keeper import Keeper, Slot
 from .member import MS, Members
 from .messages import Ask, Begin, Had, Has, Ping, PingFor, Pong, Slots, Sync, Take, Vote
@@ -20,12 +21,13 @@
 from .register import Change, Done, Hold, Writer
 from .seats import Seats, majority
 from .work import Begin as BeginWork
-from .work import Bury, Claim, Free, Key, Look, Order, Owner, Settle, State, Work
+from .work import Bury, Claim, Free, Key, Look, Order, Owner, Settle, State, Withdraw, Work
 from .work import Take as TakeWork
 
 NUDGE = 6 * MS  # a first write goes on with a majority
 AGAIN = 40 * MS  # a round without a majority is asked again, with a higher ballot; twice as late each time
 MOST_AGAIN = 1_000 * MS
+TAKE_BACK = 8_000 * MS  # the same where nobody waits, and there may be thousands: the side of a cut without majorities
 ANSWERS = 150 * MS  # an owner says by then that it has the work, or is taken for silent
 WATCH = 400 * MS  # until it is asked again
 RANKS = 250 * MS  # between the keepers of a key, in their order, until the next one sees to it
@@ -33,6 +35,7 @@
 SYNC = 500 * MS
 PACE, AT_ONCE = 10 * MS, 8  # of takeovers that are begun: a lost runner's work comes as a stream, not as a blow
 MOST_QUEUE = 4_000
+RECALLED = 1_000 * MS  # after a start from a disk, until owners that were not heard count as lost
 
 
 class Stage(Enum):
@@ -76,11 +79,16 @@
     def wake(self, when: int) -> None: ...  # call `ring` then
     def count(self, name: str) -> None: ...
 
+    # Before a vote counts for anybody: `then` once all that this keeper has changed so far is on its disk; at once
+    # where it has none; never where the disk fails.
+    def durable(self, then: Callable[[], None]) -> None: ...
+    def replier(self, seat: str) -> Callable[[Any], None]: ...  # `reply`, for later
+
     # What becomes of a key that was claimed.
     def mine(self, key: Key) -> None: ...
     def theirs(self, key: Key) -> None: ...
     def differs(self, key: Key) -> None: ...
-    def uncovered(self, key: Key, why: str) -> None: ...
+    def uncovered(self, key: Key, why: str, proven: bool) -> None: ...  # that nobody else knows of it
     def over(self, key: Key, result: bytes | None) -> None: ...  # of another's run
 
     def none_ran(self, key: Key) -> None: ...  # another's work, that nobody goes on with
@@ -103,6 +111,7 @@
     then: Callable[[Done | None], None]
     until: int  # given up then
     wait: int = AGAIN
+    most: int = MOST_AGAIN
     round: int = 0  # grows with each question, so that a delay which belongs to an older one does nothing
 
 
@@ -128,6 +137,10 @@
         self._pacing = False
         self.blank_peers: set[str] = set()
         self._began = 0
+        self._taking_back = 0
+        self._unsure = False  # of the change that was given up last: it may be chosen yet
+        self._recalled: set[Owner] = set()  # lives that a disk tells of,
+        self._left: set[Owner] = set()  # and those of them that are not heard any more
         self._handlers: dict[type, Callable[[str, Any], None]] = {
             Ask: self._ask, Vote: self._vote, Sync: self._sync, Slots: self._slots, Begin: self._begin_fleet,
             Has: self._has, Had: self._had, Take: self._take,
@@ -167,8 +180,27 @@
         if self._alarms:
             self.host.wake(self._alarms[0][0])
 
+    def recall(self, image: Image) -> None:
+        """Before the start: what an earlier life of this seat has left on its disk."""
+        self.keeper.recall(self.clock(), image)
+        self._recalled = set(self._by_owner)
+
+    def _look_for_owners(self) -> None:
+        """Nobody else may know of them: the whole fleet may have lost its power."""
+        for owner in sorted(self._recalled, key=lambda o: (o.seat, o.inc)):
+            member = self.members.by_seat.get(owner.seat)
+            if owner == self.owner or (member is not None and member.up and owner.inc in (member.inc, member.told[2])):
+                continue
+            if owner in self._by_owner:
+                self._left.add(owner)
+            for key in sorted(self._by_owner.get(owner, ())):
+                self._tend(key)
+        self._recalled.clear()
+
     def start(self) -> None:
         self.members.start(self.clock())
+        if self._recalled:
+            self.at(self.clock() + RECALLED, self._look_for_owners)
         if not self.keeper.remembers:
             # Whatever an earlier process of this seat knew is out of its window by then.
             self._began = self.clock()
@@ -192,7 +224,11 @@
         self._handlers[type(message)](seat, message)
 
     def _ask(self, seat: str, m: Ask) -> None:
-        self.host.reply(seat, self.keeper.ask(self.clock(), m))
+        vote = self.keeper.ask(self.clock(), m)
+        if not vote.taken:  # it promises nothing
+            return self.host.reply(seat, vote)
+        say = self.host.replier(seat)
+        return self.host.durable(lambda: say(vote))
 
     def _vote(self, seat: str, m: Vote) -> None:
         job = self._jobs.get(m.serial // 1000)
@@ -209,8 +245,13 @@
         self.at(self.clock() + SYNC, self._sync_all)
 
     def _sync(self, seat: str, m: Sync) -> None:
-        for part in self.keeper.answer_sync(self.clock(), seat, m.inc):
-            self.host.reply(seat, part)
+        parts, say = self.keeper.answer_sync(self.clock(), seat, m.inc), self.host.replier(seat)
+
+        def tell() -> None:
+            for part in parts:
+                say(part)
+
+        self.host.durable(tell)  # that its earlier lives count for nothing must outlive this one
 
     def _slots(self, seat: str, m: Slots) -> None:
         if m.inc < self.owner.inc:
@@ -248,28 +289,25 @@
     # ---- changes of registers ----
 
     def _change(self, key: Key, change: Change, until: int, wait_us: int, then: Callable[[Done | None], None],
-                hold: Hold | None = None) -> None:
+                hold: Hold | None = None, most: int = MOST_AGAIN) -> None:
         self._serial += 1
         now = self.clock()
         writer = Writer(key, self.seats.keepers(key), self.owner.inc, self._serial, change,
                         max(1, (until - now) // 1000), hold)
-        job = self._jobs[self._serial] = _Job(writer, then, now + wait_us)
+        job = self._jobs[self._serial] = _Job(writer, then, now + wait_us, most=most)
         self._went(job, writer.begin(self._serial * 1000))
 
     def _went(self, job: _Job, asks: list[Ask]) -> None:
         """After each step of a writer: its questions go out, its end is told."""
         writer = job.writer
-        while asks:
+        for ask in asks:
             job.round += 1
-            for ask in asks:
-                for seat in writer.keepers:
-                    if seat != self.me:
-                        self.host.send(seat, ask)
+            for seat in writer.keepers:
+                if seat != self.me:
+                    self.host.send(seat, ask)
             self._wait(job)
-            if self.me not in writer.keepers:
-                break
-            # Last, so that the others are under way already; its answer may be what completes the round.
-            asks = [a for ask in asks for a in writer.heard(self.me, self.keeper.ask(self.clock(), ask))]
+            if self.me in writer.keepers:  # last, so that the others are under way already
+                return self._vote_for(job, ask)
         if writer.done is not None:
             if self._jobs.pop(writer.serial // 1000, None) is not None:
                 job.then(writer.done)
@@ -286,6 +324,19 @@
         elif writer.fast and self._rest_is_gone(writer) and (more := writer.nudge()):
             self._went(job, more)
 
+    def _vote_for(self, job: _Job, ask: Ask) -> None:
+        """Our own vote, which counts as little as any before it is on the disk."""
+        vote = self.keeper.ask(self.clock(), ask)
+
+        def said() -> None:
+            if self._jobs.get(job.writer.serial // 1000) is job:  # not given up meanwhile
+                self._went(job, job.writer.heard(self.me, vote))
+
+        if vote.taken:
+            self.host.durable(said)
+        else:
+            said()
+
     def _rest_is_gone(self, writer: Writer) -> bool:
         return all(seat in writer.took or not self.members.by_seat[seat].up for seat in writer.keepers)
 
@@ -308,7 +359,7 @@
                 return
             if self.clock() >= job.until or job.writer.serial % 1000 > 900:
                 return self._give_up(job)
-            job.wait = min(MOST_AGAIN, job.wait * 2)
+            job.wait = min(job.most, job.wait * 2)
             self._went(job, job.writer.again())
 
         self.at(min(self.clock() + wait, max(job.until, self.clock() + MS)), again)
@@ -316,6 +367,7 @@
     def _give_up(self, job: _Job) -> None:
         job.round += 1  # nothing more is asked
         if self._jobs.pop(job.writer.serial // 1000, None) is not None:
+            self._unsure = job.writer.unsure
             job.then(None)
 
     # ---- one thing after the other on each key ----
@@ -358,8 +410,12 @@
                 return self._next(t)
             if done is None:
                 self.host.count("fleet: uncovered")
-                self.host.uncovered(key, "no majority of its keepers answers")
-                return self._forget(t)
+                self.host.uncovered(key, "no majority of its keepers answers", not self._unsure)
+                if self._unsure:
+                    self._take_back(t)
+                else:
+                    self._forget(t)
+                return self._next(t)
             self._read(t, done)
             self._next(t)
 
@@ -372,7 +428,7 @@
             if self.tenures.get(key) is t and t.stage is Stage.CLAIMING and not t.busy:
                 t.stage = Stage.SETTLING
                 self.host.count("fleet: uncovered")
-                self.host.uncovered(key, "an earlier try is not taken back yet")
+                self.host.uncovered(key, "an earlier try is not taken back yet", False)
                 self._forget(t)
 
         if before is not None and before.busy:  # an earlier try is still being taken back: that goes first
@@ -500,6 +556,25 @@
 
         self._do(t, step)
 
+    def _take_back(self, t: Tenure) -> None:
+        """What nobody waits for may be ours in the register yet: were this runner lost later, another would run it."""
+        if self.policy.alone:
+            return self._forget(t)
+        if self._taking_back >= MOST_QUEUE:
+            self.host.count("fleet: not taken back")
+            return self._forget(t)
+        t.stage = Stage.SETTLING
+        self._taking_back += 1
+
+        def back(done: Done | None) -> None:
+            self._taking_back -= 1
+            self._forget(t)
+            self._next(t)
+
+        self._do(t, lambda: self._change(t.key, Withdraw(self.owner), t.until, max(MS, t.until - self.clock()), back,
+                                         most=TAKE_BACK))
+        return None
+
     def _persist(self, t: Tenure, change: Change) -> None:
         """Tried until it is chosen, or no longer counts."""
 
@@ -635,6 +710,7 @@
             keys.discard(key)
             if not keys:
                 del self._by_owner[before]
+                self._left.discard(before)
         work: Work | None = None if slot is None else slot.value
         if work is None or work.state is State.OVER or (work.state is State.FREE and work.order is None):
             return
@@ -676,7 +752,7 @@
     def _past(self, owner: Owner) -> bool:
         """It was lost, as far as is known here: nobody else acts for it any more."""
         member = self.members.by_seat.get(owner.seat)
-        return member is None or member.past(owner.inc)
+        return member is None or member.past(owner.inc) or owner in self._left
 
     def _offer(self, key: Key, work: Work, tries: int = 0) -> None:
         """To the seat whose turn it is; where that one does not take it, to the next."""
@@ -711,11 +787,15 @@
         else:
             self._pacing = False
 
-    def _take_over(self, m: Take) -> None:
+    def _take_over(self, m: Take, last: int | None = None) -> None:
         def taken(done: Done | None) -> None:
-            work: Work | None = None if done is None else done.value
+            if done is None:  # it may be ours all the same: its keepers see us alive, and wait for us
+                if self.clock() < until:
+                    self.at(self.clock() + LOOK_AGAIN, lambda: self._take_over(m, until))
+                return
+            work: Work | None = done.value
             if work is None or work.owner != self.owner or work.order is None or work.state is not State.HELD \
-                    or done is None or m.key in self.tenures:
+                    or m.key in self.tenures:
                 return  # HELD by us is ours, though a later round of our own may have found it so
             t = Tenure(m.key, work.body, work.order, until, Stage.MINE, work.attempt, hold=done.hold, taken=True)
             self.tenures[m.key] = t
@@ -723,7 +803,7 @@
             if not self.host.take_up(m.key, work.body, work.order, until):
                 self.free(m.key, turned=True)
 
-        until = self.clock() + self._longest
+        until = self.clock() + self._longest if last is None else last
         slot = self.keeper.slots.get(m.key)
         if slot is not None:
             until = min(until, slot.until)
--- a/moorusher/fleet/register.py
+++ b/moorusher/fleet/register.py
@@ -71,6 +71,9 @@
     _seen: int = 1  # the highest round heard of
     _votes: dict[str, Vote] = field(default_factory=dict)
     _refused: set[str] = field(default_factory=set)
+    _may_have: set[str] = field(default_factory=set)  # keepers that a value has gone to, and that have not refused it
+    _values: int = 0  # rounds that carried one,
+    _value_serial: int = 0  # and the last of them
 
     def begin(self, serial: int) -> list[Ask]:
         """The first question. `serial` must differ from those of all other writers of this process, by 1000s."""
@@ -88,6 +91,9 @@
         self.serial += 1
         self._ballot, self._quorum = ballot, quorum
         self._votes, self._refused, self.blanks = {}, set(), 0
+        if value is not None:
+            self._values, self._value_serial = self._values + 1, self.serial
+            self._may_have.update(self.keepers)
         return [Ask(self.serial, self.key, ballot, value, self._after(ballot), quorum, self.left_ms)]
 
     def _after(self, ballot: Ballot) -> Ballot:
@@ -114,6 +120,8 @@
     # ---- answers ----
 
     def heard(self, seat: str, vote: Vote) -> list[Ask]:
+        if not vote.taken and vote.serial == self._value_serial and self._values == 1:
+            self._may_have.discard(seat)  # though the next round is under way; what two rounds left is not known
         if self.done is not None or vote.serial != self.serial or seat not in self.keepers:
             return []
         self._seen = max(self._seen, vote.promised[0], vote.ballot[0] if vote.ballot else 0)
@@ -143,6 +151,11 @@
         found = read(list(votes.values()))
         return self._write(self._ballot, found, quorum)
 
+    @property
+    def unsure(self) -> bool:
+        """Some keeper may have taken a value: given up now, it may be chosen yet, by others, too."""
+        return bool(self._may_have)
+
     @property
     def fast(self) -> bool:
         return self._ballot == FAST and self._value is not None
--- a/moorusher/fleet/work.py
+++ b/moorusher/fleet/work.py
@@ -135,6 +135,19 @@
         return None
 
 
+class Withdraw:
+    """A claim whose outcome its owner did not hear in time, and has told its caller that it never ran. Whichever
+    attempt it became: this owner has begun none."""
+
+    def __init__(self, me: Owner) -> None:
+        self.me = me
+
+    def __call__(self, old: Work | None) -> Work | None:
+        if old is not None and old.owner == self.me and old.state is State.HELD:
+            return Work(State.FREE, old.owner, old.attempt, old.body)
+        return None
+
+
 class Bury(_Mine):
     """What may have begun at a runner that is lost: over, without a result. `me` is that owner."""
 
--- /dev/null
+++ b/moorusher/links/disk.py
@@ -0,0 +1,207 @@
+"""The folder in which a keeper's lives leave what they have promised: one file a life, written before votes leave.
+
+What is written is decided in `fleet/journal.py` and the keeper. Here: one write and one fsync at a time, in a thread of
+the reactor's pool, for all that has gathered since the last; whole files by rename; a lock, so that nobody reads a file
+that is still written. A file that a failed write has touched is never appended to.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import logging
+import os
+import re
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from twisted.internet.threads import deferToThreadPool
+from twisted.python.failure import Failure
+
+from ..fleet.journal import Image, Whose, pack, read
+from ..fleet.keeper import Keeper
+
+log = logging.getLogger("moorusher")
+
+GROWN = 1 << 20  # bytes appended, at least, before a file is written anew without what no longer counts
+NAME = re.compile(r"(\d{1,20})\.log")
+
+
+class Files:
+    """What is asked of the operating system; a test fails or ends it at each step."""
+
+    def write(self, fd: int, data: bytes) -> int:
+        return os.write(fd, data)
+
+    def sync(self, fd: int) -> None:
+        os.fsync(fd)
+
+    def rename(self, old: Path, new: Path) -> None:
+        os.replace(old, new)
+
+    def remove(self, path: Path) -> None:
+        path.unlink(missing_ok=True)
+
+
+class Folder:
+    """Blocking, and for one thread at a time. Raises OSError where the disk is full or fails."""
+
+    def __init__(self, path: Path, whose: Whose, files: Files | None = None) -> None:
+        self.path, self.whose, self._files = path, whose, files or Files()
+        self._fd = -1
+        self.name = ""
+        self.size = self.base = 0  # bytes of the file, and of what it began with
+
+    def open(self, inc: int) -> tuple[int, Image | None, str]:
+        """A new life begins: its incarnation, above that of all that have a file here; what the last one has left,
+        or why nothing of it can be used."""
+        self.path.mkdir(parents=True, exist_ok=True)
+        lives = sorted(int(m[1]) for entry in self.path.iterdir() if (m := NAME.fullmatch(entry.name)))
+        image, why, data = None, "nothing is there", b""
+        if lives:
+            inc = max(inc, lives[-1] + 1)
+            image, why, data = self._last(self.path / f"{lives[-1]}.log")
+        if image is not None:
+            inc = max(inc, image.incs.get(self.whose.seat, 0) + 1)
+        self.name = f"{inc}.log"
+        self.rewrite(pack([self.whose]) if image is None else data[:image.good])
+        for life in lives:  # only now: until here the last one is what counts
+            if self._is_free(self.path / f"{life}.log"):
+                self._files.remove(self.path / f"{life}.log")
+        return inc, image, why
+
+    def _last(self, path: Path) -> tuple[Image | None, str, bytes]:
+        fd = os.open(path, os.O_RDONLY)
+        try:
+            fcntl.flock(fd, fcntl.LOCK_SH | fcntl.LOCK_NB)
+            data = path.read_bytes()
+            image = read(data, self.whose)
+            return (image, "", data) if image.remembers else (None, "that life had forgotten, too", b"")
+        except BlockingIOError:
+            return None, "another process of this seat is writing", b""
+        except ValueError as exc:
+            return None, str(exc), b""
+        finally:
+            os.close(fd)
+
+    def _is_free(self, path: Path) -> bool:
+        fd = os.open(path, os.O_RDONLY)
+        try:
+            fcntl.flock(fd, fcntl.LOCK_SH | fcntl.LOCK_NB)
+            return True
+        except BlockingIOError:
+            return False
+        finally:
+            os.close(fd)
+
+    def _write(self, fd: int, data: bytes) -> None:
+        left = memoryview(data)
+        while left:
+            left = left[self._files.write(fd, bytes(left[:1 << 20])):]
+        self._files.sync(fd)
+
+    def append(self, data: bytes) -> None:
+        self._write(self._fd, data)
+        self.size += len(data)
+
+    def rewrite(self, data: bytes) -> None:
+        """The file begins anew with this."""
+        new = self.path / f"{self.name}.new"
+        fd = os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        try:
+            fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            self._write(fd, data)
+            self._files.rename(new, self.path / self.name)
+            above = os.open(self.path, os.O_RDONLY)
+            try:
+                self._files.sync(above)
+            finally:
+                os.close(above)
+        except BaseException:
+            os.close(fd)
+            raise
+        self.close()
+        self._fd, self.size, self.base = fd, len(data), len(data)
+
+    def close(self) -> None:
+        if self._fd >= 0:
+            os.close(self._fd)
+            self._fd = -1
+
+
+class Disk:
+    """Between the keeper and its folder: what waits for the disk, in the order in which it came."""
+
+    def __init__(self, reactor: Any, folder: Folder, keeper: Keeper, clock: Callable[[], int],
+                 count: Callable[[str], None]) -> None:
+        self._reactor, self._folder, self._keeper = reactor, folder, keeper
+        self._clock, self._count = clock, count
+        self._waiting: list[Callable[[], None]] = []
+        self._busy = self._soon = False
+        self.failing = ""
+        self.closed = False
+        keeper.notes = True
+
+    def durable(self, then: Callable[[], None]) -> None:
+        if self.failing:
+            return  # whoever waits for a vote asks others, or again
+        self._waiting.append(then)
+        if not self._busy and not self._soon:
+            self._soon = True
+            self._reactor.callLater(0, self._save)  # with all that this turn still brings
+
+    def _save(self, anew: bool = False) -> None:
+        self._soon = False
+        if self.closed or self._busy:
+            return
+        folder, waiting, self._waiting = self._folder, self._waiting, []
+        anew = anew or folder.size - folder.base > max(GROWN, folder.base)
+        now = self._clock()
+        records = self._keeper.whole(now) if anew else self._keeper.unsaved(now)
+        if not records:
+            return self._run(waiting)
+        data = pack([folder.whose, *records] if anew else records)
+        self._busy = True
+        done = deferToThreadPool(self._reactor, self._reactor.getThreadPool(),
+                                 folder.rewrite if anew else folder.append, data)
+        done.addCallbacks(lambda _: self._saved(waiting), self._failed)
+        done.addErrback(lambda failure: log.error("fleet: %s", failure.getTraceback()))
+        return None
+
+    def _saved(self, waiting: list[Callable[[], None]]) -> None:
+        self._busy = False
+        self._count("fleet: written to the disk")
+        if self.failing:
+            log.warning("fleet: the journal is written again")
+            self.failing, self._keeper.mute = "", False
+        self._run(waiting)
+        if self._waiting:
+            self._save()
+
+    def _run(self, waiting: list[Callable[[], None]]) -> None:
+        self._clock()
+        for then in waiting:
+            try:
+                then()
+            except Exception:  # a fault of ours over one vote must not keep back the others
+                log.exception("fleet: after a write")
+                self._count("faults")
+
+    def _failed(self, failure: Failure) -> None:
+        self._busy = False
+        self.fails(str(failure.value))
+
+    def fails(self, why: str) -> None:
+        """No vote leaves that is not written; the file is left alone until a whole new one could be."""
+        self._waiting.clear()
+        if not self.failing:
+            log.error("fleet: the journal can't be written, this keeper has no vote: %s", why)
+            self._count("fleet: the disk failed")
+        self.failing, self._keeper.mute = why or "failed", True
+        if not self.closed:
+            self._reactor.callLater(1, self._save, True)
+
+    def close(self) -> None:
+        self.closed = True
+        if not self._busy:
+            self._folder.close()
--- a/moorusher/links/fleet.py
+++ b/moorusher/links/fleet.py
@@ -9,13 +9,14 @@
 import logging
 import time
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 from twisted.internet.protocol import ClientFactory, Factory
 from twisted.protocols.basic import Int32StringReceiver
 from twisted.python.failure import Failure
 
-from ..config import FleetConfig
+from ..config import ConfigError, FleetConfig
 from ..core.answer import Answer
 from ..core.clock import MS, Alarm
 from ..core.decide import Decider
@@ -23,10 +24,13 @@
 from ..core.keys import Entry, window_end
 from ..core.keys import Key as CoreKey
 from ..core.requests import Arrival, Request
+from ..fleet.journal import VERSION as JOURNAL
+from ..fleet.journal import Image, Whose
 from ..fleet.messages import MOST_FRAME, VERSION, Hello, Message, Refused, decode, encode
 from ..fleet.node import Node
 from ..fleet.seats import Seats
 from ..fleet.work import Key, Order, key_of
+from .disk import Disk, Folder
 
 log = logging.getLogger("moorusher")
 
@@ -198,7 +202,23 @@
         self._fit, self._random = fit, random
         seats = Seats(config.seats, config.policy.copies)
         self._digest = seats.digest()
-        self.node = Node(name, time.time_ns() // 1000, seats, self, config.policy, self.longest())
+        inc = time.time_ns() // 1000
+        self._image: Image | None = None
+        self.disk: Disk | None = None
+        if config.journal:
+            folder = Folder(Path(config.journal), Whose(JOURNAL, config.name, self._digest, name))
+            try:
+                inc, self._image, why = folder.open(inc)
+            except OSError as exc:
+                if not folder.name:  # what earlier lives have left is not known
+                    raise ConfigError(f"fleet.journal: {exc}") from exc
+                inc, why = int(folder.name.split(".")[0]), f"can't be written: {exc}"
+            log.info("fleet: journal: %s", why if self._image is None else f"{len(self._image.slots)} keys recalled")
+        self.node = Node(name, inc, seats, self, config.policy, self.longest())
+        if config.journal:
+            self.disk = Disk(reactor, folder, self.node.keeper, self._now, self.count)
+            if not folder.size:
+                self.disk.fails(why)
         self._dials = {seat.name: Dial(self, seat.name, seat.address) for seat in config.seats if seat.name != name}
         self.open: set[Peer] = set()  # connections that others made
         self._hearing: Peer | None = None
@@ -214,6 +234,9 @@
 
     def start(self) -> None:
         self.core.touch()
+        if self._image is not None:
+            self.node.recall(self._image)
+            self._image = None
         self.node.tell(self.elder, self.core.settings.cores)
         self.node.start()
         self._look()
@@ -278,6 +301,21 @@
         finally:
             self._hearing = None
 
+    def _now(self) -> int:
+        self.core.touch()
+        return self.core.clock.now
+
+    def durable(self, then: Callable[[], None]) -> None:
+        if self.disk is None:
+            then()
+        else:
+            self.disk.durable(then)
+
+    def replier(self, seat: str) -> Callable[[Message], None]:
+        if self._hearing is not None and self._hearing.seat == seat:
+            return self._hearing.say
+        return lambda message: self.send(seat, message)
+
     def flush_soon(self, peer: Peer) -> None:
         if not self._flush:
             self.reactor.callLater(0, self.flush)
@@ -292,6 +330,8 @@
     def close(self) -> None:
         self.flush()
         self.closed = True
+        if self.disk is not None:
+            self.disk.close()
         for dial in self._dials.values():
             if dial.peer is not None:
                 dial.peer.transport.loseConnection()
@@ -337,6 +377,7 @@
                     "heard_ms": None if m.heard < 0 else (now - m.heard) / MS}
                    for m in node.members.by_seat.values()]
         return {"name": self.config.name, "seat": self.name, "remembers": node.keeper.remembers, "members": members,
+                "journal": None if self.disk is None else self.disk.failing or "written",
                 "health": node.members.health, "keeps": len(node.keeper.slots), "in_hand": len(node.tenures),
                 "counters": {k: v for k, v in self.core.counters.total.items() if k.startswith("fleet")}}
 
@@ -424,14 +465,14 @@
         if (request := self._request(key)) is not None:
             self.core.uncovered(request, "this token came before with another body")
 
-    def uncovered(self, key: Key, why: str) -> None:
+    def uncovered(self, key: Key, why: str, proven: bool) -> None:
         request = self._request(key)
         if request is None:
             return
         if self.config.policy.alone:
             self.core.granted(request)
         else:
-            self.core.uncovered(request, why)
+            self.core.uncovered(request, why, proven)
 
     def over(self, key: Key, result: bytes | None) -> None:
         if (request := self._request(key)) is not None:  # found while it was being claimed
