--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -90,10 +90,10 @@
         self.runners[i].process.kill()
         self.kernels[i].close()
 
-    async def gone(self) -> None:
-        """Those that were killed have left their addresses."""
-        for r in self.runners:
-            r.process.wait()
+    async def gone(self, *which: int) -> None:
+        """Those that were killed, all where none is named, have left their addresses."""
+        for i in which or range(len(self.runners)):
+            self.runners[i].process.wait()
         await asyncio.sleep(0.1)
 
     def again(self, i: int) -> None:
