--- a/moorusher/links/disk.py
+++ b/moorusher/links/disk.py
@@ -71,18 +71,21 @@
         return inc, image, why
 
     def _last(self, path: Path) -> tuple[Image | None, str, bytes]:
-        fd = os.open(path, os.O_RDONLY)
+        writing = None, "another process of this seat is writing", b""
+        with open(path, "rb") as file:
+            try:
+                fcntl.flock(file, fcntl.LOCK_SH | fcntl.LOCK_NB)
+            except BlockingIOError:
+                return writing
+            data = file.read()
+            # Written anew since it was opened: the lock is on what nobody uses any more.
+            if os.fstat(file.fileno()).st_ino != path.stat().st_ino:
+                return writing
         try:
-            fcntl.flock(fd, fcntl.LOCK_SH | fcntl.LOCK_NB)
-            data = path.read_bytes()
             image = read(data, self.whose)
-            return (image, "", data) if image.remembers else (None, "that life had forgotten, too", b"")
-        except BlockingIOError:
-            return None, "another process of this seat is writing", b""
         except ValueError as exc:
             return None, str(exc), b""
-        finally:
-            os.close(fd)
+        return (image, "", data) if image.remembers else (None, "that life had forgotten, too", b"")
 
     def _is_free(self, path: Path) -> bool:
         fd = os.open(path, os.O_RDONLY)
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import resource
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -199,6 +201,26 @@
     third.close()
 
 
+def test_a_file_that_is_written_anew_while_it_is_opened_is_still_its_writers(tmp_path: Path,
+                                                                           monkeypatch: pytest.MonkeyPatch) -> None:
+    """The lock was taken on the old file, which its writer had just let go."""
+    elder, younger = Folder(tmp_path, WHOSE), Folder(tmp_path, WHOSE)
+    elder.open(10)
+    elder.append(pack([line(1), Remembers()]))
+    lock, turns = fcntl.flock, iter([True])
+
+    def flock(file: Any, how: int) -> None:
+        if how & fcntl.LOCK_SH and next(turns, False):
+            elder.rewrite(pack([WHOSE, line(2), Remembers()]))
+        lock(file, how)
+
+    monkeypatch.setattr("moorusher.links.disk.fcntl.flock", flock)
+    _, image, why = younger.open(3)
+    assert image is None and "another process" in why
+    elder.close()
+    younger.close()
+
+
 def test_a_clock_that_was_set_back_makes_no_incarnation_of_the_past(tmp_path: Path) -> None:
     incs = []
     for at in (1_000, 500, 400):
