--- a/moorusher/fronts/uwsgi.py
+++ b/moorusher/fronts/uwsgi.py
@@ -42,7 +42,7 @@
 # A gateway's two words: what stood behind it failed (502), or did not answer in time (504).
 FAILED_STATUS = {
     Cause.RUN_FAILED: 502, Cause.NOT_ACCEPTED: 502, Cause.NO_RESULT: 502, Cause.FAULT: 502,
-    Cause.GIVEN_UP: 504, Cause.STOPPING: 504,
+    Cause.GIVEN_UP: 504, Cause.STOPPING: 504, Cause.MAY_GO_ON: 504,
 }
 REASONS = {200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found", 408: "Request Timeout", 409: "Conflict",
            413: "Content Too Large",
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -228,6 +228,7 @@
         t = token()
         answer = await front.ask("submit", token=t)
         assert "error" in answer and not refused(answer), "who is cut off can't promise what the others do"
+        assert status(await exchange(f.runners[0].uwsgi, uwsgi_request("submit", token=token()))) == 504
         assert content(await front.ask("check", body=b"x")) == b"did x"
         assert f.ran() == [b"x"]
 
