--- a/moorusher/fleet/work.py
+++ b/moorusher/fleet/work.py
@@ -136,8 +136,8 @@
 
 
 class Withdraw:
-    """A claim whose outcome its owner did not hear in time, and has told its caller that it never ran. Whichever
-    attempt it became: this owner has begun none."""
+    """A claim whose outcome its owner did not hear in time: its caller was told of an error, and nobody here waits for
+    it. Whichever attempt it became: this owner has begun none."""
 
     def __init__(self, me: Owner) -> None:
         self.me = me
--- a/tests/test_owner_lost.py
+++ b/tests/test_owner_lost.py
@@ -20,6 +20,13 @@
         relay.delay = s
 
 
+async def in_hand(f: Fleet, n: int) -> tuple[set[str], set[str]]:
+    """The tokens that the first runner has in hand, and those of them that it only holds."""
+    asked = await many(f, n)
+    quiet(asked)
+    return set(asked), set(asked) - f.began(0)
+
+
 @sockets
 async def test_an_owner_killed_at_each_step_leaves_one_ending_for_each_key_and_no_second_run() -> None:
     """Between its question for the key and the grant, its question to begin and the grant, the grant and the command,
@@ -58,9 +65,7 @@
 @sockets
 async def test_new_settings_in_the_midst_of_a_takeover_lose_none_of_it() -> None:
     async with fleet(4, work=0.5) as f:
-        asked = await many(f, 10)
-        quiet(asked)
-        held = set(asked) - f.began(0)
+        asked, held = await in_hand(f, 10)
         f.kill(0)
         for turn in range(6):
             for r in f.runners[1:]:
@@ -79,9 +84,7 @@
 @sockets
 async def test_a_process_replaced_in_the_midst_of_a_takeover_loses_none_of_it() -> None:
     async with fleet(4, work=0.5) as f:
-        asked = await many(f, 16)
-        quiet(asked)
-        held = set(asked) - f.began(0)
+        asked, held = await in_hand(f, 16)
         r, kernel = f.runners[1], Kernel(work=0.05)
         kernel.listen()
         f.kill(0)
