What is owed is settled before a connection, a socket, a link or the program ends

- A request that lay unread as its connection was closed (silent for too long, idle and asked, its place needed, the program's end) was closed over, and the close reset the connection.
It is read first now, and keeps its connection (fronts/pending.py).
- A line too long took the answers of the requests open on its connection along.
- A connection that ends while the other side does not read never closed (a paused producer holds Twisted back), and one that never reads kept its place and buffer until another needed it.
- A listening socket closes a turn after its last accept: who came in between was reset.
- At the end, what was held or running was cut; now the module has its last say, and the rest is refused or failed.
- A uwsgi answer could be reset by bytes behind its request; it closes by halves.
Half a JSON-RPC message counts as reading while draining, as a uwsgi body did.
- SILENCE was 2 s, which is what a slow client takes over its first request: 2.5 s, with a close owed after 3.
- A kernel link that died without a word was never noticed: the process served nobody.
It is asked each second, and a new one dialled after 3 s of silence while the old one serves on.
BOOTED or INFO with figures that are none were tracebacks, and BOOTED's left the link useless: typed messages now, read whole or not at all.
- A duty's last state was packed before the report under way had its answer, so that the next owner sent it again: LatestState.
- A process that serves beside one that does not speak hangs up before it leaves.

--- a/moorusher/core/decide.py
+++ b/moorusher/core/decide.py
@@ -493,6 +493,17 @@
                 self.counters.add("failed: " + answer.cause.value)
             reply.answer(request.tag, answer, self.hint)
 
+    def answer_all(self) -> None:
+        """The program ends: the module has its last say on what came until now, and what is still owed then is answered
+        without it."""
+        self.touch()
+        self.turn_over()
+        for request in [r for r in self.table.by_number.values() if r.reply is not None]:
+            alone = request.key is None or isinstance(self.care, NoCare)  # else other runners may go on with it
+            never_ran = request.stage is Stage.HELD and request.repeats is None and alone
+            self.answer(request, Answer(Verdict.REFUSED if never_ran else Verdict.FAILED, cause=Cause.STOPPING,
+                                        backoff_ms=BUSY_MS if never_ran else 0.0))
+
     # ---- new settings ----
 
     def retune(self, plan: Plan) -> None:
--- a/moorusher/duties/effects.py
+++ b/moorusher/duties/effects.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from .errors import DutyError
@@ -18,6 +19,13 @@
     state: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class LatestState:
+    """The same, read when its turn comes: after the effects that were under way when it was asked for."""
+
+    read: Callable[[], bytes]
+
+
 @dataclass(frozen=True, slots=True)
 class Fenced:
     """At a receiver that compares: see `fence`."""
@@ -35,7 +43,7 @@
     settle: Settle
 
 
-Effect = OnFleet | Fenced | Once
+Effect = OnFleet | LatestState | Fenced | Once
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,4 +66,4 @@
 
 
 Outcome = Made | DutyError
-__all__ = ["Effect", "Fence", "Fenced", "Intent", "Made", "OnFleet", "Once", "Outcome", "Told"]
+__all__ = ["Effect", "Fence", "Fenced", "Intent", "LatestState", "Made", "OnFleet", "Once", "Outcome", "Told"]
--- a/moorusher/duties/report.py
+++ b/moorusher/duties/report.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from ..fleet.member import MS
-from .effects import Fenced, Made, OnFleet, Outcome
+from .effects import Fenced, LatestState, Made, OnFleet, Outcome
 from .errors import DutyError
 from .policy import Report
 from .tour import Tour
@@ -40,7 +40,8 @@
         self._tell()
 
     def wind_up(self) -> None:
-        self.tour.do(OnFleet(_json.encode(self.told)), lambda outcome: None)
+        """A report may be under way: it counts in the state that is handed on."""
+        self.tour.do(LatestState(lambda: _json.encode(self.told)), lambda outcome: None)
 
     def stop(self, why: DutyError | None) -> None:
         self._stopped = True
--- a/moorusher/duties/tour.py
+++ b/moorusher/duties/tour.py
@@ -15,7 +15,7 @@
 from ..fleet.register import Done, Hold
 from ..fleet.work import Key, Owner
 from . import pieces
-from .effects import Effect, Fenced, Made, OnFleet, Outcome, Told
+from .effects import Effect, Fenced, LatestState, Made, OnFleet, Outcome, Told
 from .errors import (
     Busy,
     Damaged,
@@ -152,6 +152,8 @@
         match effect:
             case OnFleet():
                 self._queue(lambda: self._advance(effect.state, then), then)
+            case LatestState():
+                self._queue(lambda: self._advance(effect.read(), then), then)
             case Fenced():
                 self._queue(lambda: self._fenced(effect, then), then)
             case _:
--- a/moorusher/fronts/agent.py
+++ b/moorusher/fronts/agent.py
@@ -48,9 +48,10 @@
     def leave(self) -> None:
         """Nothing can be asked of a balancer here."""
 
-    def end(self, ending: Ending) -> None:
+    def end(self, ending: Ending) -> bool:
         self._ending = self._ending or ending
         self.transport.abortConnection()
+        return True
 
     def cut(self) -> None:
         if self in self.owner.places.all:
--- a/moorusher/fronts/console.py
+++ b/moorusher/fronts/console.py
@@ -31,11 +31,11 @@
     def leave(self) -> None:
         """It is told by its answer."""
 
-    def end(self, ending: Ending) -> None:
+    def _close(self, ending: Ending) -> None:
         """Silent for too long, or its place is needed: told so, and closed."""
-        if self._ending is None and ending in (Ending.SILENT, Ending.MADE_WAY):
+        if ending in (Ending.SILENT, Ending.MADE_WAY):
             self._write(Said(408, b"the call did not come whole in time\n"), False)
-        super().end(ending)
+        super()._close(ending)
 
     def _say(self, said: Said, keep: bool, body: bool = True) -> None:
         super()._say(said, False, body)
--- a/moorusher/fronts/http.py
+++ b/moorusher/fronts/http.py
@@ -13,6 +13,7 @@
 
 from ..core.clock import SECOND
 from ..core.endings import Ending
+from .pending import read_pending
 
 MOST_HEAD = 4096  # bytes of a call before its body, all lines together
 LINGER = 2 * SECOND  # for an answer to be read, and for the other side to close
@@ -46,6 +47,7 @@
         self.owner, self.core = owner, owner.core
         self._ending: Ending | None = None
         self._alarm: Any = None
+        self._calls = 0  # answered
         self._begin()
 
     def _begin(self) -> None:
@@ -87,12 +89,23 @@
         """An idle connection is asked for its place: HTTP has no word for it but the close."""
         self.end(Ending.IDLE)
 
-    def end(self, ending: Ending) -> None:
+    def end(self, ending: Ending) -> bool:
+        """Close. False where a call had come unread: it has its answer now, and the connection stays."""
+        before = self._calls
+        if self._ending is None and ending is not Ending.CLOSED_BY_US:
+            read_pending(self.transport)
+            if self._calls > before and self._ending is None:
+                return False
         if self._ending is None:
-            self._ending = ending
-            self.owner.places.closing(self)
-            self.transport.loseConnection()
-            self._cut_later()
+            self._close(ending)
+        return True
+
+    def _close(self, ending: Ending) -> None:
+        self._ending = ending
+        self.owner.places.closing(self)
+        read_pending(self.transport)  # thrown away: left unread, it would reset the connection, answer and all
+        self.transport.loseConnection()
+        self._cut_later()
 
     def _cut_later(self) -> None:
         if self._alarm is not None:
@@ -158,6 +171,7 @@
         method, path, version = (p.decode("latin-1") for p in (self._request or b"").split())
         headers = self._headers
         self._begin()
+        self._calls += 1
         connection = headers.get("connection", "").lower()
         keep = connection == "keep-alive" if version == "HTTP/1.0" else connection != "close"
         said = self.owner.called(method, path.partition("?")[0], headers, self.host)
--- a/moorusher/fronts/jsonrpc.py
+++ b/moorusher/fronts/jsonrpc.py
@@ -18,6 +18,7 @@
 from ..core.endings import Ending
 from ..core.intake import BUSY_MS, NEVER_RAN, Fault
 from ..core.requests import BUDGET_MS, MEMORY_KB, PEER, RANK, UNIX_MS, Arrival, Range, Request, is_word
+from .pending import read_pending
 from .places import Places
 
 PARSE, INVALID, NO_METHOD, BAD_PARAMS, FAILED, REFUSED = -32700, -32600, -32601, -32602, -32000, -32014
@@ -27,7 +28,9 @@
 END_FAULTS = MOST_FAULTS + 2 * MOST_OPEN  # it did not leave
 MOST_BODY = 2048
 MOST_LINE = 8192  # a body in base64 takes 2,732 of it
-SILENCE = 2 * SECOND  # until a message that gets an answer has come
+# Until a message that gets an answer has come: a bad client is owed its close within 3 s, and a slow one may take 2 s
+# over its first request.
+SILENCE = 2_500 * MS
 IDLENESS = 30 * SECOND  # where the settings name no time after which front ends close idle connections
 LINGER = SECOND  # for the other side to read why it is closed
 MOST_READ = 16_384  # in one turn, from one connection: two of the longest lines; a crowd of them must not hold the loop
@@ -124,8 +127,11 @@
         self.open: dict[int, Request] = {}
         self.by_rid: dict[str, int] = {}
         self.active = self.faults = 0  # when something last came; what was malformed
-        self.leaving = self.doomed = False
+        self._begun = 0  # when the message began whose end has not come yet; 0 where there is none
+        self.leaving = False
+        self.doom: Ending | None = None  # nothing more is read; it closes once what is open has its answer
         self.unsent = 0  # since the other side stopped reading; 0 where it reads
+        self._produces = False  # it is registered as the transport's producer
         self.ending: Ending | None = None
 
     # ---- the connection ----
@@ -135,6 +141,7 @@
         self.transport.bufferSize = MOST_READ
         # A front end that does not read is not read either; what is already owed is bounded in `_send`.
         self.transport.registerProducer(self, True)
+        self._produces = True
         self.core.touch()
         self.active = self.core.clock.now
         self.owner.places.joined(self)
@@ -153,8 +160,13 @@
     def stopProducing(self) -> None:
         """The transport says so as the connection ends; `connectionLost` follows."""
 
+    def _stop_producing(self) -> None:
+        if self._produces:
+            self._produces = False
+            self.transport.unregisterProducer()
+
     def connectionLost(self, reason: Failure | None = None) -> None:
-        self.transport.unregisterProducer()
+        self._stop_producing()
         clean = reason is None or reason.check(ConnectionDone)  # type: ignore[no-untyped-call]
         self.owner.places.left(self)
         ending = self.ending or (Ending.CLOSED_BY_PEER if clean else Ending.LOST)
@@ -164,18 +176,39 @@
         for request in requests:
             self.core.gone(request)
 
-    def end(self, ending: Ending) -> None:
+    def end(self, ending: Ending) -> bool:
+        """Close. What has come unread is read first: with a request among it the connection stays; False then."""
+        if self.ending is None and ending is not Ending.READS_TOO_SLOWLY and not self.unsent:
+            read_pending(self.transport)
+            if self.ending is None and self.open:
+                return False
+            if self.ending is None and ending is Ending.IDLE and self.reading:
+                self.owner.places.asked(self)
+                return False
         if self.ending is None:
-            self.ending = ending
-            self.owner.places.closing(self)
-            if ending is Ending.READS_TOO_SLOWLY:
-                self.transport.abortConnection()
-            else:
-                self.transport.loseConnection()
+            self._close(ending)
+        return True
+
+    def _close(self, ending: Ending) -> None:
+        if ending is Ending.MADE_WAY:
+            self.leave()  # whoever rests hears why, and sends nothing new
+        self.ending = ending
+        self.owner.places.closing(self)
+        if ending is Ending.READS_TOO_SLOWLY:
+            self.transport.abortConnection()
+        else:
+            self._stop_producing()  # with a producer that is paused, Twisted would never close
+            self.transport.loseConnection()
 
     def lineLengthExceeded(self, line: bytes) -> None:
         self._send(_error(None, PARSE, f"a line of more than {self.MAX_LENGTH} bytes"))
-        self._end_by_halves(Ending.LINE_TOO_LONG)  # where the next message starts is not known
+        self._read_no_more(Ending.LINE_TOO_LONG)  # where the next message starts is not known
+
+    def _read_no_more(self, ending: Ending) -> None:
+        if self.doom is None:
+            self.doom = ending
+            self.owner.places.busy(self)
+            self._end_if_doomed()
 
     def _end_by_halves(self, ending: Ending) -> None:
         """A close with input unread would reset the connection, and the other side might never see the error: our
@@ -191,16 +224,33 @@
             self.transport.abortConnection()
 
     def dataReceived(self, data: bytes) -> None:
-        if self.ending is None and not self.doomed:
+        if self.ending is None and self.doom is None:
+            self.core.touch()
             super().dataReceived(data)  # type: ignore[no-untyped-call]
+            if not self._buffer:
+                self._begun = 0
+            elif not self._begun or self.delimiter in data:
+                self._begun = self.core.clock.now
 
     def leave(self) -> None:
         if not self.leaving:
             self.leaving = True
             self._send(b'{"jsonrpc":"2.0","method":"leaving"}\n')
 
+    @property
+    def reading(self) -> bool:
+        """A message has begun, and its rest may still come."""
+        return self._begun > 0 and self.core.clock.now - self._begun < SILENCE
+
+    def read_rest(self) -> None:
+        """The runner ends: what has come until now still gets its answer."""
+        if self.ending is None and not self.unsent:
+            read_pending(self.transport)
+
     def close(self) -> None:
-        self.end(Ending.CLOSED_BY_US)
+        """The runner ends, and all that was open has its answer."""
+        if self.ending is None:
+            self._close(Ending.CLOSED_BY_US)
 
     def _rested(self) -> None:
         if not self.open:
@@ -216,7 +266,7 @@
     # ---- what comes ----
 
     def lineReceived(self, line: bytes) -> None:
-        if self.ending is not None or self.doomed:
+        if self.ending is not None or self.doom is not None:
             return
         if not line.strip():
             return
@@ -271,14 +321,12 @@
         self.faults += 1
         if self.faults == MOST_FAULTS:
             self.leave()  # one that knows the protocol sends nothing new here; what is on its way has its answers
-        if self.faults >= END_FAULTS and not self.doomed:
-            self.doomed = True  # nothing more is read; what is open on it has its answer first
-            self.owner.places.busy(self)
-            self._end_if_doomed()
+        if self.faults >= END_FAULTS:
+            self._read_no_more(Ending.TOO_FAULTY)
 
     def _end_if_doomed(self) -> None:
-        if self.doomed and not self.open:
-            self._end_by_halves(Ending.TOO_FAULTY)
+        if self.doom is not None and not self.open:
+            self._end_by_halves(self.doom)
 
     def _heartbeat(self, tag: int | None) -> None:
         result: dict[str, object] = {"fit": self.owner.fit()}
--- a/moorusher/fronts/places.py
+++ b/moorusher/fronts/places.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from itertools import islice
 from typing import Protocol
 
 from ..core.clock import MS, SECOND, Alarm
@@ -16,11 +17,13 @@
 
 GRACE = 300 * MS  # a connection that is younger, or idle for less, goes only if there is no other
 ASKED = 2 * SECOND  # for the other side to close what it was asked to close
+CLOSING = 5 * SECOND  # for the other side to read the last of what it was sent
+MOST_LOOKED_AT = 8  # of those that could make way for one that comes
 
 
 class Placed(Protocol):
     def leave(self) -> None: ...  # ask the other side to close
-    def end(self, ending: Ending) -> None: ...
+    def end(self, ending: Ending) -> bool: ...  # False where a request had come unread, and it stays
     def cut(self) -> None: ...  # at once, whatever is unsent
 
 
@@ -56,6 +59,12 @@
             self._idle[c] = self.core.clock.now
             self._watch()
 
+    def asked(self, c: Placed) -> None:
+        """It has been asked to close, and may have as long again."""
+        self.busy(c)
+        self._asked[c] = self.core.clock.now
+        self._watch()
+
     def busy(self, c: Placed) -> None:
         for listed in (self._silent, self._idle, self._asked):
             listed.pop(c, None)
@@ -64,6 +73,7 @@
         """Nothing that still comes on it counts; it waits for the other side."""
         self.busy(c)
         self._closing[c] = self.core.clock.now
+        self._watch()
 
     def left(self, c: Placed) -> None:
         self.busy(c)
@@ -78,12 +88,8 @@
             return True
         now = self.core.clock.now
         for grace in (GRACE, 0):
-            for listed in (self._asked, self._silent, self._idle):
-                c = next(iter(listed), None)
-                if c is not None and now - listed[c] >= grace:
-                    c.leave()
-                    c.end(Ending.MADE_WAY)
-                    return True
+            if any(self._give_up_one(listed, now - grace) for listed in (self._asked, self._silent, self._idle)):
+                return True
             c = next(iter(self._closing), None)
             if c is not None and now - self._closing[c] >= GRACE:  # it had time to take its last answer
                 del self._closing[c]
@@ -91,6 +97,16 @@
                 return True
         return False
 
+    @staticmethod
+    def _give_up_one(listed: dict[Placed, int], since: int) -> bool:
+        """The longest useless one of a list that has stood in it since then or before."""
+        for c in list(islice(listed, MOST_LOOKED_AT)):
+            if listed.get(c, since + 1) > since:
+                return False
+            if c.end(Ending.MADE_WAY):
+                return True
+        return False
+
     # ---- time ----
 
     def _watch(self) -> None:
@@ -106,18 +122,22 @@
         return min(ends, default=None)
 
     def _waits(self) -> tuple[tuple[dict[Placed, int], int], ...]:
-        return (self._silent, self.silence), (self._idle, self.idleness), (self._asked, ASKED)
+        return ((self._silent, self.silence), (self._idle, self.idleness), (self._asked, ASKED),
+                (self._closing, CLOSING))
 
     def _ring(self) -> None:
         self._alarm = None
         now = self.core.clock.now
         for listed, wait in self._waits():
             while listed and now - listed[c := next(iter(listed))] >= wait:
-                if listed is self._idle:
+                if listed is self._closing:
+                    del listed[c]
+                    c.cut()
+                elif listed is self._idle:
                     del listed[c]
                     self._asked[c] = now
                     c.leave()
                 else:
-                    c.end(Ending.SILENT if listed is self._silent else Ending.IDLE)
-                    listed.pop(c, None)
+                    if c.end(Ending.SILENT if listed is self._silent else Ending.IDLE):
+                        listed.pop(c, None)
         self._watch()
--- a/moorusher/fronts/uwsgi.py
+++ b/moorusher/fronts/uwsgi.py
@@ -20,6 +20,7 @@
 from ..core.endings import Ending
 from ..core.intake import BUSY_MS, NEVER_RAN, Fault
 from ..core.requests import BUDGET_MS, MEMORY_KB, PEER, RANK, UNIX_MS, Arrival, Range, Request, is_word
+from .pending import read_pending
 from .places import Places
 
 HEAD = struct.Struct("<BHB")  # modifier1, size of the variables, modifier2
@@ -27,6 +28,7 @@
 WSGI, PING, PONG = 0, 100, 1
 MOST_VARS = 128
 MOST_UNREAD = 65_535 + 4  # a packet of variables can't be larger
+LINGER = 2 * SECOND  # for an answer to be read, and for the other side to close
 
 VARS = {
     "class": "MOORUSHER_CLASS", "tenant": "MOORUSHER_TENANT", "budget": "MOORUSHER_BUDGET_MS",
@@ -179,10 +181,15 @@
     def leave(self) -> None:
         """uwsgi has no word for it: an idle client is simply told that it was too slow."""
 
-    def end(self, ending: Ending) -> None:
-        """It has not come whole: in time, or as its place was needed."""
-        self.ending = self.ending or ending
-        self._finish(response(408, b"the request did not come whole in time"))
+    def end(self, ending: Ending) -> bool:
+        """It has not come whole: in time, or as its place was needed. False where its rest was only unread."""
+        self.read_rest()
+        if self.state is State.ASKED:
+            return False
+        if self.state is not State.OVER:
+            self.ending = self.ending or ending
+            self._finish(response(408, b"the request did not come whole in time"), at_once=ending is Ending.MADE_WAY)
+        return True
 
     def cut(self) -> None:
         """Answered, and the answer is not being read."""
@@ -213,7 +220,7 @@
         except BadPacket as exc:
             self.core.counters.add("faulty")
             self._data.clear()
-            self._finish(response(exc.status, str(exc).encode()), unread=True)
+            self._finish(response(exc.status, str(exc).encode()))
 
     def _read_packet(self) -> None:
         if len(self._data) < HEAD.size:
@@ -244,10 +251,16 @@
         self.state, self.request = State.ASKED, taken
         self.owner.places.busy(self)  # from here the core sees to the time
 
+    def read_rest(self) -> None:
+        """What has come until now still counts."""
+        if self.state in (State.VARS, State.BODY):
+            read_pending(self.transport)
+
     def close(self) -> None:
         """The runner ends: what has not come whole never entered the core, and may go elsewhere."""
         if self.state in (State.VARS, State.BODY) and self._data:
-            self._finish(response(503, Cause.STOPPING.value.encode(), Retry_After=1, X_Moorusher_Never_Ran=1))
+            said = response(503, Cause.STOPPING.value.encode(), Retry_After=1, X_Moorusher_Never_Ran=1)
+            self._finish(said, at_once=True)
         else:
             self.transport.loseConnection()
 
@@ -265,18 +278,18 @@
             return self._finish(response(503, answer.words.encode(), **more))
         self._finish(response(FAILED_STATUS[answer.cause], answer.cause.value.encode(), **more))
 
-    def _finish(self, data: bytes, unread: bool = False) -> None:
-        """With input `unread`, a close would reset the connection before the answer is seen: our half is closed,
-        and what still comes is thrown away until the other side closes or its time is over."""
+    def _finish(self, data: bytes, at_once: bool = False) -> None:
+        """Our half is closed, and what still comes is thrown away until the other side closes or its time is over: with
+        input unread, a close would reset the connection before the answer is seen. `at_once`: its descriptor is needed,
+        or the runner ends."""
         self.state, self.request = State.OVER, None
         self.owner.places.closing(self)
         self.transport.write(data)
-        if unread:
-            self.transport.loseWriteConnection()
-        else:
+        if at_once:
             self.transport.loseConnection()
-        # A client that does not read its answer must not keep its place either.
-        self._alarm = self.core.alarms.at(self.core.clock.now + self.owner.places.silence, self.cut)
+        else:
+            self.transport.loseWriteConnection()
+        self._alarm = self.core.alarms.at(self.core.clock.now + LINGER, self.cut)
 
 
 class UwsgiFront(Factory):
--- a/moorusher/links/kernel.py
+++ b/moorusher/links/kernel.py
@@ -5,47 +5,47 @@
 import binascii
 import json
 import logging
-from dataclasses import dataclass
+from enum import Enum
 from typing import Any
 
 from twisted.internet.protocol import ClientFactory
 from twisted.protocols.basic import LineOnlyReceiver
 from twisted.python.failure import Failure
 
-from ..core.clock import MS, Alarm
+from ..core.clock import MS, SECOND, Alarm
 from ..core.decide import Decider
 from ..core.endings import Ending
 from ..section import Address
+from .kernel_messages import (
+    Booted,
+    CallNeeded,
+    CommandRefused,
+    Gauges,
+    KernelMessage,
+    Notice,
+    RunOver,
+    UnreadableMessage,
+    read_message,
+)
 
 log = logging.getLogger("moorusher")
 
-RUN_ENDS = {"PASS": Ending.RUN_PASSED, "FAIL": Ending.RUN_FAILED, "KILLED": Ending.RUN_KILLED,
-            "NOOP": Ending.RUN_NEVER_BEGAN}
 RETRY, RETRY_MOST = 20 * MS, 400 * MS
 LOST_WITH_IT = 250 * MS  # commands said so long before a link broke may be lost with it
 MOST_UNREAD = 3  # links given up over the same unreadable line
 SYNC = "replayed"
+ASK_EVERY = SECOND  # a link without a byte for so long is asked for the gauges,
+QUIET = 3 * SECOND  # and given up where it has not said anything for so long
+SURE = 250 * MS  # until it is looked at once more: after a pause of ours, its words wait unread
 
 
-@dataclass(slots=True, frozen=True)
-class Notice:
-    number: int
-    kind: str
-    rid: str
-    ending: Ending
-    body: bytes
+class LinkState(Enum):
+    """How far the link to the kernel has come."""
 
-
-def read_notice(message: Any) -> Notice | None:
-    """A numbered notice, whole or not at all: only one that was read counts as read."""
-    kind = message["t"]
-    if kind not in ("REAP", "IOREQ", "DMESG"):
-        return None
-    number, rid, status = message["no"], message.get("rid", ""), message.get("status", "")
-    if isinstance(number, bool) or not isinstance(number, int) or (kind != "DMESG" and not rid):
-        raise ValueError("a notice without its number or request")
-    body = binascii.a2b_base64(message.get("b64") or "", strict_mode=True) if kind != "DMESG" else b""
-    return Notice(number, kind, str(rid), RUN_ENDS[status] if kind == "REAP" else Ending.RUN_FAILED, body)
+    DOWN = "down"
+    OPENING = "opening"  # OPEN has been said; BOOTED waits until the kernel is up
+    REPLAYING = "replaying"  # notices after the last one read are coming; commands wait for their end
+    UP = "up"
 
 
 class KernelConnection(LineOnlyReceiver):
@@ -63,16 +63,19 @@
     def say(self, message: dict[str, object]) -> None:
         self.transport.write(json.dumps(message, separators=(",", ":")).encode() + b"\n")
 
+    def dataReceived(self, data: bytes) -> None:
+        self.link.heard(self)
+        super().dataReceived(data)  # type: ignore[no-untyped-call]
+
     def lineReceived(self, line: bytes) -> None:
         if self.link.connection is not self:
             return  # a newer link has taken over
         try:
-            message = json.loads(line)
-            notice = read_notice(message)
-        except (ValueError, KeyError, TypeError, RecursionError):
+            message = read_message(line)
+        except UnreadableMessage:
             return self.link.unreadable(self, line)
         try:
-            self.link.read(message, notice)
+            self.link.read(message)
         except Exception:  # a fault of ours over one notice must not end the program
             log.exception("the kernel sent %r", line[:200])
 
@@ -97,8 +100,12 @@
         self.last = 0
         self._unread = self._unread_after = 0
         self._since = 0  # what was said from then on may not have been read
-        self._up = False  # commands may be said: BOOTED has come on this link, and its replay was read
+        self._state = LinkState.DOWN
         self._was_up = False
+        self._heard = 0  # when the last bytes came
+        self._doubted = False  # it was quiet for too long when it was last looked at
+        self._passed_over = False  # a line of this link, which may have been BOOTED
+        self._look: Alarm | None = None  # the next one
         self._pause = RETRY
         self._closing = False
         self._dialling: Any = None  # the connector under way: an older one that fails says nothing
@@ -114,12 +121,10 @@
         if address == self._address or self._closing:
             return
         self._address, self._pause = address, RETRY
-        if self._alarm is not None:
-            self._alarm.cancel()
         dialling, self._dialling = self._dialling, None
         if dialling is not None:
             dialling.disconnect()
-        self.start()
+        self._redial()
 
     def close(self) -> None:
         self._closing = True
@@ -135,7 +140,8 @@
         if before is not None:
             self._since = self.core.clock.now - LOST_WITH_IT
             self.core.link_lost()  # until the new one has had its answer
-        self._dialling, self._up = None, False
+        self._dialling, self._state = None, LinkState.OPENING
+        self._watch()
         if before is not None:
             before.transport.loseConnection()  # what was said on it goes out first
         if self._closing:
@@ -151,7 +157,7 @@
     def lost(self, connection: KernelConnection) -> None:
         if connection is self.connection:
             self.core.link_lost()
-            self.connection, self._up = None, False
+            self.connection, self._state = None, LinkState.DOWN
             self._since = self.core.clock.now - LOST_WITH_IT
             self.core.counters.add("kernel link: " + Ending.LOST.value)
             self._again()
@@ -159,9 +165,48 @@
     def _again(self) -> None:
         if not self._closing and self._dialling is None:  # else a new link is on its way already
             self.core.touch()
+            if self._alarm is not None:
+                self._alarm.cancel()
             self._alarm = self.core.alarms.at(self.core.clock.now + self._pause, self.start)
             self._pause = min(RETRY_MOST, self._pause * 2)
 
+    # ---- a link that goes quiet ----
+
+    def heard(self, connection: KernelConnection) -> None:
+        """Bytes have come, whatever they say."""
+        if connection is self.connection:
+            self.core.touch()
+            self._heard, self._doubted = self.core.clock.now, False
+
+    def _watch(self) -> None:
+        self._heard, self._doubted, self._passed_over = self.core.clock.now, False, False
+        if self._look is not None:
+            self._look.cancel()
+        self._look = self.core.alarms.at(self.core.clock.now + ASK_EVERY, self._look_after)
+
+    def _look_after(self) -> None:
+        """A connection may die without a word: then nothing is heard on it, and nothing said on it arrives."""
+        self._look = None
+        if self.connection is None or self._closing:
+            return
+        quiet = self.core.clock.now - self._heard
+        waits_for_start = self._state is LinkState.OPENING and not (self._was_up or self._passed_over)
+        doubtful = quiet >= QUIET and not waits_for_start
+        if doubtful and self._doubted and self._dialling is None:
+            log.warning("the link to the kernel has been quiet for %.1f s: a new one is dialled", quiet / SECOND)
+            self.core.counters.add("kernel link: " + Ending.SILENT.value)
+            self._redial()  # the quiet one serves until the new one is up
+        elif quiet >= ASK_EVERY:
+            self.ask_gauges()
+        self._doubted = doubtful
+        wait = SURE if doubtful else ASK_EVERY
+        self._look = self.core.alarms.at(self.core.clock.now + wait, self._look_after)
+
+    def _redial(self) -> None:
+        if self._alarm is not None:
+            self._alarm.cancel()
+        self.start()
+
     # ---- notices ----
 
     def unreadable(self, connection: KernelConnection, line: bytes) -> None:
@@ -174,46 +219,51 @@
         if self._unread <= MOST_UNREAD:
             connection.transport.abortConnection()
             self.lost(connection)
-
-    def read(self, message: dict[str, Any], notice: Notice | None) -> None:
-        kind = message["t"]
-        if notice is not None:
-            if notice.number <= self.last:
-                return  # replayed or written twice, and read before
-            self.last = notice.number
-            if kind == "IOREQ":
-                self.core.call_needed(notice.rid, notice.number, notice.body)
-            elif kind == "REAP":
-                self.core.run_over(notice.rid, notice.ending, notice.body)
-        elif kind == "INFO":
-            if message.get("mark") == SYNC:
-                self._up = True
+        else:
+            self._passed_over = True
+
+    def read(self, message: KernelMessage) -> None:
+        """One whole message of the link that is in force."""
+        if isinstance(message, Notice):
+            self._noticed(message)
+        elif isinstance(message, Gauges):
+            if message.mark == SYNC:
+                self._state = LinkState.UP
                 self.core.kernel_read_again(self._since)
-            self.core.gauges(tuple(float(v) for v in message.get("v", ())))
-        elif kind == "BOOTED":
+            self.core.gauges(message.values)
+        elif isinstance(message, Booted):
             self._booted(message)
-        elif kind == "EINVAL":
-            self.core.command_refused(str(message.get("status")), str(message.get("rid")))
+        elif isinstance(message, CommandRefused):
+            self.core.command_refused(message.command, message.rid)
         else:
-            log.warning("the kernel sent an unknown message %r", kind)
-
-    def _booted(self, message: dict[str, Any]) -> None:
+            log.warning("the kernel sent an unknown message %r", message.kind)
+
+    def _noticed(self, notice: Notice) -> None:
+        if notice.number <= self.last:
+            return  # replayed or written twice, and read before
+        self.last = notice.number
+        if isinstance(notice, CallNeeded):
+            self.core.call_needed(notice.rid, notice.number, notice.body)
+        elif isinstance(notice, RunOver):
+            self.core.run_over(notice.rid, notice.ending, notice.body)
+
+    def _booted(self, booted: Booted) -> None:
         self._pause = RETRY
-        state, age_ms = message.get("status"), float(message.get("time_ms") or 0)
-        log.info("kernel up: %s, started %.0f ms ago", state, age_ms)
+        log.info("kernel up: %s, started %.0f ms ago", "cold" if booted.cold else "warm", booted.age_ms)
         if self._was_up and self.connection is not None:
             # The answer to this comes after the replay: only then is it known what to say again. Nothing is said
             # before: `Runs` would say it twice, and a second reply could be taken for that of a later call.
+            self._state = LinkState.REPLAYING
             self.connection.say({"t": "SYSINFO", "mark": SYNC})
         else:
-            self._up = self._was_up = True
+            self._state, self._was_up = LinkState.UP, True
         self.core.link_up()
-        self.core.kernel_up(cold=state == "EMPTY", age_ms=age_ms)
+        self.core.kernel_up(cold=booted.cold, age_ms=booted.age_ms)
 
     # ---- commands ----
 
     def _say(self, message: dict[str, object]) -> None:
-        if self._up and self.connection is not None:
+        if self._state is LinkState.UP and self.connection is not None:
             self.connection.say(message)
 
     def run(self, rid: str, route: str, body: bytes) -> None:
--- a/moorusher/loop.py
+++ b/moorusher/loop.py
@@ -75,6 +75,7 @@
     with a line in the log for each: here it is counted."""
 
     most = 1
+    _ends = False  # nothing more is accepted than what waits already
 
     @classmethod
     def of(cls, reactor: Any, made: socket.socket, factory: Any, most: int, count: Callable[[str], None]) -> Door:
@@ -92,10 +93,16 @@
         self.numberAccepts = self.most  # Twisted's grows with the crowd
         super().doRead()
 
-    def accept_all(self) -> None:
-        """Those that wait already: closing would lose them."""
-        self.most = ACCEPT_ALL
+    def accept_last(self) -> None:
+        """Those that wait already are let in, and the socket closes: left unaccepted, their requests would be lost."""
+        self.most, self._ends = ACCEPT_ALL, True
         self.doRead()
+        self.stopListening()
+
+    def connectionLost(self, reason: Any) -> None:
+        if self._ends:  # Twisted closes in a later turn: in between, more may have come
+            self.doRead()
+        super().connectionLost(reason)
 
 
 class LoopTimer:
--- a/moorusher/service.py
+++ b/moorusher/service.py
@@ -189,6 +189,8 @@
 
     def accept(self, handed: dict[str, int]) -> None:
         """On the sockets that another process has handed over, and on others that it may share."""
+        if self.core.draining:
+            return  # an address that became free too late: whoever came in now would only be sent away
         first = not self.serving
         for label, (address, factory) in self._doors.items():
             if label in self.ports:
@@ -428,8 +430,7 @@
         process accepts on the same socket, it stays its."""
         port = self.ports.pop(label, None)
         if port is not None and label not in self._paused:
-            port.accept_all()
-            port.stopListening()
+            port.accept_last()
 
     def _look_again(self) -> None:
         self.alarms.at(self.clock.now + QUIET, self._look_again)
@@ -442,8 +443,8 @@
             self._heard = self.clock.now
             return
         heard = max((c.active for c in self.front.connections), default=0)
-        reading = any(c.reading for c in self.uwsgi.connections)  # a body that has begun may still become a request
-        left = self.front.connections or self.uwsgi.connections
+        left: list[Any] = [*self.front.connections, *self.uwsgi.connections]
+        reading = any(c.reading for c in left)  # a message that has begun may still become a request
         if not left or (not reading and self.clock.now - max(self._heard, heard) >= QUIET):
             self.end()
 
@@ -453,7 +454,12 @@
         self._ended = True
         if self.keeper is not None:
             self.keeper.stop()
+        if not self.core.replaced:
+            self._close_doors()
         connections: list[Any] = [*self.front.connections, *self.uwsgi.connections]
+        for connection in connections:
+            connection.read_rest()  # a request that came in this moment is not closed over
+        self.core.answer_all()
         for connection in connections:
             connection.close()  # what is written goes out first
         if self.succession is not None:
--- a/moorusher/succession/role.py
+++ b/moorusher/succession/role.py
@@ -115,7 +115,9 @@
     (S.REPLACED, E.HELLO): (S.REPLACED, (P.BUSY,)),
     (S.REPLACED, E.TERM): (S.REPLACED, (P.FINISH,)),
     # Without a successor that serves, it is the notice to leave, as ever.
-    **{(state, E.TERM): (state, (P.LEAVE,)) for state in S if state is not S.REPLACED},
+    **{(state, E.TERM): (state, (P.LEAVE,)) for state in S if state not in (S.REPLACED, S.BLIND, S.MENDING)},
+    # One that serves without having been let on hangs up first: the other one must not stop accepting for it.
+    **{(state, E.TERM): (S.BLIND, (P.HANG_UP, P.FORGET, P.LEAVE)) for state in (S.BLIND, S.MENDING)},
 }
 
 
--- a/tests/test_duties_real.py
+++ b/tests/test_duties_real.py
@@ -189,6 +189,22 @@
         await has(lambda: w.fleet.runners[first].process.poll() == 0)
 
 
+@sockets
+async def test_a_report_that_is_under_way_as_its_owner_leaves_counts_in_the_state_that_it_hands_over() -> None:
+    async with watched() as w:
+        first = w.owner
+        w.ways[first].silence()
+        await has(lambda: w.ways[first].holding > 0)
+        leaving = w.fleet.runners[first]
+        leaving.process.send_signal(signal.SIGTERM)
+        await has(lambda: "goes to others" in leaving.text())  # the duty is given up, and the report has no answer yet
+        w.ways[first].hear()
+        then = await w.next_owner(first)
+        _, told = await w.ask(then)
+        mine = [t.body["reports"] for t in w.receiver.took]
+        assert told["lost"] == 0 and len(set(mine)) == len(mine)
+
+
 @sockets
 async def test_a_replaced_process_is_the_same_seat_and_never_has_the_duty_with_its_elder() -> None:
     async with watched() as w:
--- a/tests/test_replacing.py
+++ b/tests/test_replacing.py
@@ -209,3 +209,32 @@
         r.processes[2].send_signal(signal.SIGTERM)
         await has(lambda: r.text().count("leaving within") == 1)
         assert (await f.ask("heartbeat"))["result"]["fit"] is False
+
+
+@sockets
+async def test_a_new_process_told_to_leave_before_its_kernel_is_up_leaves_the_old_one_in_service() -> None:
+    async with pair() as both:
+        r, first = both.runner, both.runner.console
+        await both.begin(late=3600)
+        await has(lambda: "has its keys, and waits for the kernel" in r.text())
+        r.processes[1].send_signal(signal.SIGTERM)
+        await has(lambda: r.processes[1].poll() is not None)
+        both.kernels[1].come_up()
+        assert r.processes[1].returncode == 0 and "and the other one serves" not in r.text()
+        assert await r.asked("health", first) == 200
+        assert "result" in await (await FrontEnd.connect(r.port)).ask("submit", token=key())
+
+
+@sockets
+async def test_a_new_process_told_to_leave_as_its_kernel_comes_up_is_never_let_on() -> None:
+    async with pair() as both:
+        r, first = both.runner, both.runner.console
+        await both.begin(late=3600)
+        await has(lambda: "has its keys, and waits for the kernel" in r.text())
+        r.processes[1].send_signal(signal.SIGSTOP)  # the kernel's word and the signal wait for it together
+        both.kernels[1].come_up()
+        r.processes[1].send_signal(signal.SIGTERM)
+        r.processes[1].send_signal(signal.SIGCONT)
+        await has(lambda: r.processes[1].poll() is not None)
+        assert await r.asked("health", first) == 200
+        assert "result" in await (await FrontEnd.connect(r.port)).ask("submit", token=key())
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -60,6 +60,8 @@
     ((E.NOBODY, E.HELLO, E.READY, E.TERM), S.REPLACED, {P.FINISH}, {P.LEAVE}),
     ((E.NOBODY, E.HELLO, E.READY, E.LOST), S.SOLE, {P.BURY, P.RESUME, P.TAKE_PLACE}, {P.LEAVE}),
     ((E.NOBODY, E.TERM), S.SOLE, {P.LEAVE}, {P.FINISH}),
+    # Told to leave, it must not have the other one stop accepting for it.
+    ((E.LATE, E.WELCOME, E.SYNCED, E.TERM, E.KERNEL_UP), S.BLIND, {P.HANG_UP, P.LEAVE}, {P.SAY_READY}),
 ])
 def test_each_course_has_its_stated_outcome(events: tuple[Event, ...], state: State, does: set[Step],
                                             never: set[Step]) -> None:
