What all runners send a server in slow start keeps to one budget, by slots that take turns

Probes take their turns, calls wait in the queue and the router wakes for the next slot. [tier] slow_start_calls, slow_start_window_ms and runners; 0 calls, as shipped, bounds nothing and changes nothing.

Two different draws for a choice were tried as well and taken back: a server in slow start then got nothing while the tier was idle.

--- a/moorusher/config_tier.py
+++ b/moorusher/config_tier.py
@@ -26,7 +26,8 @@
     "queue": (0, 10_000), "consecutive": (1, 1000), "failure_share": (0.01, 1), "outlier": (1.5, 1000),
     "eject_s": (0.1, 600), "most_eject_s": (0.1, 3600), "most_ejected": (0, 1), "panic": (0, 1),
     "retry_share": (0, 1), "retry_floor_per_s": (0, 100), "backoff_ms": (0, 10_000), "most_backoff_ms": (0, 60_000),
-    "slow_start_s": (0, 600),
+    "slow_start_s": (0, 600), "slow_start_calls": (0, 1_000_000), "slow_start_window_ms": (10, 600_000),
+    "runners": (1, 10_000),
 }
 
 
--- a/moorusher/tier/choose.py
+++ b/moorusher/tier/choose.py
@@ -30,8 +30,8 @@
         return None
     for _ in range(TRIES):
         a, b = members[int(draw() * count)], members[int(draw() * count)]
-        able = [m for m in ((a,) if a is b else (a, b)) if m is not avoid and m.limit.room(len(m.in_flight))]
+        able = [m for m in ((a,) if a is b else (a, b)) if m is not avoid and m.has_room(now)]
         if able:
             return min(able, key=lambda m: m.cost(now, typical))
-    able = [m for m in members if m is not avoid and m.limit.room(len(m.in_flight))]
+    able = [m for m in members if m is not avoid and m.has_room(now)]
     return min(able, key=lambda m: m.cost(now, typical)) if able else None
--- a/moorusher/tier/member.py
+++ b/moorusher/tier/member.py
@@ -9,6 +9,7 @@
 from .limit import Limit
 from .policy import Policy, Server
 from .prior import OWN, Prior
+from .slow_start import LEAST_RAMP, SlotCounter, StartBudget, phase_of
 
 LATELY = 30  # calls that a failure share is taken from
 MANY = 15  # calls under which there is no share, and no outlier
@@ -39,7 +40,8 @@
 
 
 class Member:
-    def __init__(self, server: Server, policy: Policy, now: int, established: bool = False) -> None:
+    def __init__(self, server: Server, policy: Policy, now: int, established: bool = False,
+                 runner: str = "") -> None:
         self.server, self.policy = server, policy
         self.state, self.retires = State.IN, False  # leaving, and to be forgotten once nothing is in flight
         self.latency, self.limit = Latency(), Limit(policy.least_limit, policy.most_limit)
@@ -56,6 +58,10 @@
         slow = round(policy.slow_start_s * 1e6)
         self._whole_at = now if established else now + slow  # gets its whole share from then on
         self._slow = slow
+        self._slots: SlotCounter | None = None  # while it starts, of this runner's part of what it may get
+        if policy.slow_start_calls and slow:
+            budget = StartBudget(policy.slow_start_calls, round(policy.slow_start_window_ms * 1e3), policy.runners)
+            self._slots = SlotCounter(budget, phase_of(runner, server.name), now)
 
     # ---- what it is worth ----
 
@@ -63,7 +69,27 @@
         """Of its whole share: a tenth as it comes or returns, growing evenly."""
         if now >= self._whole_at or not self._slow:
             return 1.0
-        return max(0.1, 1.0 - (self._whole_at - now) / self._slow)
+        return max(LEAST_RAMP, 1.0 - (self._whole_at - now) / self._slow)
+
+    def _starting_slots(self, now: int) -> SlotCounter | None:
+        """One that waits for its probe starts with it."""
+        return self._slots if now < self._whole_at or self.state is State.PROBED else None
+
+    def _start_ramp(self, now: int) -> float:
+        return LEAST_RAMP if self.state is State.PROBED else self.ramp(now)
+
+    def may_get(self, now: int) -> bool:
+        """One more call: while it starts, only in its turn."""
+        slots = self._starting_slots(now)
+        return slots is None or slots.is_open(now, self._start_ramp(now))
+
+    def has_room(self, now: int) -> bool:
+        return self.limit.room(len(self.in_flight)) and self.may_get(now)
+
+    def next_turn(self, now: int) -> int | None:
+        """When it may get one again; None where it need not wait for that."""
+        slots = self._starting_slots(now)
+        return None if slots is None else slots.opens_at(now, self._start_ramp(now))
 
     def answered_share(self) -> float:
         return sum(self._outcomes) / len(self._outcomes) if self._outcomes else 1.0
@@ -86,6 +112,8 @@
     # ---- calls ----
 
     def sent(self, now: int, attempt: int, probe: bool) -> None:
+        if (slots := self._starting_slots(now)) is not None:
+            slots.sent(now, self._start_ramp(now))
         self.in_flight[attempt] = InFlight(now, probe)
         self.calls += 1
 
--- a/moorusher/tier/roster.py
+++ b/moorusher/tier/roster.py
@@ -45,7 +45,7 @@
         elif len(self.members) >= MOST_SERVERS:
             raise ValueError(f"more than {MOST_SERVERS} servers")
         else:
-            self.members[server.name] = Member(server, self.policy, now, established)
+            self.members[server.name] = Member(server, self.policy, now, established, self.runner)
         self._ranked = rank(self.runner, list(self.members.values()))
         self._stale_at = now
 
@@ -131,7 +131,7 @@
         typical = self.typical(now)
         if safe:  # one that was ejected shows by a call that may be made again whether it is well
             for m in self._probed:
-                if m.state is State.PROBED and not m.in_flight and m is not avoid:
+                if m.state is State.PROBED and not m.in_flight and m is not avoid and m.may_get(now):
                     return m, True
         if self._near:
             near = two(self._near, now, typical, self._draw, avoid)
@@ -143,6 +143,11 @@
         found = two(self._usable, now, typical, self._draw, avoid)
         return None if found is None else (found, False)
 
+    def next_turn(self, now: int) -> int | None:
+        """When a server in slow start may get a call again; None where none has to wait for its turn."""
+        turns = [turn for m in self._usable if (turn := m.next_turn(now)) is not None]
+        return min(turns, default=None)
+
     # ---- what an attempt's end tells of its server ----
 
     def taken_away(self, now: int, name: str) -> Member | None:
--- a/moorusher/tier/router.py
+++ b/moorusher/tier/router.py
@@ -113,6 +113,7 @@
         self._of: dict[int, _Call] = {}  # by attempt
         self._queue: list[tuple[int, int]] = []  # due and number; husks of calls that are over are skipped
         self._waiting = 0
+        self._turn_at = 0  # when a server in slow start is next looked at for those that wait
         self._wakes: list[tuple[int, int, str]] = []  # time, call, what for
         self._attempts = count(1) if attempts is None else attempts
 
@@ -168,6 +169,7 @@
             self._waiting += 1
             call.waits = True
             heapq.heappush(self._queue, (call.due, call.number))
+            self._wait_for_turn(now)
             return []
         return [self._send(now, call, *found)]
 
@@ -250,6 +252,7 @@
                 continue
             found = self.choose(now, call.safe)
             if found is None:
+                self._wait_for_turn(now)
                 break
             heapq.heappop(self._queue)
             self._unqueue(call)
@@ -258,6 +261,13 @@
             out.append(self._send(now, call, *found))
         return out
 
+    def _wait_for_turn(self, now: int) -> None:
+        """Calls wait, and a server in slow start may be what they wait for."""
+        turn = self.roster.next_turn(now)
+        if turn is not None and not now < self._turn_at <= turn:
+            self._turn_at = turn
+            heapq.heappush(self._wakes, (turn, 0, "turn"))
+
     def wake(self) -> int | None:
         """When `ring` is next to be called; None where nothing waits for a time."""
         return self._wakes[0][0] if self._wakes else None
--- /dev/null
+++ b/tests/test_slow_start.py
@@ -0,0 +1,134 @@
+"""Servers in slow start: what all runners together send to one keeps to its budget, however few or many they are."""
+
+from __future__ import annotations
+
+import math
+import random
+from bisect import bisect_left
+
+import pytest
+
+from moorusher.tier.policy import Policy, Server
+from moorusher.tier.router import Cancel, Effect, End, Over, Router, Send
+from moorusher.tier.slow_start import LEAST_RAMP, SlotCounter, StartBudget, phase_of
+
+S, MS = 1_000_000, 1_000
+WINDOW = S
+SLOW_S = 10.0
+CALL = 60 * MS  # until it is answered
+NEW = Server("new", ("127.0.0.1", 9))
+
+
+def slack(calls: float) -> float:
+    """What chance may add to a budget of so many calls."""
+    return 2 * math.sqrt(calls) + 2 if calls >= 30 else 3 * math.sqrt(calls) + 3
+
+
+class Processes:
+    """Runners that know nothing of each other, at servers that answer all; one server is new, or back."""
+
+    def __init__(self, count: int, calls: int, others: int, seed: int) -> None:
+        policy = Policy(slow_start_s=SLOW_S, slow_start_calls=calls, runners=count, hedge=False)
+        self.rng = random.Random(seed)
+        warm = [Server(f"s{i}", ("127.0.0.1", i + 1)) for i in range(others)]
+        self.routers = [Router(warm, policy, f"r{i}", self.rng.random, 0) for i in range(count)]
+        for router in self.routers:
+            router.add(0, NEW)
+        self.calls, self.sent = calls, list[int]()
+        self._ends: list[tuple[int, Router, int]] = []
+        self._number = 0
+
+    def ask(self, now: int, router: Router) -> None:
+        self._number += 1
+        self._do(now, router, router.call(now, self._number, True, now + 2 * S))
+
+    def _do(self, now: int, router: Router, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                if effect.server == NEW.name:
+                    self.sent.append(now)
+                self._ends.append((now + CALL, router, effect.attempt))
+
+    def go_on(self, now: int) -> None:
+        """What is answered by now, and what waits for its time."""
+        due = [e for e in self._ends if e[0] <= now]
+        self._ends = [e for e in self._ends if e[0] > now]
+        for _, router, attempt in due:
+            self._do(now, router, router.ended(now, attempt, End.ANSWERED))
+        for router in self.routers:
+            while (wake := router.wake()) is not None and wake <= now:
+                self._do(wake, router, router.ring(wake))
+
+    def worst(self) -> float:
+        """The most by which a window went over what was allowed in it; negative where none did."""
+        over = -math.inf
+        self.sent.sort()
+        for i, at in enumerate(self.sent):
+            budget = self.calls * min(1.0, max(LEAST_RAMP, (at + WINDOW) / (SLOW_S * S)))
+            got = bisect_left(self.sent, at + WINDOW) - i
+            over = max(over, got - budget - slack(budget))
+        return over
+
+
+@pytest.mark.parametrize("processes", [1, 5, 25, 30])
+@pytest.mark.parametrize("calls", [8, 40, 200])
+@pytest.mark.parametrize("others", [0, 3])
+@pytest.mark.parametrize("burst", [False, True])
+def test_the_sum_of_what_all_send_keeps_to_the_budget(processes: int, calls: int, others: int, burst: bool) -> None:
+    """Demand is several times the budget; in a burst all ask in one moment, after a rest."""
+    p = Processes(processes, calls, others, seed=processes + calls)
+    for now in range(0, round(SLOW_S * S), 20 * MS):
+        p.go_on(now)
+        asks = 4 * calls // 50 + 1
+        if burst:
+            asks = 40 * asks if now % (800 * MS) == 0 else 0
+        for _ in range(asks):
+            p.ask(now, p.rng.choice(p.routers))
+    assert p.worst() <= 0
+    if not others and not burst:
+        assert len(p.sent) > 0.4 * calls * SLOW_S / 2, "what waits for it makes use of the budget"
+
+
+def test_calls_that_wait_for_a_server_in_slow_start_go_out_in_its_turn_without_another_event() -> None:
+    policy = Policy(slow_start_s=SLOW_S, slow_start_calls=10, runners=20)
+    router = Router([], policy, "r1", random.Random(1).random, 0)
+    router.add(0, NEW)
+    got = [e for n in range(3) for e in router.call(0, n, True, 60 * S)]
+    assert len(got) <= 1
+    now = 0
+    while len(got) < 3:
+        wake = router.wake()
+        assert wake is not None and now < wake < 60 * S, "nothing else would ever look at them"
+        now = wake
+        got += [e for e in router.ring(now) if isinstance(e, Send)]
+    assert not any(isinstance(e, Cancel | Over) for e in got)
+
+
+def test_probes_of_a_server_that_was_ejected_take_their_turns_too() -> None:
+    runners = 30
+    policy = Policy(slow_start_s=SLOW_S, slow_start_calls=10, runners=runners, consecutive=1, most_ejected=1.0,
+                    hedge=False, retry_share=0.0, retry_floor_per_s=0.0, panic=0.0)
+    probes = 0
+    for i in range(runners):
+        router = Router([NEW, Server("other", ("127.0.0.1", 1))], policy, f"r{i}", random.Random(i).random, 0)
+        while router.members[NEW.name].in_flight == {}:
+            router.call(0, 1, True, S)
+        attempt = next(iter(router.members[NEW.name].in_flight))
+        router.ended(0, attempt, End.FAILED)
+        back = router.members[NEW.name].until
+        got = router.call(back, 2, True, back + S)
+        probes += any(isinstance(e, Send) and e.server == NEW.name for e in got)
+    budget = policy.slow_start_calls * LEAST_RAMP
+    assert probes <= budget + slack(budget)
+
+
+def test_slots_are_one_call_each_and_an_idle_runners_is_lost_soon() -> None:
+    budget = StartBudget(calls=100, window_us=S, runners=10)
+    slots = SlotCounter(budget, 0.0, 0)
+    assert slots.is_open(0, 1.0)
+    slots.sent(0, 1.0)
+    assert not slots.is_open(1, 1.0) and slots.opens_at(1, 1.0) == 100 * MS
+    assert slots.is_open(100 * MS, 1.0) and slots.is_open(450 * MS, 1.0)
+    rare = SlotCounter(StartBudget(calls=10, window_us=S, runners=100), 0.0, 0)
+    assert rare.is_open(0, 1.0) and not rare.is_open(5 * S, 1.0) and rare.is_open(10 * S, 1.0)
+    assert len({phase_of(f"r{i}", "s") for i in range(100)}) == 100
