A connection on which a message has begun is the last to make way

Seen by review: where all places are taken, the oldest silent connection went first, and that is a slow client's which is writing its first request, before hundreds that hold on for nothing. Half-written ones go after the idle ones and those that close now, 32 are looked at. The new test over real connections fails without it.

--- a/moorusher/fronts/agent.py
+++ b/moorusher/fronts/agent.py
@@ -22,6 +22,7 @@
     the other side has until its time is over."""
 
     transport: Any
+    reading = False  # it is answered before it is read
     host = ""  # the balancer, as far as it can be told apart: its port changes with each probe
 
     def __init__(self, owner: AgentFront) -> None:
--- a/moorusher/fronts/http.py
+++ b/moorusher/fronts/http.py
@@ -85,6 +85,10 @@
         self.owner.left(self)
         self.core.counters.add(f"{self.owner.counts}: {(self._ending or Ending.CLOSED_BY_PEER).value}")
 
+    @property
+    def reading(self) -> bool:
+        return self._request is not None
+
     def leave(self) -> None:
         """An idle connection is asked for its place: HTTP has no word for it but the close."""
         self.end(Ending.IDLE)
--- a/moorusher/fronts/places.py
+++ b/moorusher/fronts/places.py
@@ -18,10 +18,12 @@
 GRACE = 300 * MS  # a connection that is younger, or idle for less, goes only if there is no other
 ASKED = 2 * SECOND  # for the other side to close what it was asked to close
 CLOSING = 5 * SECOND  # for the other side to read the last of what it was sent
-MOST_LOOKED_AT = 8  # of those that could make way for one that comes
+MOST_LOOKED_AT = 32  # of those that could make way for one that comes
 
 
 class Placed(Protocol):
+    @property
+    def reading(self) -> bool: ...  # a message has begun, and its rest may still come
     def leave(self) -> None: ...  # ask the other side to close
     def end(self, ending: Ending) -> bool: ...  # False where a request had come unread, and it stays
     def cut(self) -> None: ...  # at once, whatever is unsent
@@ -87,26 +89,33 @@
         if len(self.all) < self.most:
             return True
         now = self.core.clock.now
-        for grace in (GRACE, 0):
-            if any(self._give_up_one(listed, now - grace) for listed in (self._asked, self._silent, self._idle)):
-                return True
-            c = next(iter(self._closing), None)
-            if c is not None and now - self._closing[c] >= GRACE:  # it had time to take its last answer
-                del self._closing[c]
-                c.cut()
-                return True
-        return False
+        return (self._give_up_one(now - GRACE, mid_message=False) or self._cut_one(now - GRACE)
+                or self._give_up_one(now - GRACE, mid_message=True) or self._give_up_one(now, mid_message=True))
+
+    def _give_up_one(self, since: int, mid_message: bool) -> bool:
+        """The longest useless one, of those that have been so since then or before. `mid_message`: also one on which a
+        message has begun, as a slow client's has."""
+        return any(self._give_up_one_of(listed, since, mid_message)
+                   for listed in (self._asked, self._silent, self._idle))
 
     @staticmethod
-    def _give_up_one(listed: dict[Placed, int], since: int) -> bool:
-        """The longest useless one of a list that has stood in it since then or before."""
+    def _give_up_one_of(listed: dict[Placed, int], since: int, mid_message: bool) -> bool:
         for c in list(islice(listed, MOST_LOOKED_AT)):
             if listed.get(c, since + 1) > since:
                 return False
-            if c.end(Ending.MADE_WAY):
+            if (mid_message or not c.reading) and c.end(Ending.MADE_WAY):
                 return True
         return False
 
+    def _cut_one(self, since: int) -> bool:
+        """One that closes, and had time to take its last answer."""
+        c = next(iter(self._closing), None)
+        if c is None or self._closing[c] > since:
+            return False
+        del self._closing[c]
+        c.cut()
+        return True
+
     # ---- time ----
 
     def _watch(self) -> None:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -123,6 +123,22 @@
     assert clients[1].ended and clients[1].messages()[-1]["method"] == "leaving" and not clients[2].ended
 
 
+def test_a_message_that_has_begun_keeps_its_place_while_another_connection_is_of_no_use() -> None:
+    s = Served()
+    slow, idle, other = (s.connect() for _ in range(ROOM))
+    slow.send(call()[:20])
+    for client in (idle, other):
+        client.send(HEARTBEAT)
+    s.loop.turn()
+    s.pass_by(400_000)
+    s.connect()
+    s.loop.turn()
+    slow.send(call()[20:])
+    s.loop.turn()
+    s.run_over("r1")
+    assert answered(slow)["id"] == 1 and idle.ended and not other.ended
+
+
 def test_where_every_connection_has_a_request_unread_the_new_one_finds_no_room() -> None:
     s = Served(cores=8)
     clients = [s.connect() for _ in range(ROOM)]
