Messages of both fronts stand in files of their own, without a connection

Need: jsonrpc.py and uwsgi.py held parsing, building and connections in over 300 lines each. jsonrpc_messages.py reads one typed Message or raises BadMessage with the code and id of its error; uwsgi_packets.py has packets and responses. Imports in the tests follow; what they check is as it was. Measured: parsers, fronts, cuts, closings, consoles, probes and tier links pass.

--- a/moorusher/fronts/jsonrpc.py
+++ b/moorusher/fronts/jsonrpc.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import binascii
-import json
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -12,21 +10,36 @@
 from twisted.protocols.basic import LineOnlyReceiver
 from twisted.python.failure import Failure
 
-from ..core.answer import Answer, Cause, Verdict
+from ..core.answer import Answer, Cause
 from ..core.clock import MS, SECOND
 from ..core.decide import Decider
 from ..core.endings import Ending
 from ..core.intake import BUSY_MS, NEVER_RAN, Fault
-from ..core.requests import BUDGET_MS, MEMORY_KB, PEER, RANK, UNIX_MS, Arrival, Range, Request, is_word
+from ..core.requests import Request
+from .jsonrpc_messages import (
+    BAD_PARAMS,
+    FAILED,
+    FAULT_CODES,
+    INVALID,
+    LEAVING,
+    NO_METHOD,
+    PARSE,
+    REFUSED,
+    BadMessage,
+    BadParams,
+    answer_line,
+    error_line,
+    read_arrival,
+    read_message,
+    result_line,
+)
 from .pending import read_pending
 from .places import Places
 
-PARSE, INVALID, NO_METHOD, BAD_PARAMS, FAILED, REFUSED = -32700, -32600, -32601, -32602, -32000, -32014
 MOST_OPEN = 32  # requests on one connection
 MOST_FAULTS = 16  # on one connection, until it is asked to leave: a front end makes none, but for classes that are not
 # here yet, and what it has on its way then has its answers
 END_FAULTS = MOST_FAULTS + 2 * MOST_OPEN  # it did not leave
-MOST_BODY = 2048
 MOST_LINE = 8192  # a body in base64 takes 2,732 of it
 # Until a message that gets an answer has come: a bad client is owed its close within 3 s, and a slow one may take 2 s
 # over its first request.
@@ -35,86 +48,6 @@
 LINGER = SECOND  # for the other side to read why it is closed
 MOST_READ = 16_384  # in one turn, from one connection: two of the longest lines; a crowd of them must not hold the loop
 MOST_UNSENT = 256 * 1024  # 32 answers of 4 KiB in base64 are two thirds of it
-FAULT_CODES = {Fault.NO_SUCH_CLASS: NO_METHOD, Fault.NO_SUCH_TENANT: BAD_PARAMS, Fault.NO_SUCH_TIME: BAD_PARAMS,
-               Fault.TOKEN_MISSING: BAD_PARAMS, Fault.RID_IN_USE: BAD_PARAMS,
-               Fault.BODY_DIFFERS: BAD_PARAMS}
-
-
-class BadParams(ValueError):
-    pass
-
-
-def _number(params: dict[str, Any], key: str, allowed: Range) -> float | None:
-    value = params.get(key)
-    if value is None:
-        return None
-    # Not by isinstance alone: True is an int, and JSON as Python reads it has NaN and Infinity, in no range.
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or not allowed.has(value):
-        raise BadParams(f"{key}: expected a number {allowed}")
-    return value
-
-
-def _needed(params: dict[str, Any], key: str, allowed: Range) -> float:
-    value = _number(params, key, allowed)
-    if value is None:
-        raise BadParams(f"{key}: required")
-    return value
-
-
-def _text(params: dict[str, Any], key: str, most: int) -> str | None:
-    value = params.get(key)
-    if value is None:
-        return None
-    if not isinstance(value, str) or not 0 < len(value) <= most:
-        raise BadParams(f"{key}: expected a string of 1 to {most} characters")
-    return value
-
-
-def _hex(text: str | None, key: str) -> int | None:
-    if text is None:
-        return None
-    try:
-        return int(text, 16)
-    except ValueError:
-        raise BadParams(f"{key}: expected hex digits") from None
-
-
-def read_arrival(method: str, params: Any) -> Arrival:
-    if not isinstance(params, dict):
-        raise BadParams("params: expected an object")
-    rid, token = _text(params, "rid", 64), _text(params, "token", 128)
-    if rid is None or not is_word(rid, 64):
-        raise BadParams("rid: required, of letters, digits and -_.:")
-    if token is not None and not is_word(token, 128):
-        raise BadParams("token: expected letters, digits and -_.:")
-    content = params.get("content", "")
-    if not isinstance(content, str):
-        raise BadParams("content: expected base64")
-    try:
-        body = binascii.a2b_base64(content, strict_mode=True)
-    except (binascii.Error, ValueError):
-        raise BadParams("content: expected base64") from None
-    if len(body) > MOST_BODY:
-        raise BadParams(f"content: more than {MOST_BODY} bytes")
-    peer = _needed(params, "peer", PEER)
-    if peer != int(peer):
-        raise BadParams("peer: expected a whole number")
-    return Arrival(
-        rid, method, body, _needed(params, "t0", UNIX_MS), None, _number(params, "budget", BUDGET_MS),
-        _text(params, "acct", 256), int(peer), _needed(params, "mem", MEMORY_KB), _needed(params, "prio", RANK),
-        token, _hex(_text(params, "obj", 32), "obj"),
-        bool(params.get("again")), _number(params, "est", BUDGET_MS))
-
-
-def _error(tag: object, code: int, message: str, hint: float | None = None, **data: object) -> bytes:
-    if hint is not None:
-        data["hint"] = hint
-    error: dict[str, object] = {"code": code, "message": message}
-    if data:
-        error["data"] = data
-    return json.dumps({"jsonrpc": "2.0", "id": tag, "error": error}).encode() + b"\n"
-
-
 class JsonRpcConnection(LineOnlyReceiver):
     """One connection of a front end, and the way back for the requests that came on it."""
 
@@ -129,7 +62,7 @@
         self.active = self.faults = 0  # when something last came; what was malformed
         self._begun = 0  # when the message began whose end has not come yet; 0 where there is none
         self.leaving = False
-        self.doom: Ending | None = None  # nothing more is read; it closes once what is open has its answer
+        self.last_ending: Ending | None = None  # nothing more is read; it closes once what is open has its answer
         self.unsent = 0  # since the other side stopped reading; 0 where it reads
         self._produces = False  # it is registered as the transport's producer
         self.ending: Ending | None = None
@@ -201,16 +134,16 @@
             self.transport.loseConnection()
 
     def lineLengthExceeded(self, line: bytes) -> None:
-        self._send(_error(None, PARSE, f"a line of more than {self.MAX_LENGTH} bytes"))
-        self._read_no_more(Ending.LINE_TOO_LONG)  # where the next message starts is not known
+        self._send(error_line(None, PARSE, f"a line of more than {self.MAX_LENGTH} bytes"))
+        self._stop_reading(Ending.LINE_TOO_LONG)  # where the next message starts is not known
 
-    def _read_no_more(self, ending: Ending) -> None:
-        if self.doom is None:
-            self.doom = ending
+    def _stop_reading(self, ending: Ending) -> None:
+        if self.last_ending is None:
+            self.last_ending = ending
             self.owner.places.busy(self)
-            self._end_if_doomed()
+            self._end_if_answered()
 
-    def _end_by_halves(self, ending: Ending) -> None:
+    def _half_close(self, ending: Ending) -> None:
         """A close with input unread would reset the connection, and the other side might never see the error: our
         half is closed, and what still comes is thrown away."""
         if self.ending is None:
@@ -224,7 +157,7 @@
             self.transport.abortConnection()
 
     def dataReceived(self, data: bytes) -> None:
-        if self.ending is None and self.doom is None:
+        if self.ending is None and self.last_ending is None:
             self.core.touch()
             super().dataReceived(data)  # type: ignore[no-untyped-call]
             if not self._buffer:
@@ -235,7 +168,7 @@
     def leave(self) -> None:
         if not self.leaving:
             self.leaving = True
-            self._send(b'{"jsonrpc":"2.0","method":"leaving"}\n')
+            self._send(LEAVING)
 
     @property
     def reading(self) -> bool:
@@ -266,29 +199,24 @@
     # ---- what comes ----
 
     def lineReceived(self, line: bytes) -> None:
-        if self.ending is not None or self.doom is not None:
+        if self.ending is not None or self.last_ending is not None:
             return
         if not line.strip():
             return
         self.core.touch()
         self.active = self.core.clock.now
         try:
-            message = json.loads(line)
-        except (ValueError, RecursionError):
-            return self._fault(None, PARSE, "not valid JSON")
-        if not isinstance(message, dict) or message.get("jsonrpc") != "2.0":
-            return self._fault(None, INVALID, "expected one JSON-RPC 2.0 message")
-        method, tag, params = message.get("method"), message.get("id"), message.get("params")
-        if isinstance(tag, bool) or not isinstance(tag, int | None):
-            return self._fault(None, INVALID, "id: expected a whole number")
-        if not isinstance(method, str):
-            return self._fault(tag, INVALID, "method: expected a string")
-        if method == "revoke":
-            return self._revoke(tag, params)
-        if method == "heartbeat":
-            return self._heartbeat(tag)
-        if tag is None:
-            return  # a notification of a method that we don't know: JSON-RPC has no answer to it
+            message = read_message(line)
+        except BadMessage as exc:
+            return self._fault(exc.tag, exc.code, str(exc))
+        if message.method == "revoke":
+            return self._revoke(message.tag, message.params)
+        if message.method == "heartbeat":
+            return self._heartbeat(message.tag)
+        if message.tag is not None:  # JSON-RPC has no answer to a notification of a method that we don't know
+            self._request(message.method, message.tag, message.params)
+
+    def _request(self, method: str, tag: int, params: Any) -> None:
         if method not in self.core.intake.classes:
             # Front ends learn late of a class that was dropped: no reason to end their connection.
             return self._fault(tag, NO_METHOD, "no such method", method not in self.core.intake.former)
@@ -302,7 +230,7 @@
             return self._fault(tag, BAD_PARAMS, str(exc))
         taken = self.core.take(arrival, self, tag)
         if isinstance(taken, Fault) and taken in NEVER_RAN:
-            self._send(_error(tag, REFUSED, taken.value, self.core.hint, backoff=BUSY_MS))
+            self._send(error_line(tag, REFUSED, taken.value, self.core.hint, backoff=BUSY_MS))
             return self._rested()
         if isinstance(taken, Fault):
             return self._fault(tag, FAULT_CODES.get(taken, FAILED), taken.value, taken in FAULT_CODES)
@@ -312,7 +240,7 @@
 
     def _fault(self, tag: int | None, code: int, text: str, theirs: bool = True) -> None:
         self.core.counters.add("faulty")
-        self._send(_error(tag, code, text))
+        self._send(error_line(tag, code, text))
         self._rested()
         if theirs:
             self._blame()
@@ -322,18 +250,18 @@
         if self.faults == MOST_FAULTS:
             self.leave()  # one that knows the protocol sends nothing new here; what is on its way has its answers
         if self.faults >= END_FAULTS:
-            self._read_no_more(Ending.TOO_FAULTY)
+            self._stop_reading(Ending.TOO_FAULTY)
 
-    def _end_if_doomed(self) -> None:
-        if self.doom is not None and not self.open:
-            self._end_by_halves(self.doom)
+    def _end_if_answered(self) -> None:
+        if self.last_ending is not None and not self.open:
+            self._half_close(self.last_ending)
 
     def _heartbeat(self, tag: int | None) -> None:
         result: dict[str, object] = {"fit": self.owner.fit()}
         if self.core.hint is not None:
             result["hint"] = self.core.hint
         self.core.counters.add("health checks")
-        self._send(json.dumps({"jsonrpc": "2.0", "id": tag, "result": result}).encode() + b"\n")
+        self._send(result_line(tag, result))
         self._rested()
 
     def _revoke(self, tag: int | None, params: Any) -> None:
@@ -349,7 +277,7 @@
             self.core.gone(request)
             self._rested()
         if tag is not None and tag not in self.open:
-            self._send(json.dumps({"jsonrpc": "2.0", "id": tag, "result": {}}).encode() + b"\n")
+            self._send(result_line(tag, {}))
 
     # ---- what goes back ----
 
@@ -358,20 +286,10 @@
         if request is not None:
             self.by_rid.pop(request.rid, None)
             self._rested()
-        if answer.verdict is Verdict.SERVED:
-            content = binascii.b2a_base64(answer.content, newline=False)
-            more = b"" if hint is None else b',"hint":%s' % json.dumps(hint).encode()
-            self._send(b'{"jsonrpc":"2.0","id":%d,"result":{"content":"%s"%s}}\n' % (tag, content, more))
-        elif answer.verdict is Verdict.REFUSED:
-            data: dict[str, object] = {"backoff": answer.backoff_ms}
-            if answer.final:
-                data["final"] = 1
-            self._send(_error(tag, REFUSED, answer.words, hint, **data))
-        else:
-            self._send(_error(tag, FAILED, answer.cause.value, hint))
-            if answer.cause is Cause.NOT_ACCEPTED:
-                self._blame()
-        self._end_if_doomed()
+        self._send(answer_line(tag, answer, hint))
+        if answer.cause is Cause.NOT_ACCEPTED:
+            self._blame()
+        self._end_if_answered()
 
 
 class JsonRpcFront(Factory):
--- a/moorusher/fronts/uwsgi.py
+++ b/moorusher/fronts/uwsgi.py
@@ -1,13 +1,8 @@
-"""The uwsgi protocol: a packet of variables, then a body, then an HTTP response. Framing only.
-
-Variables: CONTENT_LENGTH and those named in `VARS`; README.md has the table of statuses.
-"""
+"""The uwsgi protocol: a packet of variables, then a body, then an HTTP response. Framing only."""
 
 from __future__ import annotations
 
 import math
-import secrets
-import struct
 from collections.abc import Callable
 from enum import Enum
 from typing import Any, cast
@@ -19,130 +14,25 @@
 from ..core.decide import Decider
 from ..core.endings import Ending
 from ..core.intake import BUSY_MS, NEVER_RAN, Fault
-from ..core.requests import BUDGET_MS, MEMORY_KB, PEER, RANK, UNIX_MS, Arrival, Range, Request, is_word
+from ..core.requests import Request
 from .pending import read_pending
 from .places import Places
+from .uwsgi_packets import (
+    FAILED_STATUS,
+    FAULT_STATUS,
+    HEAD,
+    PING,
+    PONG,
+    WSGI,
+    BadPacket,
+    content_length,
+    parse_vars,
+    read_arrival,
+    response,
+)
 
-HEAD = struct.Struct("<BHB")  # modifier1, size of the variables, modifier2
-LENGTH = struct.Struct("<H")
-WSGI, PING, PONG = 0, 100, 1
-MOST_VARS = 128
-MOST_UNREAD = 65_535 + 4  # a packet of variables can't be larger
 LINGER = 2 * SECOND  # for an answer to be read, and for the other side to close
 
-VARS = {
-    "class": "MOORUSHER_CLASS", "tenant": "MOORUSHER_TENANT", "budget": "MOORUSHER_BUDGET_MS",
-    "token": "MOORUSHER_TOKEN", "rid": "MOORUSHER_RID", "t0": "MOORUSHER_T0_MS", "peer": "MOORUSHER_PEER",
-    "mem": "MOORUSHER_MEMORY_KB", "prio": "MOORUSHER_RANK", "obj": "MOORUSHER_SUBJECT",
-}
-
-FAULT_STATUS = {
-    Fault.NO_SUCH_CLASS: 404, Fault.NO_SUCH_TENANT: 403, Fault.TOKEN_MISSING: 400, Fault.RID_IN_USE: 409,
-    Fault.BODY_DIFFERS: 422, Fault.NO_SUCH_TIME: 400,
-    Fault.KEY_UNSURE: 503, Fault.TOO_MANY: 503, Fault.KEYS_FULL: 503, Fault.NOT_READY: 503,
-    Fault.RULES_UNKNOWN: 503,
-}
-# A gateway's two words: what stood behind it failed (502), or did not answer in time (504).
-FAILED_STATUS = {
-    Cause.RUN_FAILED: 502, Cause.NOT_ACCEPTED: 502, Cause.NO_RESULT: 502, Cause.FAULT: 502,
-    Cause.GIVEN_UP: 504, Cause.STOPPING: 504, Cause.MAY_GO_ON: 504,
-}
-REASONS = {200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found", 408: "Request Timeout", 409: "Conflict",
-           413: "Content Too Large",
-           422: "Unprocessable Content", 502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout"}
-
-
-class BadPacket(ValueError):
-    """What was read is no uwsgi request; `status` is for the HTTP response."""
-
-    def __init__(self, status: int, text: str) -> None:
-        super().__init__(text)
-        self.status = status
-
-
-def parse_vars(block: bytes) -> dict[str, str]:
-    """Pairs of key and value, each with its length before it. A later pair of one key wins, as in uWSGI."""
-    found: dict[str, str] = {}
-    at, end = 0, len(block)
-    while at < end:
-        pair = []
-        for _ in range(2):
-            if at + 2 > end:
-                raise BadPacket(400, "a length runs past the variables")
-            (size,) = LENGTH.unpack_from(block, at)
-            at += 2
-            if at + size > end:
-                raise BadPacket(400, "a variable runs past its packet")
-            pair.append(block[at:at + size].decode("latin-1"))
-            at += size
-        if not pair[0]:
-            raise BadPacket(400, "a variable without a name")
-        found[pair[0]] = pair[1]
-        if len(found) > MOST_VARS:
-            raise BadPacket(400, f"more than {MOST_VARS} variables")
-    return found
-
-
-def build_packet(variables: dict[str, str], modifier1: int = WSGI, modifier2: int = 0) -> bytes:
-    parts = []
-    for pair in variables.items():
-        for text in pair:
-            raw = text.encode("latin-1")
-            parts.append(LENGTH.pack(len(raw)) + raw)
-    block = b"".join(parts)
-    return HEAD.pack(modifier1, len(block), modifier2) + block
-
-
-def content_length(variables: dict[str, str], most: int) -> int:
-    text = variables.get("CONTENT_LENGTH", "")
-    if not text:
-        return 0
-    # isdigit alone lets other scripts' digits pass; int alone lets '+5', ' 5' and '1_0' pass.
-    if not (text.isascii() and text.isdigit()):
-        raise BadPacket(400, "CONTENT_LENGTH: expected a whole number")
-    if len(text) > 12 or int(text) > most:
-        raise BadPacket(413, f"CONTENT_LENGTH: more than {most}")
-    return int(text)
-
-
-def _number(variables: dict[str, str], name: str, allowed: Range) -> float | None:
-    text = variables.get(VARS[name], "")
-    if not text:
-        return None
-    try:
-        value = float(text)
-    except ValueError:
-        value = math.nan
-    if not allowed.has(value):
-        raise BadPacket(400, f"{VARS[name]}: expected a number {allowed}")
-    return value
-
-
-def read_arrival(variables: dict[str, str], body: bytes, came: int | None = None) -> Arrival:
-    if not (klass := variables.get(VARS["class"], "")):
-        raise BadPacket(400, f"{VARS['class']}: required")
-    rid = variables.get(VARS["rid"], "") or secrets.token_hex(8)
-    token = variables.get(VARS["token"], "") or None
-    if not is_word(rid, 64) or (token is not None and not is_word(token, 128)):
-        raise BadPacket(400, f"{VARS['rid']}, {VARS['token']}: expected letters, digits and -_.:")
-    subject = variables.get(VARS["obj"], "")
-    try:
-        obj = int(subject, 16) if subject else None
-    except ValueError:
-        raise BadPacket(400, f"{VARS['obj']}: expected hex digits") from None
-    return Arrival(
-        rid, klass, body, _number(variables, "t0", UNIX_MS), came, _number(variables, "budget", BUDGET_MS),
-        variables.get(VARS["tenant"], "") or None, int(_number(variables, "peer", PEER) or 0),
-        _number(variables, "mem", MEMORY_KB) or len(body) / 1024 + 1, _number(variables, "prio", RANK) or 0.0,
-        token, obj)
-
-
-def response(status: int, body: bytes = b"", **headers: object) -> bytes:
-    lines = [f"HTTP/1.1 {status} {REASONS[status]}", f"Content-Length: {len(body)}",
-             "Content-Type: application/octet-stream", "Connection: close"]
-    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
-
 
 class State(Enum):
     VARS = "reading the packet"
--- a/moorusher/links/uwsgi.py
+++ b/moorusher/links/uwsgi.py
@@ -10,7 +10,7 @@
 from ..core.call import Asked
 from ..core.decide import Decider
 from ..core.endings import Ending
-from ..fronts.uwsgi import VARS, build_packet
+from ..fronts.uwsgi_packets import VARS, build_packet
 from ..section import Address
 from .http import HttpClient
 
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -9,7 +9,8 @@
 
 from moorusher.fronts.console import Console
 from moorusher.fronts.jsonrpc import JsonRpcFront
-from moorusher.fronts.uwsgi import HEAD, PING, UwsgiFront
+from moorusher.fronts.uwsgi import UwsgiFront
+from moorusher.fronts.uwsgi_packets import HEAD, PING
 from moorusher.report import Reporter
 from moorusher.standing.policy import Policy
 
--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -17,7 +17,8 @@
 from moorusher.core.call import Asked
 from moorusher.fronts.agent import AgentFront
 from moorusher.fronts.health import HealthFront
-from moorusher.fronts.uwsgi import HEAD, PING, UwsgiFront
+from moorusher.fronts.uwsgi import UwsgiFront
+from moorusher.fronts.uwsgi_packets import HEAD, PING
 from moorusher.links.announce import Announcer
 from moorusher.links.kernel import KernelConnection, KernelLink
 from moorusher.links.succession import Peer
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -12,7 +12,8 @@
 from moorusher.core.answer import Answer, Cause, Verdict
 from moorusher.core.endings import Ending
 from moorusher.fronts.jsonrpc import END_FAULTS, MOST_FAULTS, MOST_UNSENT, JsonRpcConnection, JsonRpcFront
-from moorusher.fronts.uwsgi import FAILED_STATUS, FAULT_STATUS, REASONS, UwsgiFront
+from moorusher.fronts.uwsgi import UwsgiFront
+from moorusher.fronts.uwsgi_packets import FAILED_STATUS, FAULT_STATUS, REASONS
 from peattack.interface import SignalKind
 
 from .stand_ins import uwsgi_request
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -15,7 +15,7 @@
 from moorusher.config_tier import TIER_BOUNDS, TierConfig
 from moorusher.core.endings import OUTCOMES, Ending
 from moorusher.forecast.policy import Policy as ForecastPolicy
-from moorusher.fronts import jsonrpc, uwsgi
+from moorusher.fronts import jsonrpc_messages, uwsgi_packets
 from moorusher.links import database
 from moorusher.links.http import HttpClient
 from moorusher.outage.policy import Policy as OutagePolicy
@@ -26,7 +26,7 @@
 
 
 def test_the_documented_request_is_read() -> None:
-    a = jsonrpc.read_arrival("check", GOOD | {"obj": "7f3a9c21e0b4d655"})
+    a = jsonrpc_messages.read_arrival("check", GOOD | {"obj": "7f3a9c21e0b4d655"})
     assert (a.rid, a.budget_ms, a.tenant, a.body, a.subject) == (GOOD["rid"], 480, "acme", b"\0\1", 0x7F3A9C21E0B4D655)
 
 
@@ -43,38 +43,38 @@
     ({"content": "A?=="}, "content"), ({"content": "é"}, "content"), ({"content": "A" * 2736}, "content"),
 ])
 def test_bad_params_are_named(change: dict[str, Any], named: str) -> None:
-    with pytest.raises(jsonrpc.BadParams, match=named):
-        jsonrpc.read_arrival("check", GOOD | change)
+    with pytest.raises(jsonrpc_messages.BadParams, match=named):
+        jsonrpc_messages.read_arrival("check", GOOD | change)
 
 
-VARS = {uwsgi.VARS["class"]: "check"}
+VARS = {uwsgi_packets.VARS["class"]: "check"}
 
 
 @pytest.mark.parametrize("block", [b"\1", b"\5\0ab", b"\1\0a", b"\1\0a\5\0b", b"\0\0\1\0b",
                                    b"".join(b"\4\0%04d\0\0" % i for i in range(200))])
 def test_bad_variables(block: bytes) -> None:
-    with pytest.raises(uwsgi.BadPacket) as caught:
-        uwsgi.parse_vars(block)
+    with pytest.raises(uwsgi_packets.BadPacket) as caught:
+        uwsgi_packets.parse_vars(block)
     assert caught.value.status == 400
 
 
 def test_a_packet_is_read_as_it_was_built() -> None:
-    raw = uwsgi.build_packet(VARS | {"EMPTY": "", "HIGH": "\xff"})
-    assert uwsgi.HEAD.unpack_from(raw) == (0, len(raw) - 4, 0)
-    assert uwsgi.parse_vars(raw[4:]) == VARS | {"EMPTY": "", "HIGH": "\xff"}
+    raw = uwsgi_packets.build_packet(VARS | {"EMPTY": "", "HIGH": "\xff"})
+    assert uwsgi_packets.HEAD.unpack_from(raw) == (0, len(raw) - 4, 0)
+    assert uwsgi_packets.parse_vars(raw[4:]) == VARS | {"EMPTY": "", "HIGH": "\xff"}
 
 
 @pytest.mark.parametrize("text, status", [("-1", 400), ("+1", 400), ("1e3", 400), (" 1", 400), ("1_0", 400),
                                           ("\u0661", 400), ("2049", 413), ("9" * 5000, 413), ("0x10", 400)])
 def test_bad_content_lengths(text: str, status: int) -> None:
-    with pytest.raises(uwsgi.BadPacket) as caught:
-        uwsgi.content_length({"CONTENT_LENGTH": text}, 2048)
+    with pytest.raises(uwsgi_packets.BadPacket) as caught:
+        uwsgi_packets.content_length({"CONTENT_LENGTH": text}, 2048)
     assert caught.value.status == status
 
 
 @pytest.mark.parametrize("text, length", [("", 0), ("0", 0), ("2048", 2048), ("007", 7)])
 def test_content_lengths(text: str, length: int) -> None:
-    assert uwsgi.content_length({"CONTENT_LENGTH": text}, 2048) == length
+    assert uwsgi_packets.content_length({"CONTENT_LENGTH": text}, 2048) == length
 
 
 @pytest.mark.parametrize("name, text", [("budget", "-1"), ("budget", "nan"), ("budget", "inf"), ("t0", "soon"),
@@ -82,8 +82,8 @@
                                         ("token", "t" * 129),
                                         ("rid", "a\r\nX: 1"), ("token", "a\n"), ("class", "")])
 def test_bad_uwsgi_values(name: str, text: str) -> None:
-    with pytest.raises(uwsgi.BadPacket, match=uwsgi.VARS[name]):
-        uwsgi.read_arrival(VARS | {uwsgi.VARS[name]: text}, b"")
+    with pytest.raises(uwsgi_packets.BadPacket, match=uwsgi_packets.VARS[name]):
+        uwsgi_packets.read_arrival(VARS | {uwsgi_packets.VARS[name]: text}, b"")
 
 
 class Replies(HttpClient):
