--- a/moorusher/admin.py
+++ b/moorusher/admin.py
@@ -218,6 +218,7 @@
 
 
 def reply(request: Any, status: int, value: object) -> bytes:
+    """Write a JSON answer with its status to a request of the web server."""
     request.setResponseCode(status)
     request.setHeader(b"content-type", b"application/json")
     return json.dumps(value, sort_keys=True).encode() + b"\n"
@@ -249,6 +250,7 @@
 
 
 def status_of(core: Decider, reporter: Reporter, name: str) -> dict[str, object]:
+    """What `GET /status` tells of this runner."""
     return {
         "name": name, "version": __version__, "state": haproxy(reporter.report()), "draining": core.draining,
         "kernel_up": core.ready, "healthy": core.healthy, "hint": core.hint, "load": core.load(),
@@ -284,6 +286,7 @@
 def admin_site(core: Decider, reporter: Reporter, name: str, token: str, drain: Callable[[], None],
                tier: Any = None, condition: Callable[[], Any] = lambda: None, fleet: Any = None,
                namespaces: Any = None, forecast: Any = None, outage: Any = None) -> Any:
+    """The web site of the administration API, with the pages of those parts that are switched on."""
     def leave() -> object:
         drain()
         return {"draining": True}
--- a/moorusher/admin_duties.py
+++ b/moorusher/admin_duties.py
@@ -12,6 +12,8 @@
 
 
 class DutyPages(Guarded):
+    """`/duties`: what the fleet has, and an operator's words on it."""
+
     def __init__(self, token: str, duties: DutyLink) -> None:
         super().__init__(token)
         self._duties = duties
--- a/moorusher/admin_forecast.py
+++ b/moorusher/admin_forecast.py
@@ -32,6 +32,8 @@
 
 
 class ForecastPages(Guarded):
+    """`/forecast`: the forecast by customer, and its loading."""
+
     def __init__(self, token: str, forecast: ForecastLink) -> None:
         super().__init__(token)
         self._forecast = forecast
--- a/moorusher/admin_namespaces.py
+++ b/moorusher/admin_namespaces.py
@@ -19,6 +19,8 @@
 
 
 class NamespacePages(Guarded):
+    """`/namespaces`: customers' rules, read, published and explained."""
+
     def __init__(self, token: str, namespaces: NamespaceLink) -> None:
         super().__init__(token)
         self._namespaces = namespaces
--- a/moorusher/admin_outage.py
+++ b/moorusher/admin_outage.py
@@ -66,6 +66,8 @@
 
 
 class OutagePages(Guarded):
+    """`/outage`: asks of machines, and an operator's words on them."""
+
     def __init__(self, token: str, outage: OutageLink) -> None:
         super().__init__(token)
         self._outage = outage
--- a/moorusher/cli/__init__.py
+++ b/moorusher/cli/__init__.py
@@ -28,6 +28,7 @@
 
 
 def show(value: object, as_json: bool, text: str) -> None:
+    """Print a value, as JSON or in words."""
     click.echo(json.dumps(value, indent=2, sort_keys=True) if as_json else text)
 
 
--- a/moorusher/config.py
+++ b/moorusher/config.py
@@ -31,6 +31,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
+    """What this process may take; the kernel's own cores and memory are in the settings."""
+
     cores: float = 1.0
     memory_mb: float = 192.0
     sockets: int = 1024
@@ -38,6 +40,8 @@
 
 @dataclass(frozen=True, slots=True)
 class UwsgiConfig:
+    """`[uwsgi]`: the second front, and a uwsgi peer below."""
+
     listen: Address | None = None
     below: Address | None = None  # a uwsgi peer for calls, in place of the database
     body_bytes: int = 2048
@@ -59,12 +63,16 @@
 
 @dataclass(frozen=True, slots=True)
 class AdminConfig:
+    """`[admin]`: the administration API."""
+
     listen: Address | None = None
     token: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class Config:
+    """All that a runner is told, read and checked."""
+
     name: str
     listen: Address
     kernel: Address
@@ -198,6 +206,7 @@
 
 
 def load(env: Mapping[str, str] = os.environ, fronts: Path | None = None, running: Any = None) -> Config:
+    """Read the file that `GW_CONFIG` names, and the operator's own. Raises ConfigError."""
     path = env.get("GW_CONFIG")
     if not path:
         raise ConfigError("GW_CONFIG: not set; it names the JSON file of the configuration")
--- a/moorusher/config_fleet.py
+++ b/moorusher/config_fleet.py
@@ -36,6 +36,7 @@
 
 
 def read_duties(section: Section) -> Duties:
+    """`[duties]`, read and checked. Raises ConfigError."""
     section.unknown({"on", "report", *BOUNDS})
     d = Duties()
     figures: dict[str, Any] = {name: section.between(name, getattr(d, name), *bounds)
@@ -56,6 +57,7 @@
 
 
 def read_fleet(section: Section, duties: Section) -> FleetConfig:
+    """`[fleet]` with its duties, read and checked. Raises ConfigError."""
     section.unknown({"listen", "name", "uncovered", "claim_ms", "copies", "seat", "journal"})
     listen = inside(section.address("listen"), section.key("listen"))
     d = FleetPolicy()
--- a/moorusher/config_forecast.py
+++ b/moorusher/config_forecast.py
@@ -41,6 +41,7 @@
 
 
 def read_forecast(section: Section, duties: bool, state_bytes: int) -> Policy:
+    """`[forecast]`, read and checked. Raises ConfigError."""
     section.unknown({"on", "calendar", "scaling", *FIGURES})
     d, s = Policy(), Scaling()
     figures: dict[str, Any] = {n: section.between(n, getattr(d, n), *bounds) for n, bounds in FIGURES.items()}
--- a/moorusher/config_namespaces.py
+++ b/moorusher/config_namespaces.py
@@ -20,6 +20,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Customer:
+    """A tenant with servers of its own, and its shares of pools."""
+
     granted: Granted = field(default_factory=Granted)
     bounds: Bounds = field(default_factory=Bounds)
 
--- a/moorusher/config_tier.py
+++ b/moorusher/config_tier.py
@@ -46,6 +46,7 @@
 
 
 def read_tier(section: Section, folder: Path) -> TierConfig:
+    """`[tier]` with its servers, read and checked. Raises ConfigError."""
     section.unknown({*TIER_BOUNDS, "zone", "hedge", "server", "knowledge_file"})
     listed: list[Any] = section.get("server", [])
     servers = tuple(server_of(Section(one, f"{section.key('server')}[{i}]")) for i, one in enumerate(listed))
--- a/moorusher/core/answer.py
+++ b/moorusher/core/answer.py
@@ -8,6 +8,8 @@
 
 
 class Verdict(Enum):
+    """The three kinds of final answer."""
+
     SERVED = "served"
     REFUSED = "refused"  # the try never ran
     FAILED = "failed"
@@ -31,6 +33,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Answer:
+    """One final answer, in no wire's words yet."""
+
     verdict: Verdict
     content: bytes = b""  # the result; of a refusal by a customer's rules, their reason
     cause: Cause = Cause.NONE
--- a/moorusher/core/call.py
+++ b/moorusher/core/call.py
@@ -46,6 +46,8 @@
 
 
 class OpenCalls:
+    """The calls that are out, at most one for each run, with their time limits."""
+
     def __init__(self, calls: Calls, clock: Clock, alarms: Alarms) -> None:
         self._calls, self._clock, self._alarms = calls, clock, alarms
         self._open: dict[int, _Open] = {}
--- a/moorusher/core/care.py
+++ b/moorusher/core/care.py
@@ -12,6 +12,8 @@
 
 
 class Care(Protocol):
+    """What the core asks of a fleet about keyed requests."""
+
     def hold_back(self, request: Request) -> bool:
         """True where the key is asked for first: one of the `Decider`'s `granted`, `joined` and `uncovered` follows."""
 
--- a/moorusher/core/counters.py
+++ b/moorusher/core/counters.py
@@ -6,6 +6,8 @@
 
 
 class Counters:
+    """Counts by name, in all and for each tenant."""
+
     def __init__(self) -> None:
         self.total: Counter[str] = Counter()
         self.tenants: dict[str, Counter[str]] = {}
--- a/moorusher/core/endings.py
+++ b/moorusher/core/endings.py
@@ -8,6 +8,8 @@
 
 
 class Ending(Enum):
+    """How a run, a call or a connection ended; each has one value."""
+
     # A run, as the kernel reports it.
     RUN_PASSED = "run passed"
     RUN_FAILED = "run failed"
--- a/moorusher/core/intake.py
+++ b/moorusher/core/intake.py
@@ -43,6 +43,8 @@
 
 
 class Intake:
+    """Checks what was read against the settings, and makes a request of it."""
+
     def __init__(self, settings: api.Settings, clock: Clock, table: Table, keys: Keys) -> None:
         self._clock, self._table, self._keys = clock, table, keys
         self.former: dict[str, float] = {}  # classes that were dropped, with their windows; the latest last
--- a/moorusher/core/keys.py
+++ b/moorusher/core/keys.py
@@ -27,6 +27,8 @@
 
 @dataclass(slots=True, eq=False)
 class Entry:
+    """A key, the try that holds it, and what became of that."""
+
     key: Key
     number: int  # the try that holds the key
     body: int  # of what all tries share; see `digest`
--- a/moorusher/core/others.py
+++ b/moorusher/core/others.py
@@ -24,6 +24,8 @@
 
 
 class Others:
+    """Carries out in the core what the fleet has settled of a key."""
+
     def __init__(self, core: Decider) -> None:
         self._core = core
 
--- a/moorusher/core/requests.py
+++ b/moorusher/core/requests.py
@@ -12,6 +12,8 @@
 
 
 class Stage(Enum):
+    """How far a request has come."""
+
     HELD = "held"
     BEGINNING = "beginning"  # the module has started it; others must know before it is commanded
     RUNNING = "running"  # from the command to the kernel until its end is known, calls included
@@ -73,6 +75,8 @@
 
 @dataclass(slots=True, eq=False)
 class Request:
+    """A request that was taken in, until it is over."""
+
     number: int  # the module's id of it
     rid: str  # the kernel's
     cls: api.RequestClass  # as it was when this was read: new settings change nothing for what is open
--- a/moorusher/core/retune.py
+++ b/moorusher/core/retune.py
@@ -17,6 +17,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Plan:
+    """What new settings change, and what of them has to wait."""
+
     settings: api.Settings  # these hold from now on
     classes: tuple[int, ...]  # for each of their classes, which of the old ones it was; NEW
     tenants: tuple[int, ...]
@@ -42,6 +44,7 @@
 
 
 def plan(old: api.Settings, new: api.Settings) -> Plan:
+    """Compare the settings that hold with new ones."""
     was = {c.name: i for i, c in reversed(list(enumerate(old.classes)))}
     tenant_was = {t.name: i for i, t in reversed(list(enumerate(old.tenants)))}
     names = {c.name for c in new.classes}
--- a/moorusher/core/routes.py
+++ b/moorusher/core/routes.py
@@ -12,6 +12,8 @@
 
 
 class Ruling(Protocol):
+    """What customers' rules say of one request."""
+
     @property
     def at(self) -> tuple[int, int]: ...  # the revision: incarnation and number
     @property
@@ -21,6 +23,8 @@
 
 
 class Routes(Protocol):
+    """Who rules on requests as they are read."""
+
     @property
     def ready(self) -> bool: ...  # what there is at other runners is known here, or can't be
 
@@ -29,6 +33,8 @@
 
 
 class NoRoutes:
+    """No customer has rules of its own."""
+
     ready = True
 
     def rule(self, arrival: Arrival, tenant: str | None) -> Ruling | None:
--- a/moorusher/core/run.py
+++ b/moorusher/core/run.py
@@ -22,6 +22,8 @@
 
 @dataclass(slots=True, eq=False)
 class Run:
+    """A request that the kernel was told to run, and what was said about it."""
+
     request: Request
     route: str
     known: bool = False  # the kernel has told something of it, so it has read the command
@@ -42,6 +44,8 @@
 
 
 class Runs:
+    """All runs that are not over, and the commands to the kernel for them."""
+
     def __init__(self, kernel: Kernel, clock: Clock) -> None:
         self._kernel, self._clock = kernel, clock
         self._runs: dict[int, Run] = {}
--- a/moorusher/forecast/demand.py
+++ b/moorusher/forecast/demand.py
@@ -73,10 +73,12 @@
 
 
 def pack_key(key: Key) -> str:
+    """A key as text, for stored counts."""
     return _encode(key).decode()
 
 
 def unpack_key(text: str) -> Key:
+    """The key of such a text. Raises ValueError."""
     return _decoder.decode(text)
 
 
--- a/moorusher/forecast/hints.py
+++ b/moorusher/forecast/hints.py
@@ -23,6 +23,8 @@
 
 
 class Hints(msgspec.Struct, frozen=True):
+    """Runners wanted by zone and hour, for whoever starts and ends them."""
+
     made_ms: int
     valid_until_ms: int
     hints: tuple[Hint, ...]
--- a/moorusher/forecast/level.py
+++ b/moorusher/forecast/level.py
@@ -57,6 +57,7 @@
 
 
 def levelled(y: Floats, past: Ints) -> Levelled:
+    """Counts without the changes of level that are seen in the past."""
     made, jumps = y.copy(), np.zeros_like(y)
     for _ in range(MOST_JUMPS):
         if not _one_jump(made, jumps, past):
--- a/moorusher/forecast/policy.py
+++ b/moorusher/forecast/policy.py
@@ -32,6 +32,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Policy:
+    """What the operator sets of the forecast; `config_forecast.py` reads and bounds it."""
+
     on: bool = False
     report_ms: float = 20_000.0  # how often counts are told
     save_ms: float = 5_000.0  # how often the owner keeps what it was told
--- a/moorusher/forecast/quantiles.py
+++ b/moorusher/forecast/quantiles.py
@@ -24,6 +24,7 @@
 
 
 def size_of(said: Floats) -> Floats:
+    """The size that an error at such a forecast is measured by."""
     return np.sqrt(np.maximum(said, 0.25) + (SHARE * said) ** 2)
 
 
--- a/moorusher/fronts/agent.py
+++ b/moorusher/fronts/agent.py
@@ -67,6 +67,8 @@
 
 
 class AgentFront(ProbeFront):
+    """Listens for HAProxy's agent checks."""
+
     def __init__(self, core: Decider, reporter: Reporter, maxconn: bool = False) -> None:
         super().__init__(core, reporter, AgentConnection)
         self.maxconn = maxconn
--- a/moorusher/fronts/console.py
+++ b/moorusher/fronts/console.py
@@ -25,6 +25,8 @@
 
 
 class ConsoleConnection(HttpConnection):
+    """One call of an operator, answered and closed."""
+
     linger = 200 * MS
     most_body = MOST_BODY
 
@@ -42,6 +44,8 @@
 
 
 class Console(Factory):
+    """Listens at the operators' second address."""
+
     noisy = False
     counts = "console connections"
 
--- a/moorusher/fronts/health.py
+++ b/moorusher/fronts/health.py
@@ -31,6 +31,8 @@
 
 
 class HealthFront(ProbeFront):
+    """Listens for health checks over HTTP."""
+
     def __init__(self, core: Decider, reporter: Reporter, codes: words.Codes, load: LoadReport | None) -> None:
         super().__init__(core, reporter, HttpConnection)
         self.codes, self.load = codes, load
--- a/moorusher/fronts/http.py
+++ b/moorusher/fronts/http.py
@@ -205,4 +205,5 @@
 
 
 def not_allowed(*allowed: str) -> Said:
+    """405, with the methods that are allowed."""
     return Said(405, f"only {' and '.join(allowed)}\n".encode(), more=[("Allow", ", ".join(allowed))])
--- a/moorusher/fronts/places.py
+++ b/moorusher/fronts/places.py
@@ -22,6 +22,8 @@
 
 
 class Placed(Protocol):
+    """A connection, as its front's table of places needs it."""
+
     @property
     def reading(self) -> bool: ...  # a message has begun, and its rest may still come
     def leave(self) -> None: ...  # ask the other side to close
@@ -30,6 +32,8 @@
 
 
 class Places:
+    """The connections of one front: how many there may be, and when each has to go."""
+
     def __init__(self, core: Decider, most: int, silence: int, idleness: int) -> None:
         self.core, self.most, self.silence, self.idleness = core, most, silence, idleness
         self.all: set[Placed] = set()
--- a/moorusher/fronts/uwsgi.py
+++ b/moorusher/fronts/uwsgi.py
@@ -35,6 +35,8 @@
 
 
 class State(Enum):
+    """How far a connection has come."""
+
     VARS = "reading the packet"
     BODY = "reading the body"
     ASKED = "waits for its answer"
@@ -183,6 +185,8 @@
 
 
 class UwsgiFront(Factory):
+    """Listens for uwsgi clients."""
+
     noisy = False
 
     def __init__(self, core: Decider, most: int, most_body: int, idle_s: float,
--- a/moorusher/knowledge/snapshot.py
+++ b/moorusher/knowledge/snapshot.py
@@ -29,6 +29,8 @@
 
 
 class Refused(ValueError):
+    """The file can't be used; the text says why, and the start is cold."""
+
     def __init__(self, why: Why, more: str = "") -> None:
         super().__init__(why.value + (f": {more}" if more else ""))
         self.why = why
--- a/moorusher/links/announce.py
+++ b/moorusher/links/announce.py
@@ -54,6 +54,8 @@
 
 
 class Announcer(ClientFactory):
+    """Reports at a steady pace over one connection, and makes a new one where that falls silent."""
+
     noisy = False
 
     def __init__(self, reactor: Any, address: Address, name: str) -> None:
--- a/moorusher/links/database.py
+++ b/moorusher/links/database.py
@@ -21,6 +21,7 @@
 
 
 def ending_of(status: int, headers: dict[bytes, bytes]) -> Ending:
+    """How a call ended, by its reply; without a proof it may have run."""
     never = headers.get(b"never-started") == b"1"
     if status == 200:
         return Ending.CALL_ANSWERED
@@ -34,6 +35,8 @@
 
 
 class DatabaseConnection(HttpClient):
+    """A connection to the database: one call at a time."""
+
     def __init__(self, pool: DatabasePool, first: tuple[int, Asked]) -> None:
         super().__init__()
         self.pool, self.first, self.address = pool, first, pool.address
@@ -116,6 +119,8 @@
 
 
 class DatabasePool:
+    """All connections to one database, and the calls that are out on them."""
+
     def __init__(self, reactor: Any, address: Address, most_idle: int = MOST_IDLE) -> None:
         self.reactor, self.address, self._most_idle = reactor, address, most_idle
         self.core: Decider  # set by the owner
--- a/moorusher/links/kernel.py
+++ b/moorusher/links/kernel.py
@@ -49,6 +49,8 @@
 
 
 class KernelConnection(LineOnlyReceiver):
+    """One connection to the kernel: lines in, commands out."""
+
     transport: Any  # zope's interfaces mean nothing to mypy
     delimiter = b"\n"
     MAX_LENGTH = 65_536
--- a/moorusher/links/peers.py
+++ b/moorusher/links/peers.py
@@ -198,6 +198,8 @@
 
 
 class Doors(Factory):
+    """Listens for the other runners of the fleet."""
+
     noisy = False
 
     def __init__(self, link: Link) -> None:
--- a/moorusher/links/receivers.py
+++ b/moorusher/links/receivers.py
@@ -33,6 +33,8 @@
 
 
 class Answer(msgspec.Struct):
+    """What a receiver has said, as it came."""
+
     verdict: str = ""
     done: bool = False
     highest: tuple[int, int, int] | None = None
@@ -72,6 +74,8 @@
 
 
 class Post(ClientFactory):
+    """One exchange with a receiver, given up after a second."""
+
     noisy = False
 
     def __init__(self, link: Receivers, path: bytes, body: bytes, then: Callable[[Told], None]) -> None:
@@ -103,6 +107,8 @@
 
 
 class Receivers:
+    """All exchanges of this runner with receivers outside."""
+
     def __init__(self, reactor: Any, core: Decider) -> None:
         self.reactor, self.core, self.open = reactor, core, 0
 
--- a/moorusher/links/revisions.py
+++ b/moorusher/links/revisions.py
@@ -28,6 +28,8 @@
 
 
 class Store:
+    """The file, and the thread that writes to it."""
+
     def __init__(self, reactor: Any, path: Path, pool: ThreadPool, count: Callable[[str], None]) -> None:
         """`pool`: of one thread."""
         self._reactor, self.path, self._pool, self._count = reactor, path, pool, count
--- a/moorusher/links/succession.py
+++ b/moorusher/links/succession.py
@@ -179,6 +179,7 @@
 
 
 def key_of(message: dict[str, Any]) -> Key:
+    """The key that a message names. Raises ValueError."""
     tenant, token = message["k"]
     if not isinstance(token, str) or not isinstance(tenant, str | None):
         raise ValueError("no key")
@@ -229,6 +230,8 @@
 
 
 class Succession:
+    """Carries out the life of this process beside another one of its runner."""
+
     def __init__(self, reactor: Any, core: Decider, owner: Owner, path: str, name: str) -> None:
         self._reactor, self.core, self._owner, self._path, self._name = reactor, core, owner, path, name
         self.life = Life()
--- a/moorusher/links/uwsgi.py
+++ b/moorusher/links/uwsgi.py
@@ -16,6 +16,7 @@
 
 
 def call_packet(asked: Asked) -> bytes:
+    """A call below, as a uwsgi request."""
     # The peer gives the call a rid of its own: a second call for this request is a new try there.
     variables = {
         "REQUEST_METHOD": "POST", "REQUEST_URI": "/", "CONTENT_LENGTH": str(len(asked.body)),
@@ -29,6 +30,7 @@
 
 
 def ending_of(status: int, headers: dict[bytes, bytes]) -> Ending:
+    """How a call ended, by its response; without a proof it may have run."""
     if status == 200:
         return Ending.CALL_ANSWERED
     if headers.get(b"x-moorusher-never-ran") == b"1":
@@ -85,6 +87,8 @@
 
 
 class UwsgiCalls:
+    """Calls to one uwsgi peer, each over a connection of its own."""
+
     def __init__(self, reactor: Any, address: Address) -> None:
         self._reactor, self.address = reactor, address
         self.core: Decider  # set by the owner
--- a/moorusher/namespaces/atoms.py
+++ b/moorusher/namespaces/atoms.py
@@ -14,6 +14,8 @@
 
 
 class WordAtoms:
+    """Sets of words, told apart as far as rules tell them apart."""
+
     def __init__(self, sets: Iterable[Words]) -> None:
         prefixes, words = {""}, set[str]()
         for one in sets:
--- a/moorusher/namespaces/errors.py
+++ b/moorusher/namespaces/errors.py
@@ -6,7 +6,7 @@
 
 
 class NamespaceError(Remediable):
-    pass
+    """Why a draft, or a call about a namespace, is turned down."""
 
 
 class Malformed(NamespaceError):
@@ -52,6 +52,8 @@
 
 
 class Circular(NamespaceError):
+    """A route that falls back on itself: one of its fall-backs has to go."""
+
     remedy = "Break the circle of fall-backs that is named."
 
 
--- a/moorusher/namespaces/names.py
+++ b/moorusher/namespaces/names.py
@@ -16,6 +16,7 @@
 
 
 def is_normal(name: str) -> bool:
+    """Written the one way in which names are compared."""
     return 0 < len(name) <= MOST and unicodedata.is_normalized("NFC", name) \
         and not any(unicodedata.category(c) in _BAD for c in name)
 
--- a/moorusher/namespaces/revisions.py
+++ b/moorusher/namespaces/revisions.py
@@ -68,6 +68,7 @@
 
 
 def pack(book: Book) -> bytes:
+    """A book as bytes, for the duty's state."""
     return _encode(book)
 
 
--- a/moorusher/namespaces/rules.py
+++ b/moorusher/namespaces/rules.py
@@ -61,6 +61,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
+    """A rule's word that a request is turned away, with the reason that its client reads."""
+
     reason: str
 
 
--- a/moorusher/namespaces/table.py
+++ b/moorusher/namespaces/table.py
@@ -158,6 +158,7 @@
 
 
 def meet(a: Box, b: Box) -> Box | None:
+    """What two boxes have in common; None where that is nothing."""
     common = tuple(x & y for x, y in zip(a, b, strict=True))
     return common if all(common) else None
 
--- a/moorusher/routing/way.py
+++ b/moorusher/routing/way.py
@@ -22,6 +22,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Way:
+    """The hops that the calls of one request may take, in their order."""
+
     customer: str
     born: int  # the incarnation of the namespace: what an earlier one's routes have learnt is not this one's
     hops: tuple[Hop, ...]
@@ -38,6 +40,7 @@
 
 
 def rule(revision: Revision, asked: Asked) -> Ruling:
+    """What a revision says of one request."""
     decision, routes = revision.decide(asked)
     label = "" if decision.rule is None else decision.rule.label
     if decision.route is None:
--- a/moorusher/section.py
+++ b/moorusher/section.py
@@ -66,6 +66,7 @@
 
 
 def parse_address(text: str, key: str) -> Address:
+    """HOST:PORT. Raises ConfigError with the key."""
     host, colon, port = text.rpartition(":")
     if not colon or not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) < 65536:
         raise ConfigError(f"{key}: expected HOST:PORT, got {text!r}")
@@ -73,6 +74,7 @@
 
 
 def loopback(address: Address | None, key: str) -> Address | None:
+    """The address, if it is one of this machine alone. Raises ConfigError with the key."""
     if address is not None:
         try:
             inside = ipaddress.ip_address(address[0]).is_loopback
--- a/moorusher/service.py
+++ b/moorusher/service.py
@@ -49,6 +49,8 @@
 
 
 class Service:
+    """The parts of one runner, and its life: started, given new settings, replaced, drained, ended."""
+
     def __init__(self, config: Config, reactor: Any) -> None:
         self.config, self.reactor = config, reactor
         self.clock = Clock()
--- a/moorusher/standing/ages.py
+++ b/moorusher/standing/ages.py
@@ -21,6 +21,8 @@
 
 @dataclass(frozen=True, slots=True)
 class LinkState:
+    """How far the kernel's link is to be trusted."""
+
     trust: float  # 0 to 1
     failed: bool
     words: str  # "" where there is nothing to say
--- a/moorusher/standing/balancers.py
+++ b/moorusher/standing/balancers.py
@@ -16,6 +16,8 @@
 
 
 class Balancers:
+    """The balancers that probe this runner, and how often each does."""
+
     def __init__(self) -> None:
         self._sources: dict[str, _Source] = {}
 
--- a/moorusher/standing/states.py
+++ b/moorusher/standing/states.py
@@ -6,6 +6,8 @@
 
 
 class Standing(Enum):
+    """What a runner is, for balancers."""
+
     STARTING = "starting"  # no kernel yet: nothing can be run
     WARMING = "warming"  # cold: it serves, at a part of its full speed
     SERVING = "serving"
--- a/moorusher/standing/words.py
+++ b/moorusher/standing/words.py
@@ -27,6 +27,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
+    """What an HTTP probe is told, in no framing yet."""
+
     status: int
     retry_after_s: int | None = None
     degraded: bool = False  # x-envoy-degraded: sent to where the others don't suffice
--- a/moorusher/succession/role.py
+++ b/moorusher/succession/role.py
@@ -10,6 +10,8 @@
 
 
 class State(Enum):
+    """Where a process is in its life beside another one."""
+
     LOOKING = "looks for another process"
     TAKING = "takes its keys over"
     TAKEN = "has its keys, and waits for the kernel"
@@ -23,6 +25,8 @@
 
 
 class Event(Enum):
+    """What may happen to it."""
+
     NOBODY = "there is no other process"
     DEAD = "there was one, and it is dead"
     WELCOME = "the other one has answered, with its sockets"
@@ -39,6 +43,8 @@
 
 
 class Step(Enum):
+    """What is to be done about that."""
+
     LOOK = "look (again) for the other process"
     LISTEN = "listen on sockets of its own"
     TAKE_UP = "accept on the sockets that were handed over, on others of its own"
--- a/moorusher/tier/budget.py
+++ b/moorusher/tier/budget.py
@@ -7,6 +7,8 @@
 
 
 class Budget:
+    """Tokens for further attempts: each call earns a part of one, and so does time."""
+
     def __init__(self, share: float, floor_per_s: float, now: int) -> None:
         self.share, self.floor = share, floor_per_s
         self._tokens, self._at = 1.0, now
--- a/moorusher/tier/limit.py
+++ b/moorusher/tier/limit.py
@@ -9,6 +9,8 @@
 
 
 class Limit:
+    """The limit on calls in flight at one server, as its answers move it."""
+
     def __init__(self, least: int, most: int) -> None:
         self._least, self._most = least, most
         self.value = min(float(most), max(float(least), START))
--- a/moorusher/tier/member.py
+++ b/moorusher/tier/member.py
@@ -17,6 +17,8 @@
 
 
 class State(Enum):
+    """Whether a server gets calls."""
+
     IN = "in"
     EJECTED = "ejected"
     PROBED = "probed"  # its time is over: one safe call says whether it returns
@@ -35,11 +37,15 @@
 
 @dataclass(slots=True)
 class InFlight:
+    """An attempt that has not ended."""
+
     since: int
     probe: bool = False
 
 
 class Member:
+    """One server: its calls, its latency, its limit, and whether it is ejected."""
+
     def __init__(self, server: Server, policy: Policy, now: int, established: bool = False,
                  runner: str = "") -> None:
         self.server, self.policy = server, policy
--- a/moorusher/tier/router.py
+++ b/moorusher/tier/router.py
@@ -85,6 +85,8 @@
 
 @dataclass(slots=True)
 class Counts:
+    """What a router has done, for operators."""
+
     calls: int = 0
     attempts: int = 0
     repeats: int = 0
--- a/peattack/balance.py
+++ b/peattack/balance.py
@@ -389,8 +389,8 @@
             kind.came = 0
         for kind in self.kinds:
             dense = sum(k.demand for k in self.kinds if _denser(k.cls, kind.cls))
-            equal = sum(k.demand for k in self.kinds
-                        if not _denser(k.cls, kind.cls) and not _denser(kind.cls, k.cls))
+            equals = [k for k in self.kinds if not (_denser(k.cls, kind.cls) or _denser(kind.cls, k.cls))]
+            equal = sum(k.demand for k in equals)
             room = max(LEAST_ROOM, 1.0 - dense) * kind.demand / equal if equal else 1.0
             kind.credit = min(kind.credit + room * self.n * past, self.n * past) if dense else NEVER
 
@@ -451,8 +451,8 @@
             overdue = self.now >= min(job.due, self.stop_at) - TICK_MS / 2
             stands = job.state in (WAITING, CALLING)  # no work is lost that could still be of use
             futile = self.now >= job.aim and job.cls.late_share <= 0 and (stands or self.queued)
-            if job.state == CALLING and job.cls.worth_without_call > 0 \
-                    and job.aim - self.now < LAST_STRETCH * self.occupy <= job.aim - job.began:
+            last = job.aim - self.now < LAST_STRETCH * self.occupy <= job.aim - job.began
+            if last and job.state == CALLING and job.cls.worth_without_call > 0:
                 self._leave_out(job)
             elif overdue and job.state == HELD:
                 self._refuse(job)
@@ -563,10 +563,10 @@
     def _retune(self, e: api.Retune) -> None:
         """Whoever stays keeps what was learnt of it, wherever it stands; jobs keep their class."""
         old, flows, self.s = self.kinds, self.flows, e.settings
-        self.kinds = [_Kind(c, self.cost, 0) if i < 0 else old[i].redefined(c)
-                      for c, i in zip(e.settings.classes, e.classes, strict=True)]
-        self.flows = {i: _Flow(phi) if was < 0 else flows.pop(was)
-                      for i, (was, phi) in enumerate(zip(e.tenants, self._phis(e.settings), strict=True))}
+        classes = zip(e.settings.classes, e.classes, strict=True)
+        self.kinds = [_Kind(c, self.cost, 0) if i < 0 else old[i].redefined(c) for c, i in classes]
+        tenants = enumerate(zip(e.tenants, self._phis(e.settings), strict=True))
+        self.flows = {i: _Flow(phi) if was < 0 else flows.pop(was) for i, (was, phi) in tenants}
         for i, phi in enumerate(self._phis(e.settings)):
             self.phi_sum += (phi - self.flows[i].phi) * self.flows[i].active
             self.flows[i].phi = phi
--- a/peattack/interface.py
+++ b/peattack/interface.py
@@ -194,6 +194,8 @@
 
 @dataclass(slots=True)
 class RunEnded:
+    """A run is over, or a request that waited for another's result."""
+
     id: int
     outcome: Outcome
     latency_ms: float = 0.0
@@ -208,6 +210,8 @@
 
 @dataclass(slots=True)
 class CallEnded:
+    """A call below has ended; the request is back at its call unless the outcome is ok."""
+
     id: int
     outcome: Outcome
     latency_ms: float = 0.0
@@ -317,6 +321,8 @@
 
 @dataclass(slots=True)
 class Forget:
+    """Drop a request's entry from the table of keys."""
+
     id: int
 
 
@@ -351,12 +357,16 @@
 
 @dataclass(slots=True)
 class SetTimer:
+    """Send a `Timer` event after this time."""
+
     delay_ms: float
     token: int = 0
 
 
 @dataclass(slots=True)
 class Log:
+    """A line for the log."""
+
     text: str
 
 
--- a/peattack/simhost.py
+++ b/peattack/simhost.py
@@ -69,6 +69,7 @@
 
 
 def main() -> int:
+    """Serve the simulator until its input ends; the exit code."""
     return serve(sys.stdin.buffer, sys.stdout.buffer)
 
 
--- a/peattack/wire.py
+++ b/peattack/wire.py
@@ -33,6 +33,8 @@
 
 @dataclass(slots=True)
 class Batch:
+    """One batch of the simulator: events by instance."""
+
     now: float
     seq: int
     groups: list[tuple[int, list[HostEvent]]]
@@ -269,6 +271,7 @@
 
 
 def encode_action(a: api.Action) -> bytes:
+    """One action as a record of the reply."""
     if isinstance(a, api.SetTimer):
         return _NOTIFY.pack(265, a.delay_ms, a.token)
     if isinstance(a, api.Reject):
