--- a/moorusher/admin.py
+++ b/moorusher/admin.py
@@ -98,8 +98,9 @@
     reason, for_s = sent.get("reason", "maintenance"), sent.get("for_s")
     if not isinstance(reason, str) or not 0 < len(reason) <= MOST_REASON:
         raise BadBody(f"reason: expected a string of 1 to {MOST_REASON} characters")
-    if for_s is not None and (isinstance(for_s, bool) or not isinstance(for_s, (int, float))
-                              or not 0 < for_s <= MOST_MAINTENANCE_S):
+    if for_s is not None and (
+        isinstance(for_s, bool) or not isinstance(for_s, (int, float)) or not 0 < for_s <= MOST_MAINTENANCE_S
+    ):
         raise BadBody(f"for_s: expected seconds above 0 and up to {MOST_MAINTENANCE_S:g}")
     return reason, for_s
 
@@ -130,8 +131,11 @@
             return reply(request, 401, {"error": "a bearer token is needed"})
         if self._reporter.put_back():
             return reply(request, 200, {"maintenance": None})
-        return reply(request, 409, {"error": "the runner is leaving" if self._reporter.core.draining
-                                    else "no maintenance is set"})
+        return reply(
+            request,
+            409,
+            {"error": "the runner is leaving" if self._reporter.core.draining else "no maintenance is set"},
+        )
 
 
 class _Servers(Guarded):
@@ -153,8 +157,13 @@
         path = self._path(request)
         if not path:
             router = self._tier.router
-            counts = asdict(router.counts) | {"ejections": router.roster.ejections, "panics": router.roster.panics}
-            return reply(request, 200, {"servers": self._told(), "counts": counts, "open": self._tier.router.open})
+            counts = asdict(router.counts) | {
+                "ejections": router.roster.ejections,
+                "panics": router.roster.panics,
+            }
+            return reply(
+                request, 200, {"servers": self._told(), "counts": counts, "open": self._tier.router.open}
+            )
         found = [s for s in self._told() if s["name"] == path[0]]
         if len(path) > 1 or not found:
             return reply(request, 404, {"error": "no such server"})
@@ -175,7 +184,11 @@
         if len(path) != 1:
             return reply(request, 404, {"error": "expected /servers/NAME"})
         try:
-            server = server_of(Section({"name": path[0]} | self.body(request), "")) if self.allowed(request) else None
+            server = (
+                server_of(Section({"name": path[0]} | self.body(request), ""))
+                if self.allowed(request)
+                else None
+            )
         except (BadBody, ConfigError) as exc:
             return reply(request, 400, {"error": str(exc)})
         if server is None:
@@ -207,9 +220,14 @@
 
     def render_GET(self, request: Any) -> bytes:
         core, path = self._core, [p.decode("utf-8", "replace") for p in request.postpath if p]
-        every = {t.name: {"share": t.share, "quota_per_s": t.quota_per_s,
-                          "counters": dict(core.counters.tenants.get(t.name, {}))}
-                 for t in core.settings.tenants}
+        every = {
+            t.name: {
+                "share": t.share,
+                "quota_per_s": t.quota_per_s,
+                "counters": dict(core.counters.tenants.get(t.name, {})),
+            }
+            for t in core.settings.tenants
+        }
         if not path:
             return reply(request, 200, every)
         if len(path) > 1 or path[0] not in every:
@@ -234,8 +252,13 @@
         if gone:
             return
         if isinstance(got, Exception):
-            request.write(reply(request, getattr(got, "status", 500), {
-                "error": str(got), "kind": type(got).__name__, "remedy": getattr(got, "remedy", "")}))
+            request.write(
+                reply(
+                    request,
+                    getattr(got, "status", 500),
+                    {"error": str(got), "kind": type(got).__name__, "remedy": getattr(got, "remedy", "")},
+                )
+            )
         else:
             request.write(reply(request, 200, json.loads(got) if isinstance(got, bytes) else got))
         request.finish()
@@ -252,10 +275,20 @@
 def status_of(core: Decider, reporter: Reporter, name: str) -> dict[str, object]:
     """What `GET /status` tells of this runner."""
     return {
-        "name": name, "version": __version__, "state": haproxy(reporter.report()), "draining": core.draining,
-        "kernel_up": core.ready, "healthy": core.healthy, "hint": core.hint, "load": core.load(),
-        "requests": len(core.table), "owed": core.owed, "runs": len(core.runs), "calls": len(core.calls),
-        "keys": len(core.keys), "key_bytes": core.keys.bytes,
+        "name": name,
+        "version": __version__,
+        "state": haproxy(reporter.report()),
+        "draining": core.draining,
+        "kernel_up": core.ready,
+        "healthy": core.healthy,
+        "hint": core.hint,
+        "load": core.load(),
+        "requests": len(core.table),
+        "owed": core.owed,
+        "runs": len(core.runs),
+        "calls": len(core.calls),
+        "keys": len(core.keys),
+        "key_bytes": core.keys.bytes,
     }
 
 
@@ -271,7 +304,11 @@
         path = [p for p in request.postpath if p]
         if path == [b"work"]:
             return reply(request, 200, self._fleet.work())
-        return reply(request, 200, self._fleet.told()) if not path else reply(request, 404, {"error": "no such page"})
+        return (
+            reply(request, 200, self._fleet.told())
+            if not path
+            else reply(request, 404, {"error": "no such page"})
+        )
 
     def render_POST(self, request: Any) -> bytes:
         path = [p for p in request.postpath if p]
@@ -283,10 +320,21 @@
         return reply(request, 200, {"begun": True}) if why is None else reply(request, 409, {"error": why})
 
 
-def admin_site(core: Decider, reporter: Reporter, name: str, token: str, drain: Callable[[], None],
-               tier: Any = None, condition: Callable[[], Any] = lambda: None, fleet: Any = None,
-               namespaces: Any = None, forecast: Any = None, outage: Any = None) -> Any:
+def admin_site(
+    core: Decider,
+    reporter: Reporter,
+    name: str,
+    token: str,
+    drain: Callable[[], None],
+    tier: Any = None,
+    condition: Callable[[], Any] = lambda: None,
+    fleet: Any = None,
+    namespaces: Any = None,
+    forecast: Any = None,
+    outage: Any = None,
+) -> Any:
     """The web site of the administration API, with the pages of those parts that are switched on."""
+
     def leave() -> object:
         drain()
         return {"draining": True}
--- a/moorusher/admin_duties.py
+++ b/moorusher/admin_duties.py
@@ -35,8 +35,16 @@
         path = self._path(request)
         if len(path) > 1 and path[-1] == "resume":
             return later(request, lambda then: self._duties.resume("/".join(path[:-1]), then))
-        if len(path) > 3 and path[-3] == "settle" and path[-2].isdigit() and len(path[-2]) < 19 \
-                and path[-1] in ("done", "undone"):
-            return later(request, lambda then: self._duties.settle(
-                "/".join(path[:-3]), int(path[-2]), path[-1], then))
-        return reply(request, 404, {"error": "expected /duties/NAME/resume or /duties/NAME/settle/NUMBER/done"})
+        if (
+            len(path) > 3
+            and path[-3] == "settle"
+            and path[-2].isdigit()
+            and len(path[-2]) < 19
+            and path[-1] in ("done", "undone")
+        ):
+            return later(
+                request, lambda then: self._duties.settle("/".join(path[:-3]), int(path[-2]), path[-1], then)
+            )
+        return reply(
+            request, 404, {"error": "expected /duties/NAME/resume or /duties/NAME/settle/NUMBER/done"}
+        )
--- a/moorusher/admin_forecast.py
+++ b/moorusher/admin_forecast.py
@@ -21,8 +21,10 @@
 
 class _Past(msgspec.Struct, forbid_unknown_fields=True):
     first_hour: Annotated[int, msgspec.Meta(ge=0, le=10**8)]
-    asked: Annotated[list[Annotated[int, msgspec.Meta(ge=0, le=2**32 - 1)]], msgspec.Meta(min_length=1,
-                                                                                       max_length=MOST_HOURS)]
+    asked: Annotated[
+        list[Annotated[int, msgspec.Meta(ge=0, le=2**32 - 1)]],
+        msgspec.Meta(min_length=1, max_length=MOST_HOURS),
+    ]
     customer: str = ""
     route: str = ""
     zone: str = ""
@@ -48,8 +50,16 @@
             sent = msgspec.json.decode(raw, type=list[_Past])
         except (msgspec.MsgspecError, RecursionError) as exc:
             return reply(request, 400, {"error": str(exc)})
-        past = [Past(Key(one.customer, one.born, one.route, one.zone), one.first_hour, one.asked, 1000 * one.core_ms,
-                     one.worth) for one in sent]
+        past = [
+            Past(
+                Key(one.customer, one.born, one.route, one.zone),
+                one.first_hour,
+                one.asked,
+                1000 * one.core_ms,
+                one.worth,
+            )
+            for one in sent
+        ]
         return later(request, lambda then: self._forecast.load(past, then))
 
     def render_GET(self, request: Any) -> Any:
--- a/moorusher/admin_namespaces.py
+++ b/moorusher/admin_namespaces.py
@@ -48,8 +48,14 @@
         id = self._query(request, "id") or os.urandom(12).hex()
         if len(id) > MOST_ID:
             raise Malformed(f"id: expected at most {MOST_ID} characters")
-        return Submission(customer, id, int(self._number(request, "expects", -1, -1, 1e15)),
-                          self._query(request, "by", "api")[:MOST_BY], draft, back_to)
+        return Submission(
+            customer,
+            id,
+            int(self._number(request, "expects", -1, -1, 1e15)),
+            self._query(request, "by", "api")[:MOST_BY],
+            draft,
+            back_to,
+        )
 
     def render_GET(self, request: Any) -> Any:
         path = self._path(request)
@@ -58,10 +64,20 @@
         if len(path) == 1:
             return later(request, lambda then: self._namespaces.show(path[0], then))
         if path[1:] == ["explain"]:
-            return later(request, lambda then: self._namespaces.explain(path[0], Asked(
-                self._query(request, "class"), int(self._number(request, "caller", -1, -1, 1e15)),
-                int(self._number(request, "subject", -1, -1, 1e15)), self._number(request, "rank", 0.0, 0.0, 1.0),
-                self._query(request, "key")), then))
+            return later(
+                request,
+                lambda then: self._namespaces.explain(
+                    path[0],
+                    Asked(
+                        self._query(request, "class"),
+                        int(self._number(request, "caller", -1, -1, 1e15)),
+                        int(self._number(request, "subject", -1, -1, 1e15)),
+                        self._number(request, "rank", 0.0, 0.0, 1.0),
+                        self._query(request, "key"),
+                    ),
+                    then,
+                ),
+            )
         return reply(request, 404, {"error": "no such page"})
 
     def render_PUT(self, request: Any) -> Any:
@@ -73,8 +89,12 @@
         draft = request.content.read(MOST_DRAFT + 1)
         if len(draft) > MOST_DRAFT:
             return reply(request, 413, {"error": f"more than {MOST_DRAFT} bytes"})
-        return later(request, lambda then: self._namespaces.publish(
-            self._submission(request, path[0], draft), bool(self._query(request, "wait")), then))
+        return later(
+            request,
+            lambda then: self._namespaces.publish(
+                self._submission(request, path[0], draft), bool(self._query(request, "wait")), then
+            ),
+        )
 
     def render_POST(self, request: Any) -> Any:
         if not self.allowed(request):
@@ -82,8 +102,14 @@
         path = self._path(request)
         if len(path) != 3 or path[1] != "back" or not path[2].isdigit() or not 0 < len(path[2]) < 16:
             return reply(request, 404, {"error": "expected /namespaces/NAME/back/NUMBER"})
-        return later(request, lambda then: self._namespaces.publish(
-            self._submission(request, path[0], back_to=int(path[2])), bool(self._query(request, "wait")), then))
+        return later(
+            request,
+            lambda then: self._namespaces.publish(
+                self._submission(request, path[0], back_to=int(path[2])),
+                bool(self._query(request, "wait")),
+                then,
+            ),
+        )
 
     def render_DELETE(self, request: Any) -> Any:
         if not self.allowed(request):
@@ -91,5 +117,6 @@
         path = self._path(request)
         if len(path) != 1:
             return reply(request, 404, {"error": "expected /namespaces/NAME"})
-        return later(request, lambda then: self._namespaces.delete(path[0], bool(self._query(request, "wait")),
-                                                                         then))
+        return later(
+            request, lambda then: self._namespaces.delete(path[0], bool(self._query(request, "wait")), then)
+        )
--- a/moorusher/admin_outage.py
+++ b/moorusher/admin_outage.py
@@ -14,8 +14,22 @@
 
 MOST_S = 30 * 86_400.0
 MOST_PRIORITY = 9
-ASKED = {"id", "seats", "all", "zone", "group", "reason", "by", "lasts_s", "not_before_s", "due_s", "priority",
-         "together", "ends", "bound"}
+ASKED = {
+    "id",
+    "seats",
+    "all",
+    "zone",
+    "group",
+    "reason",
+    "by",
+    "lasts_s",
+    "not_before_s",
+    "due_s",
+    "priority",
+    "together",
+    "ends",
+    "bound",
+}
 
 
 class _Sent:
@@ -29,7 +43,9 @@
     def text(self, name: str, default: str | None = None, most: int = MOST_TEXT) -> str:
         value = self.sent.get(name, default)
         if not isinstance(value, str) or len(value) > most or (default is None and not value):
-            raise BadBody(f"{name}: expected a string of {0 if default is not None else 1} to {most} characters")
+            raise BadBody(
+                f"{name}: expected a string of {0 if default is not None else 1} to {most} characters"
+            )
         return value
 
     def number(self, name: str, default: float, least: float, most: float) -> float:
@@ -57,12 +73,22 @@
     ends = s.text("ends", "boot")
     if ends not in ("boot", "done"):
         raise BadBody(f"ends: expected one of boot, done, got {ends!r}")
-    return {"id": s.text("id", os.urandom(8).hex(), MOST_ID), "reason": s.text("reason", "maintenance"),
-            "by": s.text("by", "api", 64), "lasts_s": s.number("lasts_s", 600.0, 0.1, MOST_S),
-            "not_before_s": s.number("not_before_s", 0.0, 0, 1e12), "due_s": s.number("due_s", 0.0, 0, 1e12),
-            "priority": int(s.number("priority", 0, 0, MOST_PRIORITY)), "together": s.yes("together"), "ends": ends,
-            "bound": s.yes("bound"), "all": s.yes("all"), "zone": s.text("zone", "", 64),
-            "group": s.text("group", "", 64), "seats": s.names("seats")}
+    return {
+        "id": s.text("id", os.urandom(8).hex(), MOST_ID),
+        "reason": s.text("reason", "maintenance"),
+        "by": s.text("by", "api", 64),
+        "lasts_s": s.number("lasts_s", 600.0, 0.1, MOST_S),
+        "not_before_s": s.number("not_before_s", 0.0, 0, 1e12),
+        "due_s": s.number("due_s", 0.0, 0, 1e12),
+        "priority": int(s.number("priority", 0, 0, MOST_PRIORITY)),
+        "together": s.yes("together"),
+        "ends": ends,
+        "bound": s.yes("bound"),
+        "all": s.yes("all"),
+        "zone": s.text("zone", "", 64),
+        "group": s.text("group", "", 64),
+        "seats": s.names("seats"),
+    }
 
 
 class OutagePages(Guarded):
@@ -72,8 +98,13 @@
         super().__init__(token)
         self._outage = outage
         self._does: dict[str, Callable[[dict[str, Any], Any], Any]] = {
-            "ask": self._ask, "cancel": self._cancel, "hold": self._hold, "resume": self._resume, "done": self._done,
-            "wait": self._wait}
+            "ask": self._ask,
+            "cancel": self._cancel,
+            "hold": self._hold,
+            "resume": self._resume,
+            "done": self._done,
+            "wait": self._wait,
+        }
 
     def render_GET(self, request: Any) -> Any:
         if [p for p in request.postpath if p]:
--- a/moorusher/check/duties.py
+++ b/moorusher/check/duties.py
@@ -33,11 +33,15 @@
 class Facts:
     """Of one duty, as nobody in the fleet sees them."""
 
-    owners: dict[tuple[int, int], set[int]] = field(default_factory=lambda: defaultdict(set))  # by term: processes
+    owners: dict[tuple[int, int], set[int]] = field(
+        default_factory=lambda: defaultdict(set)
+    )  # by term: processes
     acknowledged: list[tuple[int, int]] = field(default_factory=list)  # (token, when)
     highest: Fence | None = None  # at the receiver that compares,
     taken: list[Fence] = field(default_factory=list)  # and what it took
-    performed: dict[bytes, int] = field(default_factory=lambda: defaultdict(int))  # jobs, at the one that can't
+    performed: dict[bytes, int] = field(
+        default_factory=lambda: defaultdict(int)
+    )  # jobs, at the one that can't
     repeatable: set[bytes] = field(default_factory=set)
     closed: set[int] = field(default_factory=set)  # intents that were asked for: from then on never
     by_number: dict[int, bytes] = field(default_factory=dict)
@@ -117,7 +121,9 @@
 
 
 class DutyProcess(Process):
-    def __init__(self, sim: Simulation, seat: int, number: int, inc: int, remembers: bool, make: type[Node]) -> None:
+    def __init__(
+        self, sim: Simulation, seat: int, number: int, inc: int, remembers: bool, make: type[Node]
+    ) -> None:
         super().__init__(sim, seat, number, inc, remembers, make)
         assert isinstance(sim, DutySimulation)
         self.world = sim
@@ -220,9 +226,19 @@
     """`office` and `keeper` are the real ones, or those with a seeded mistake. `compares`: else the receiver takes what
     comes, as without fences. `lasting`: keepers of duties have disks."""
 
-    def __init__(self, seed: int, course: Course | None = None, duties: int = 6, lasting: bool = False,
-                 compares: bool = True, office: type[Office] = Office, keeper: type[LastingKeeper] = LastingKeeper,
-                 policy: Policy = POLICY, amnesia: bool = True, process: type[DutyProcess] | None = None) -> None:
+    def __init__(
+        self,
+        seed: int,
+        course: Course | None = None,
+        duties: int = 6,
+        lasting: bool = False,
+        compares: bool = True,
+        office: type[Office] = Office,
+        keeper: type[LastingKeeper] = LastingKeeper,
+        policy: Policy = POLICY,
+        amnesia: bool = True,
+        process: type[DutyProcess] | None = None,
+    ) -> None:
         self.names = [f"duty-{i}" for i in range(duties)]
         self.facts: dict[str, Facts] = {name: Facts() for name in self.names}
         self.office, self.keeper, self.policy = office, keeper, policy
@@ -234,14 +250,16 @@
         self.lasting_disks = [pack([w]) for w in self.lasting_whose]
         super().__init__(seed, course or COURSE, process=process or DutyProcess, amnesia=amnesia)
         for at in range(2 if duties else 1 << 20, round(self.course.seconds) + 4):
-            self._read(self.random.choice(self.names), at + self.random.random(), self.random.randrange(seats))
+            self._read(
+                self.random.choice(self.names), at + self.random.random(), self.random.randrange(seats)
+            )
 
     def born(self, seat: int, remembers: bool, inc: int = 0) -> DutyProcess:
         made = super().born(seat, remembers, inc)
         assert isinstance(made, DutyProcess)
         if self.lasting and self.now:
             image = read(self.lasting_disks[seat], self.lasting_whose[seat])
-            self.lasting_disks[seat] = self.lasting_disks[seat][:image.good]
+            self.lasting_disks[seat] = self.lasting_disks[seat][: image.good]
             if image.remembers:
                 made.office.keeper.recall(self.now, image)
             else:
@@ -254,10 +272,11 @@
         assert isinstance(process, DutyProcess)
         if process._write_on not in (b"", b"\0"):
             data = process._write_on
-            self.lasting_disks[process.seat] += data[:self.random.randint(0, len(data))]
+            self.lasting_disks[process.seat] += data[: self.random.randint(0, len(data))]
 
     def _read(self, name: str, at: float, seat: int) -> None:
         """Through the register: all that was acknowledged before it was asked for must be there."""
+
         def ask() -> None:
             process, began = self.processes[seat], self.now
             if not process.alive or process.stopped_until > self.now or not isinstance(process, DutyProcess):
@@ -266,9 +285,13 @@
             def got(reading: Reading | DutyError) -> None:
                 if isinstance(reading, Reading) and reading.state is not None:
                     there = tokens(reading.state)
-                    missing = [t for t, when in self.facts[name].acknowledged if when < began and t not in there]
+                    missing = [
+                        t for t, when in self.facts[name].acknowledged if when < began and t not in there
+                    ]
                     if missing:
-                        self.reads.append(f"{name}: read at n{seat}, asked for at {began}: {missing[:3]} missing")
+                        self.reads.append(
+                            f"{name}: read at n{seat}, asked for at {began}: {missing[:3]} missing"
+                        )
 
             process.office.read(name, got)
 
@@ -306,19 +329,33 @@
     def _at_the_end(self, name: str, facts: Facts) -> str | None:
         """All faults are over for a while: who votes says what the state is, and somebody has the duty."""
         key = key_of(name)
-        keepers = [p for p in self.processes if p.alive and isinstance(p, DutyProcess)
-                   and p.node.me in self.seats.keepers(key) and p.office.keeper.votes_for(key)]
+        keepers = [
+            p
+            for p in self.processes
+            if p.alive
+            and isinstance(p, DutyProcess)
+            and p.node.me in self.seats.keepers(key)
+            and p.office.keeper.votes_for(key)
+        ]
         if len(keepers) < 2:
             return None  # a majority has forgotten at once: an operator must say how it goes on
-        slots = [s for p in keepers if (s := p.office.keeper.slots.get(key)) is not None and s.ballot is not None]
+        slots = [
+            s for p in keepers if (s := p.office.keeper.slots.get(key)) is not None and s.ballot is not None
+        ]
         if not slots:
-            return f"no register, though {len(facts.acknowledged)} changes were acknowledged" if facts.effects else \
-                "it was never made"
+            return (
+                f"no register, though {len(facts.acknowledged)} changes were acknowledged"
+                if facts.effects
+                else "it was never made"
+            )
         post: Post = _post(max(slots, key=lambda s: s.ballot or NEVER).value)
         if post.life == Life.ASIDE.value:
             return None
-        tours = [p.office.tours[key] for p in self.processes if isinstance(p, DutyProcess) and p.alive
-                 and key in p.office.tours]
+        tours = [
+            p.office.tours[key]
+            for p in self.processes
+            if isinstance(p, DutyProcess) and p.alive and key in p.office.tours
+        ]
         at_work = [t for t in tours if t.stage is Stage.HELD and t.post.term == post.term]
         if len(at_work) != 1:
             return f"{len(at_work)} at work on {post}; tours: {[(t.owner, t.stage.value, t.post.term) for t in tours]}"
@@ -328,7 +365,7 @@
 
 
 def tokens(state: bytes) -> set[int]:
-    return {int.from_bytes(state[i:i + 4], "big") for i in range(0, len(state), 4)}
+    return {int.from_bytes(state[i : i + 4], "big") for i in range(0, len(state), 4)}
 
 
 def _post(value: Any) -> Post:
--- a/moorusher/check/explore.py
+++ b/moorusher/check/explore.py
@@ -34,8 +34,12 @@
     def __str__(self) -> str:
         if self.broken is None:
             return f"{self.states} states, {'all' if self.whole else 'not all'} seen, nothing broken"
-        return "\n".join([f"broken after {self.states} states: {self.broken}",
-                          *(f"  {i + 1}. {step}" for i, step in enumerate(self.way))])
+        return "\n".join(
+            [
+                f"broken after {self.states} states: {self.broken}",
+                *(f"  {i + 1}. {step}" for i, step in enumerate(self.way)),
+            ]
+        )
 
 
 def digest(state: Case) -> bytes:
--- a/moorusher/check/fleets.py
+++ b/moorusher/check/fleets.py
@@ -61,7 +61,9 @@
 class Process:
     """One life of a seat: the `Host` of its node, with a queue and a kernel that only wait."""
 
-    def __init__(self, sim: Simulation, seat: int, number: int, inc: int, remembers: bool, make: type[Node]) -> None:
+    def __init__(
+        self, sim: Simulation, seat: int, number: int, inc: int, remembers: bool, make: type[Node]
+    ) -> None:
         self.sim, self.seat, self.number = sim, seat, number
         self.alive, self.kernel, self.away = True, True, False
         self.stopped_until = 0
@@ -110,7 +112,9 @@
         if not self.writing:
             return written()
         slow = self.sim.random.random() < 0.1
-        self.sim.at(self.sim.now + round(self.sim.random.uniform(0.1, 300 if slow else 8) * MS), self, written)
+        self.sim.at(
+            self.sim.now + round(self.sim.random.uniform(0.1, 300 if slow else 8) * MS), self, written
+        )
         return None
 
     def clock(self) -> int:
@@ -235,8 +239,14 @@
 
 
 class Simulation:
-    def __init__(self, seed: int, course: Course | None = None, make: type[Node] = Node,
-                 process: type[Process] = Process, amnesia: bool = True) -> None:
+    def __init__(
+        self,
+        seed: int,
+        course: Course | None = None,
+        make: type[Node] = Node,
+        process: type[Process] = Process,
+        amnesia: bool = True,
+    ) -> None:
         """`amnesia`: False is a seeded mistake, a keeper that has forgotten votes as if it had not."""
         self.seed, self.course = seed, course or Course()
         self.random, self.now = Random(seed), 0
@@ -260,7 +270,7 @@
         made = self._process(self, seat, number, inc or self.now + 1 + number, remembers, self._make)
         if self.course.disks and self.now:
             image = read(self.disks[seat], self.whose[seat])
-            self.disks[seat] = self.disks[seat][:image.good]  # as a new file has it
+            self.disks[seat] = self.disks[seat][: image.good]  # as a new file has it
             if image.remembers:
                 made.node.recall(image)
             else:
@@ -346,7 +356,9 @@
             for p in self.processes:
                 if p.alive:
                     self._end(p)
-                    self._begin_again(p.seat, self.now + round(self.random.uniform(0.02, min(lasts, 1)) * SECOND), 0)
+                    self._begin_again(
+                        p.seat, self.now + round(self.random.uniform(0.02, min(lasts, 1)) * SECOND), 0
+                    )
             return
         if kind in ("kill", "forget", "clock"):
             self._end(process)
@@ -373,8 +385,11 @@
             others = [i for i in range(self.course.seats) if i != seat]
             if kind == "cut":
                 others = self.random.sample(others, self.random.randint(1, len(others)))
-            ways = {(seat, o) for o in others} if kind == "one way" else \
-                {w for o in others for w in ((seat, o), (o, seat))}
+            ways = (
+                {(seat, o) for o in others}
+                if kind == "one way"
+                else {w for o in others for w in ((seat, o), (o, seat))}
+            )
             self.silent |= ways
             self.at(end, None, lambda: self.silent.difference_update(ways))
 
@@ -382,7 +397,7 @@
         process.alive = False
         self.history.ended.append((process.number, self.now))
         if process.writing:  # torn anywhere; whole maybe, and not confirmed
-            self.disks[process.seat] += process.writing[:self.random.randint(0, len(process.writing))]
+            self.disks[process.seat] += process.writing[: self.random.randint(0, len(process.writing))]
 
     def _begin_again(self, seat: int, when: int, inc: int) -> None:
         def again() -> None:
@@ -423,15 +438,24 @@
         dead = {number: at for number, at in self.history.ended}
         for run in self.history.runs:
             before = [(number, at) for number, at in tries[run.key] if at <= run.at]
-            if all(any(k == run.key and n == number and at < when < run.at and how == "refused"
-                       for k, n, when, _, how in self.history.answers)
-                   and dead.get(number, self.now + 1) > run.at for number, at in before):
+            if all(
+                any(
+                    k == run.key and n == number and at < when < run.at and how == "refused"
+                    for k, n, when, _, how in self.history.answers
+                )
+                and dead.get(number, self.now + 1) > run.at
+                for number, at in before
+            ):
                 return f"{run.key!r} ran at process {run.process} at {run.at}, though all were told that it never ran"
         return None
 
     def _refused(self, key: Key) -> set[Owner]:
         """Its owners that have given their callers up, and are taking it back."""
-        told = {number for k, number, _, _, how in self.history.answers if k == key and how in ("refused", "failed")}
+        told = {
+            number
+            for k, number, _, _, how in self.history.answers
+            if k == key and how in ("refused", "failed")
+        }
         return {p.node.owner for p in self.processes if p.number in told}
 
     def _forgotten(self) -> str | None:
@@ -439,12 +463,22 @@
         live = {p.node.me: p for p in self.processes if p.alive}
         ran = {r.key for r in self.history.runs}
         for key in self.history.granted:
-            knows = [p for s in self.seats.keepers(key) if (p := live.get(s)) is not None
-                     and (slot := p.node.keeper.slots.get(key)) is not None and slot.value is not None
-                     and slot.value.order is not None and not slot.value.turned and p.node.keeper.votes_for(key)
-                     and slot.value.owner not in self._refused(key)]
-            if len(knows) >= 2 and key not in ran and all(p.state.get(key) not in ("held", "beginning")
-                                                         for p in self.processes):
+            knows = [
+                p
+                for s in self.seats.keepers(key)
+                if (p := live.get(s)) is not None
+                and (slot := p.node.keeper.slots.get(key)) is not None
+                and slot.value is not None
+                and slot.value.order is not None
+                and not slot.value.turned
+                and p.node.keeper.votes_for(key)
+                and slot.value.owner not in self._refused(key)
+            ]
+            if (
+                len(knows) >= 2
+                and key not in ran
+                and all(p.state.get(key) not in ("held", "beginning") for p in self.processes)
+            ):
                 work = [p.node.keeper.slots[key].value for p in knows]
                 if all(w.state.name in ("HELD", "FREE") for w in work):
                     return f"{key!r} is known to {len(knows)} keepers, and nobody goes on with it: {work}"
--- a/moorusher/check/forecasts.py
+++ b/moorusher/check/forecasts.py
@@ -31,12 +31,16 @@
 BEGAN_MS = 500_000 * HOUR_MS - 100_000
 POLICY = Policy(on=True, report_ms=40.0, save_ms=80.0)
 ROUTES = ("main", "spare", "new")
-COURSE = Course(seats=5, keys=0, faults=2, seconds=24.0, kinds=("kill", "forget", "stop", "cut", "one way", "leave"))
+COURSE = Course(
+    seats=5, keys=0, faults=2, seconds=24.0, kinds=("kill", "forget", "stop", "cut", "one way", "leave")
+)
 DISKS = Course(seats=4, keys=0, faults=2, seconds=24.0, kinds=("kill", "stop", "cut", "one way", "power"))
 
 
 class CountingProcess(DutyProcess):
-    def __init__(self, sim: Simulation, seat: int, number: int, inc: int, remembers: bool, make: type[Node]) -> None:
+    def __init__(
+        self, sim: Simulation, seat: int, number: int, inc: int, remembers: bool, make: type[Node]
+    ) -> None:
         super().__init__(sim, seat, number, inc, remembers, make)
         assert isinstance(sim, ForecastSimulation)
         self.whole = sim
@@ -64,7 +68,9 @@
         return BEGAN_MS + self.sim.now * FAST // MS
 
     def worker(self, tour: Tour) -> Forecaster:
-        return self.whole.forecaster(tour, self, POLICY, {f"n{i}": f"z{i % 2}" for i in range(self.sim.course.seats)})
+        return self.whole.forecaster(
+            tour, self, POLICY, {f"n{i}": f"z{i % 2}" for i in range(self.sim.course.seats)}
+        )
 
     def say(self, seat: str, message: Any) -> None:
         self.member.say(seat, message)
@@ -78,8 +84,13 @@
     def running(self) -> Mapping[str, int]:
         return {}
 
-    def work_out(self, series: Mapping[str, Series], customers: Mapping[str, str], last: int,
-                 then: Callable[[Any], None]) -> None:
+    def work_out(
+        self,
+        series: Mapping[str, Series],
+        customers: Mapping[str, str],
+        last: int,
+        then: Callable[[Any], None],
+    ) -> None:
         self.sim.at(self.sim.now + 10 * MS, self, lambda: then(NotYet("not here")))
 
     def correct(self, week: Any, hours: Mapping[str, list[float]], then: Callable[[Any], None]) -> None:
@@ -89,8 +100,14 @@
 class ForecastSimulation(DutySimulation):
     """`member` and `forecaster` are the real ones, or those with a seeded mistake."""
 
-    def __init__(self, seed: int, course: Course | None = None, lasting: bool = False, member: type[Member] = Member,
-                 forecaster: type[Forecaster] = Forecaster) -> None:
+    def __init__(
+        self,
+        seed: int,
+        course: Course | None = None,
+        lasting: bool = False,
+        member: type[Member] = Member,
+        forecaster: type[Forecaster] = Forecaster,
+    ) -> None:
         self.member, self.forecaster = member, forecaster
         self.truth: Counter[tuple[str, str, int]] = Counter()
         self.until = round((course or COURSE).seconds * SECOND) + 3 * SECOND
@@ -99,14 +116,27 @@
     def ledger(self) -> Ledger | None:
         """What a majority has in the end; None where it is not to be had."""
         key = key_of(NAME)
-        keepers = [p for p in self.processes if p.alive and isinstance(p, DutyProcess)
-                   and p.node.me in self.seats.keepers(key) and p.office.keeper.votes_for(key)]
-        slots = [s for p in keepers if (s := p.office.keeper.slots.get(key)) is not None and s.ballot is not None]
+        keepers = [
+            p
+            for p in self.processes
+            if p.alive
+            and isinstance(p, DutyProcess)
+            and p.node.me in self.seats.keepers(key)
+            and p.office.keeper.votes_for(key)
+        ]
+        slots = [
+            s for p in keepers if (s := p.office.keeper.slots.get(key)) is not None and s.ballot is not None
+        ]
         if len(keepers) < 2 or not slots:
             return None
         post = _post(max(slots, key=lambda s: s.ballot or NEVER).value)
-        states = [state for p in keepers if post.versions and (state := pieces.whole(
-            post.versions[0], lambda name, p=p: p.office.shelf.find(key, name))) is not None]  # type: ignore[misc]
+        states = [
+            state
+            for p in keepers
+            if post.versions
+            and (state := pieces.whole(post.versions[0], lambda name, p=p: p.office.shelf.find(key, name)))  # type: ignore[misc]
+            is not None
+        ]
         return Ledger.unpack(states[0], {}) if states else None
 
     def wrong(self) -> str | None:
--- a/moorusher/check/outage_seeds.py
+++ b/moorusher/check/outage_seeds.py
@@ -21,9 +21,17 @@
 from ..outage.roster import Ask, Stage
 from .fleets import MS, SECOND, Course, Process, Simulation
 
-POLICY = Policy(on=True, most=2, most_zone=1, least_share=0.3, settle_s=0.3, drain_s=3.0, go_s=4.0, back_s=8.0)
-COURSE = Course(seats=6, keys=0, seconds=25.0, faults=9, lost=0.01,
-                kinds=("kill", "forget", "stop", "cut", "one way", "clock", "power of one", "limit"))
+POLICY = Policy(
+    on=True, most=2, most_zone=1, least_share=0.3, settle_s=0.3, drain_s=3.0, go_s=4.0, back_s=8.0
+)
+COURSE = Course(
+    seats=6,
+    keys=0,
+    seconds=25.0,
+    faults=9,
+    lost=0.01,
+    kinds=("kill", "forget", "stop", "cut", "one way", "clock", "power of one", "limit"),
+)
 COLD_S, LASTS_S = 0.6, 1.0
 BACK_S = 60.0  # after the course, until all that was asked for must have come about
 
@@ -63,8 +71,11 @@
             answered[0] = True
             # On its way to the script, which may be stopped for long as well.
             r = self.world.random
-            self.world.at(self.world.now + round(r.uniform(0, 4 if r.random() < 0.1 else 0.05) * SECOND), None,
-                          lambda: self._heard(got))
+            self.world.at(
+                self.world.now + round(r.uniform(0, 4 if r.random() < 0.1 else 0.05) * SECOND),
+                None,
+                lambda: self._heard(got),
+            )
 
         def again() -> None:
             if not answered[0]:
@@ -72,6 +83,7 @@
                 self.wait()
 
         if process.alive and isinstance(process, OutageProcess):
+
             def ask() -> None:
                 process.desk.wait(self.id, f"n{self.seat}", 2 * SECOND, told)
 
@@ -86,7 +98,9 @@
             first = not self.machine.told
             self.world.is_told(self.seat)
             r = self.world.random
-            if self.gives_up and first:  # killed between its two commands: nobody works on it, and nobody says so
+            if (
+                self.gives_up and first
+            ):  # killed between its two commands: nobody works on it, and nobody says so
                 self.world.stuck.add(self.seat)
             elif not self.gives_up:
                 self.world.stuck.discard(self.seat)
@@ -102,7 +116,9 @@
 
 
 class OutageProcess(Process):
-    def __init__(self, sim: Simulation, seat: int, number: int, inc: int, remembers: bool, make: type[Node]) -> None:
+    def __init__(
+        self, sim: Simulation, seat: int, number: int, inc: int, remembers: bool, make: type[Node]
+    ) -> None:
         super().__init__(sim, seat, number, inc, remembers, make)
         assert isinstance(sim, OutageSimulation)
         self.world = sim
@@ -118,7 +134,9 @@
 
     def own(self) -> Own:
         drained = self.doing is Doing.DRAINS and self.sim.now - self.since >= self.world.drain_us
-        return Own("", 0, True, str(self.starts), "s", drained, warm=self.warm, whole=self.desk.keeper.remembers)
+        return Own(
+            "", 0, True, str(self.starts), "s", drained, warm=self.warm, whole=self.desk.keeper.remembers
+        )
 
     @property
     def warm(self) -> bool:
@@ -147,9 +165,17 @@
 class OutageSimulation(Simulation):
     """`desk` and `keeper` are the real ones, or those with a seeded mistake."""
 
-    def __init__(self, seed: int, course: Course = COURSE, policy: Policy = POLICY, load: float = 0.4, asks: int = 3,
-                 desk: type[Desk] = Desk, keeper: type[Keeper] = Keeper, process: type[OutageProcess] = OutageProcess,
-                 ) -> None:
+    def __init__(
+        self,
+        seed: int,
+        course: Course = COURSE,
+        policy: Policy = POLICY,
+        load: float = 0.4,
+        asks: int = 3,
+        desk: type[Desk] = Desk,
+        keeper: type[Keeper] = Keeper,
+        process: type[OutageProcess] = OutageProcess,
+    ) -> None:
         """`load`: of each member's core."""
         self.machines = [Machine() for _ in range(course.seats)]
         self.skews = [0] * course.seats
@@ -180,8 +206,16 @@
         r, seats = self.random, self.course.seats
         bound = r.random() < 0.4  # one machine, by a script of its own; else all are asked for at once
         which = [r.randrange(seats)] if bound else sorted(r.sample(range(seats), r.randint(1, seats)))
-        ask = Ask(id, "patch", "operator", LASTS_S, 1e9 + at, priority=r.randrange(3), together=r.random() < 0.5,
-                  waiting=tuple(f"n{i}" for i in which))
+        ask = Ask(
+            id,
+            "patch",
+            "operator",
+            LASTS_S,
+            1e9 + at,
+            priority=r.randrange(3),
+            together=r.random() < 0.5,
+            waiting=tuple(f"n{i}" for i in which),
+        )
         self.asked[id] = set(ask.waiting)
         gives_up = {i for i in which if r.random() < 0.08}
         withdraws = r.random() < 0.2
@@ -204,7 +238,9 @@
         def scripts() -> None:
             """On each of its machines something waits that is there after each start."""
             for i in which if not bound else ():
-                if self._waits(id, f"n{i}") and not any(s.there and s.seat == i and s.id == id for s in self.scripts):
+                if self._waits(id, f"n{i}") and not any(
+                    s.there and s.seat == i and s.id == id for s in self.scripts
+                ):
                     self.scripts.append(Script(self, i, id, i in gives_up))
                     self.scripts[-1].wait()
                     gives_up.discard(i)
@@ -244,7 +280,9 @@
         self.most_told = max(self.most_told, len(may))
         zones = Counter(i % 2 for i in may)
         if len(may) > self.limit or max(zones.values()) > self.policy.most_zone:
-            self.found.append(f"{self.now / SECOND:.3f} s: n{seat} was told to go, and {may} may be worked on")
+            self.found.append(
+                f"{self.now / SECOND:.3f} s: n{seat} was told to go, and {may} may be worked on"
+            )
 
     def worked_on(self, seat: int) -> None:
         """It goes down, and starts anew."""
@@ -336,7 +374,9 @@
                 desk.resume(seat_name, lambda got: None)
 
     def _all_over(self) -> bool:
-        return all(not p.desk.roster.asks for p in self._there()) and all(self._known(id) for id in self.asked)
+        return all(not p.desk.roster.asks for p in self._there()) and all(
+            self._known(id) for id in self.asked
+        )
 
     def _unfinished(self) -> str | None:
         last = max((p.desk.roster for p in self._there()), key=lambda r: r.number)
@@ -358,5 +398,3 @@
         if (wrong := OutageSimulation(seed, **how).play()) is not None:
             return seed, wrong
     return None
-
-
--- a/moorusher/check/outages.py
+++ b/moorusher/check/outages.py
@@ -114,9 +114,15 @@
         def shown(m: Machine) -> Hashable:
             return m.inc, m.mark, m.alive, m.known, m.waits, m.told, m.away, m.drained, m.warm
 
-        return (self.roster, tuple(shown(m) for m in self.machines.values()),
-                tuple(sorted((s.by, s.inc, s.words) for s in self.sent)), self.crashes, self.given_up, self.asked,
-                self.withdrawn)
+        return (
+            self.roster,
+            tuple(shown(m) for m in self.machines.values()),
+            tuple(sorted((s.by, s.inc, s.words) for s in self.sent)),
+            self.crashes,
+            self.given_up,
+            self.asked,
+            self.withdrawn,
+        )
 
     # ---- moves ----
 
@@ -177,8 +183,11 @@
         if self.hasty and any(s.by == seat and isinstance(s.change, Go) for s in self.sent):
             return True
         turn = read(m.known).turn(seat)
-        return turn is not None and turn.at is Stage.OUT and \
-            decide(turn, self._own(seat), POLICY, 0.0).doing is Doing.GONE
+        return (
+            turn is not None
+            and turn.at is Stage.OUT
+            and decide(turn, self._own(seat), POLICY, 0.0).doing is Doing.GONE
+        )
 
     def _send(self, by: str, change: Change) -> None:
         inc = self.machines[by].inc if by in self.machines else 0
@@ -189,7 +198,7 @@
         words = name.split(" ")
         if words[0] in ("arrives", "unwaited"):
             i = int(words[1].rstrip(":"))
-            sent, self.sent = self.sent[i], self.sent[:i] + self.sent[i + 1:]
+            sent, self.sent = self.sent[i], self.sent[:i] + self.sent[i + 1 :]
             if words[0] == "arrives":
                 return self._arrive(sent)
             self.given_up += 1
@@ -225,7 +234,9 @@
             if what == "loses power":  # and with it, whoever waits there, or was told
                 m.told, m.waits, m.mark, m.warm = False, False, m.mark + 1, False
         if sum(x.told or x.away for x in self.machines.values()) > POLICY.most:
-            self.wrong = f"{[s for s, x in self.machines.items() if x.told or x.away]} may be worked on at one time"
+            self.wrong = (
+                f"{[s for s, x in self.machines.items() if x.told or x.away]} may be worked on at one time"
+            )
         return None
 
     def _tell(self, seat: str, m: Machine) -> None:
@@ -246,5 +257,3 @@
 
     def broken(self) -> str | None:
         return self.wrong
-
-
--- a/moorusher/check/publishes.py
+++ b/moorusher/check/publishes.py
@@ -130,7 +130,9 @@
             self.owners["Q"] = Owner(self, "Q", 2, self.state, self.kind)
         elif words[0] in SUBMISSIONS:
             self.handed[words[0]] += 1
-            self.owners[words[2]].publisher.submit(SUBMISSIONS[words[0]], lambda got: self._told(words[0], got))
+            self.owners[words[2]].publisher.submit(
+                SUBMISSIONS[words[0]], lambda got: self._told(words[0], got)
+            )
         elif words[1] == "reads":
             self._reads(self.owners[words[0]])
         else:
@@ -169,9 +171,23 @@
     # ---- what must hold ----
 
     def print(self) -> Hashable:
-        return (self.term, self.state, tuple(self.handed.values()), tuple(sorted(set(self.told))), tuple(
-            (who, o.over, o.publisher._book, tuple(s.id for s, _ in o.publisher._waiting), len(o.reads),
-             tuple((c.state, c.then is None, c.made) for c in o.changes)) for who, o in self.owners.items()))
+        return (
+            self.term,
+            self.state,
+            tuple(self.handed.values()),
+            tuple(sorted(set(self.told))),
+            tuple(
+                (
+                    who,
+                    o.over,
+                    o.publisher._book,
+                    tuple(s.id for s, _ in o.publisher._waiting),
+                    len(o.reads),
+                    tuple((c.state, c.then is None, c.made) for c in o.changes),
+                )
+                for who, o in self.owners.items()
+            ),
+        )
 
     def broken(self) -> str | None:
         if self.wrong:
--- a/moorusher/check/publishing.py
+++ b/moorusher/check/publishing.py
@@ -42,7 +42,9 @@
 
 
 class PublishProcess(DutyProcess):
-    def __init__(self, sim: Simulation, seat: int, number: int, inc: int, remembers: bool, make: type[Node]) -> None:
+    def __init__(
+        self, sim: Simulation, seat: int, number: int, inc: int, remembers: bool, make: type[Node]
+    ) -> None:
         super().__init__(sim, seat, number, inc, remembers, make)
         assert isinstance(sim, PublishSimulation)
         self.whole = sim
@@ -91,11 +93,20 @@
 class PublishSimulation(DutySimulation):
     """`desk` is the real one, or one with a seeded mistake."""
 
-    def __init__(self, seed: int, course: Course | None = None, lasting: bool = False, desk: type[Desk] = Desk,
-                 submissions: int = 30, deletions: int = 2) -> None:
+    def __init__(
+        self,
+        seed: int,
+        course: Course | None = None,
+        lasting: bool = False,
+        desk: type[Desk] = Desk,
+        submissions: int = 30,
+        deletions: int = 2,
+    ) -> None:
         self.desk = desk
         self.stored: list[dict[str, tuple[At, bytes | None]]] = [{} for _ in range((course or COURSE).seats)]
-        self.drafts: defaultdict[Draft, set[bytes]] = defaultdict(set)  # what each number was seen to mean, anywhere
+        self.drafts: defaultdict[Draft, set[bytes]] = defaultdict(
+            set
+        )  # what each number was seen to mean, anywhere
         self.last: dict[tuple[int, str], At] = {}  # of each process
         self.told: list[tuple[str, At, str, bytes, int]] = []  # customer, as what, id, draft, when
         self.failed: list[tuple[str, str]] = []
@@ -107,7 +118,9 @@
         for i in range(submissions):
             customer, at = r.choice(CUSTOMERS), r.uniform(0.3, self.course.seconds)
             expects = r.choice((-1, -1, -1, 0, 1, 2))
-            for again in range(r.choice((1, 1, 2, 3))):  # handed in once more, elsewhere or here, as no answer came
+            for again in range(
+                r.choice((1, 1, 2, 3))
+            ):  # handed in once more, elsewhere or here, as no answer came
                 self._submit(customer, f"s{i}", expects, at + again * r.uniform(0, 2))
         for _ in range(deletions):
             self._delete(r.choice(CUSTOMERS), r.uniform(1.0, self.course.seconds))
@@ -135,11 +148,15 @@
             self.told.append((customer, got, id, draft, self.now))
             self._means(customer, got, draft)
             began = self.now
-            return process.desk.everywhere(customer, got, lambda lacking: self._everywhere(
-                customer, got, lacking, began))
+            return process.desk.everywhere(
+                customer, got, lambda lacking: self._everywhere(customer, got, lacking, began)
+            )
 
-        self._somebody(self.random.randrange(self.course.seats), at, lambda p: p.desk.submit(
-            Submission(customer, id, expects, "x", draft), lambda got: over(p, got)))
+        self._somebody(
+            self.random.randrange(self.course.seats),
+            at,
+            lambda p: p.desk.submit(Submission(customer, id, expects, "x", draft), lambda got: over(p, got)),
+        )
 
     def _delete(self, customer: str, at: float) -> None:
         def over(got: At | Error) -> None:
@@ -169,10 +186,16 @@
         if not lacking:
             self.waited.append(self.now - began)
         for p in self.processes:
-            if isinstance(p, PublishProcess) and p.alive and p.node.me not in lacking and p.born_at < began \
-                    and p.desk.customers.at(customer) < at:
-                self.found.append(f"n{p.seat} was said to have {at} of {customer}, and has "
-                                  f"{p.desk.customers.at(customer)}")
+            if (
+                isinstance(p, PublishProcess)
+                and p.alive
+                and p.node.me not in lacking
+                and p.born_at < began
+                and p.desk.customers.at(customer) < at
+            ):
+                self.found.append(
+                    f"n{p.seat} was said to have {at} of {customer}, and has {p.desk.customers.at(customer)}"
+                )
 
     # ---- the whole ----
 
@@ -194,19 +217,32 @@
         keepers = [p for p in live if p.node.me in self.seats.keepers(key) and p.office.keeper.votes_for(key)]
         if len(keepers) < 2:
             return None
-        slots = [s for p in keepers if (s := p.office.keeper.slots.get(key)) is not None and s.ballot is not None]
+        slots = [
+            s for p in keepers if (s := p.office.keeper.slots.get(key)) is not None and s.ballot is not None
+        ]
         told = [(at, draft) for name, at, _, draft, _ in self.told if name == customer]
         if not slots:
             return f"no register, though {told} was told" if told else None
         post = _post(max(slots, key=lambda s: s.ballot or NEVER).value)
         if post.life == Life.GONE.value:
             late = [at for at, _ in told if at[0] > post.born]
-            return f"told {late} after the last birth {post.born}" if late else self._all_have(
-                live, customer, (post.born, GONE))
+            return (
+                f"told {late} after the last birth {post.born}"
+                if late
+                else self._all_have(live, customer, (post.born, GONE))
+            )
         if post.life == Life.ASIDE.value:
             return None
-        states = [] if not post.versions else [state for p in keepers if (state := pieces.whole(
-            post.versions[0], lambda name, p=p: p.office.shelf.find(key, name))) is not None]  # type: ignore[misc]
+        states = (
+            []
+            if not post.versions
+            else [
+                state
+                for p in keepers
+                if (state := pieces.whole(post.versions[0], lambda name, p=p: p.office.shelf.find(key, name)))  # type: ignore[misc]
+                is not None
+            ]
+        )
         if post.versions and not states:
             return None  # `check.duties` sees to that
         book = unpack(states[0] if states else b"", customer)
@@ -230,7 +266,9 @@
         return None
 
     def _all_have(self, live: list[PublishProcess], customer: str, at: At) -> str | None:
-        behind = {p.node.me: p.desk.customers.at(customer) for p in live if p.desk.customers.at(customer) != at}
+        behind = {
+            p.node.me: p.desk.customers.at(customer) for p in live if p.desk.customers.at(customer) != at
+        }
         return f"{at} is there, and {behind} have not come to it" if behind else None
 
 
--- a/moorusher/check/registers.py
+++ b/moorusher/check/registers.py
@@ -35,7 +35,9 @@
 
 @cache
 def _fields(kind: Hashable) -> tuple[str, ...]:
-    return tuple(name for base in reversed(getattr(kind, "__mro__", ())) for name in getattr(base, "__slots__", ()))
+    return tuple(
+        name for base in reversed(getattr(kind, "__mro__", ())) for name in getattr(base, "__slots__", ())
+    )
 
 
 def copy(one: T) -> T:
@@ -104,8 +106,9 @@
         if limits.crashes or limits.restarts:
             made.alike = "b", "c"
         every = sorted({s for names in made.seats.values() for s in names} | set(SEATS))
-        made.keepers = {s: made.keeper(s, 1, made._keepers_of(s), frozenset(every) - {s}, True)
-                        for s in every}
+        made.keepers = {
+            s: made.keeper(s, 1, made._keepers_of(s), frozenset(every) - {s}, True) for s in every
+        }
         made.runners = {"P": Runner("P", 11, limits.again[0]), "Q": Runner("Q", 22, limits.again[1])}
         if limits.held:
             p, q = made.runners["P"], made.runners["Q"]
@@ -162,18 +165,60 @@
             return tuple(sorted((rank.get(s, s), i) for s, i in incs.items()))
 
         for to, by, m, told in self.net:
-            net.append((rank.get(to, to), rank.get(by, by), told, named(m.quorum) if isinstance(m, Ask) else (),
-                        named(m.incs) if isinstance(m, (Vote, Slots)) else ()))
-        return (tuple(sorted((rank[s], k.inc, k.remembers, named(k.incs), tuple(sorted(rank[x] for x in k.synced)),
-                              *_slots(k)) for s, k in self.keepers.items())),
-                tuple((r.doing, r.attempt, r.again, r.ran, r.freed,
-                       None if r.writer is None else
-                       (r.writer._ballot, r.writer._value, r.writer._seen,
-                        tuple(sorted((rank[s], v.inc, v.ballot, v.value, named(v.incs))
-                                     for s, v in r.writer._votes.items())),
-                        tuple(sorted(rank[s] for s in r.writer._refused)), named(r.writer._quorum)))
-                      for r in self.runners.values()),
-                tuple(sorted(net, key=repr)), self.doubles, self.crashes, self.restarts, self.wrong)
+            net.append(
+                (
+                    rank.get(to, to),
+                    rank.get(by, by),
+                    told,
+                    named(m.quorum) if isinstance(m, Ask) else (),
+                    named(m.incs) if isinstance(m, (Vote, Slots)) else (),
+                )
+            )
+        return (
+            tuple(
+                sorted(
+                    (
+                        rank[s],
+                        k.inc,
+                        k.remembers,
+                        named(k.incs),
+                        tuple(sorted(rank[x] for x in k.synced)),
+                        *_slots(k),
+                    )
+                    for s, k in self.keepers.items()
+                )
+            ),
+            tuple(
+                (
+                    r.doing,
+                    r.attempt,
+                    r.again,
+                    r.ran,
+                    r.freed,
+                    None
+                    if r.writer is None
+                    else (
+                        r.writer._ballot,
+                        r.writer._value,
+                        r.writer._seen,
+                        tuple(
+                            sorted(
+                                (rank[s], v.inc, v.ballot, v.value, named(v.incs))
+                                for s, v in r.writer._votes.items()
+                            )
+                        ),
+                        tuple(sorted(rank[s] for s in r.writer._refused)),
+                        named(r.writer._quorum),
+                    ),
+                )
+                for r in self.runners.values()
+            ),
+            tuple(sorted(net, key=repr)),
+            self.doubles,
+            self.crashes,
+            self.restarts,
+            self.wrong,
+        )
 
     # ---- moves ----
 
@@ -182,15 +227,21 @@
             return []
         made = [f"deliver {i}: {self._words(m)}" for i, m in enumerate(self.net)]
         if not self.limits.late:
-            made += [f"unheard {i}: {self._words(m)}" for i, m in enumerate(self.net) if isinstance(m[2], Ask)]
+            made += [
+                f"unheard {i}: {self._words(m)}" for i, m in enumerate(self.net) if isinstance(m[2], Ask)
+            ]
         if self.doubles < self.limits.doubles:
             made += [f"double {i}: {self._words(m)}" for i, m in enumerate(self.net) if isinstance(m[2], Ask)]
         for r in self.runners.values():
             if r.writer is None and not r.doing:
                 first = "claims" if not self.limits.held else "begins" if r.name == "P" else "takes"
                 made.append(f"{r.name} {first}")
-            elif r.writer is not None and r.writer.done is None and r.again > 0 and (
-                    r.writer.stuck or not self.limits.patient):
+            elif (
+                r.writer is not None
+                and r.writer.done is None
+                and r.again > 0
+                and (r.writer.stuck or not self.limits.patient)
+            ):
                 made.append(f"{r.name} asks again")
                 if r.writer.fast and len(r.writer._votes) >= 2:
                     made.append(f"{r.name} goes on with a majority")
@@ -205,7 +256,9 @@
         to, by, what, _ = m
         kind = type(what).__name__
         if isinstance(what, Ask):
-            kind += f" {what.ballot}" + ("" if not isinstance(what.value, Work) else f" {what.value.state.name}")
+            kind += f" {what.ballot}" + (
+                "" if not isinstance(what.value, Work) else f" {what.value.state.name}"
+            )
         elif isinstance(what, Vote):
             kind += " taken" if what.taken else " refused"
         return f"{kind} from {by} to {to}"
@@ -216,7 +269,7 @@
             i = int(words[1].rstrip(":"))
             message = self.net[i]
             if words[0] != "double":
-                self.net = self.net[:i] + self.net[i + 1:]
+                self.net = self.net[:i] + self.net[i + 1 :]
             else:
                 self.doubles += 1
             self._deliver(*message[:3], heard=words[0] != "unheard")
@@ -228,7 +281,9 @@
                 self.net = tuple(m for m in self.net if m[1] != "a")
                 return
             self.crashes += 1
-            self.keepers["a"] = new = self.keeper("a", old.inc + PAST, old.keepers, old.others, not self.forgets)
+            self.keepers["a"] = new = self.keeper(
+                "a", old.inc + PAST, old.keepers, old.others, not self.forgets
+            )
             if self.forgets:
                 self._send("a", [(s, Sync(new.inc)) for s in sorted(new.others)])
         else:
@@ -250,8 +305,12 @@
                 self._asked(r, asks)
 
     def _send(self, by: str, messages: list[tuple[str, Any]]) -> None:
-        self.net = tuple(sorted(self.net + tuple((to, by, m, _told(m)) for to, m in messages),
-                               key=lambda m: (m[0], m[1], m[3])))
+        self.net = tuple(
+            sorted(
+                self.net + tuple((to, by, m, _told(m)) for to, m in messages),
+                key=lambda m: (m[0], m[1], m[3]),
+            )
+        )
 
     def _write(self, r: Runner, change: Any, hold: Any = None) -> None:
         r.serial += 1
@@ -294,7 +353,12 @@
             if self.hasty:
                 self._run(r)
             self._write(r, Begin(me, r.attempt), done.hold)
-        elif r.doing == "claim" and work is not None and work.state in (State.HELD, State.FREE) and self.limits.takes:
+        elif (
+            r.doing == "claim"
+            and work is not None
+            and work.state in (State.HELD, State.FREE)
+            and self.limits.takes
+        ):
             r.doing = "take"
             self._write(r, Take(me, work.owner, work.attempt))
         elif r.doing == "begin" and mine and work is not None and work.state is State.BEGUN:
--- a/moorusher/cli/__init__.py
+++ b/moorusher/cli/__init__.py
@@ -11,8 +11,9 @@
 from .. import __version__
 from ..start import FAULTY
 
-FRONTS = click.option("--fronts", type=click.Path(path_type=Path), help="What else listens "
-                      "(default: deploy/fronts.toml).")
+FRONTS = click.option(
+    "--fronts", type=click.Path(path_type=Path), help="What else listens (default: deploy/fronts.toml)."
+)
 JSON = click.option("--json", "as_json", is_flag=True, help="Print JSON instead of text.")
 
 
@@ -32,9 +33,12 @@
     click.echo(json.dumps(value, indent=2, sort_keys=True) if as_json else text)
 
 
-@click.group(invoke_without_command=True, context_settings={"help_option_names": ["-h", "--help"]},
-             epilog="Exit codes: 0 done, 1 the runner can't be reached (or ended by a fault), 2 a faulty command or "
-                    "configuration, 3 refused by the runner, 4 not routable (standing --check, console health).")
+@click.group(
+    invoke_without_command=True,
+    context_settings={"help_option_names": ["-h", "--help"]},
+    epilog="Exit codes: 0 done, 1 the runner can't be reached (or ended by a fault), 2 a faulty command or "
+    "configuration, 3 refused by the runner, 4 not routable (standing --check, console health).",
+)
 @click.pass_context
 def cli(context: click.Context) -> None:
     """moorusher: a request runner for many tenants. Without a command: serve."""
@@ -62,8 +66,14 @@
     """The exit code. Registers the groups of verbs first."""
     from . import configuration, forecast, laboratory, namespace, outage, runner
 
-    for command in (*configuration.COMMANDS, *runner.COMMANDS, namespace.namespace, forecast.forecast, outage.outage,
-                    *laboratory.COMMANDS):
+    for command in (
+        *configuration.COMMANDS,
+        *runner.COMMANDS,
+        namespace.namespace,
+        forecast.forecast,
+        outage.outage,
+        *laboratory.COMMANDS,
+    ):
         cli.add_command(command)
     try:
         # Not standalone: the exit code is this function's, so that tests and other programs can have it.
--- a/moorusher/cli/configuration.py
+++ b/moorusher/cli/configuration.py
@@ -20,14 +20,22 @@
     """What the configuration comes to, without secrets."""
     s, u, p = config.settings, config.uwsgi, config.probes
     return {
-        "name": config.name, "listen": _at(config.listen), "kernel": _at(config.kernel), "db": _at(config.db),
-        "announce": _at(config.announce), "console": _at(config.console), "uwsgi": _at(u.listen),
+        "name": config.name,
+        "listen": _at(config.listen),
+        "kernel": _at(config.kernel),
+        "db": _at(config.db),
+        "announce": _at(config.announce),
+        "console": _at(config.console),
+        "uwsgi": _at(u.listen),
         "below": f"{_at(u.below)} (uwsgi)",
-        "agent": _at(p.agent), "health": _at(p.health),
+        "agent": _at(p.agent),
+        "health": _at(p.health),
         "admin": f"{_at(config.admin.listen)}{'' if config.admin.token else ' (no token: read only)'}",
-        "fleet": "off" if config.fleet.listen is None else
-                 f"{config.fleet.name} at {_at(config.fleet.listen)}, {len(config.fleet.seats)} seats",
-        "classes": [f"{c.name} ({c.effect.value})" for c in s.classes], "tenants": [t.name for t in s.tenants],
+        "fleet": "off"
+        if config.fleet.listen is None
+        else f"{config.fleet.name} at {_at(config.fleet.listen)}, {len(config.fleet.seats)} seats",
+        "classes": [f"{c.name} ({c.effect.value})" for c in s.classes],
+        "tenants": [t.name for t in s.tenants],
         "limits": f"{config.limits.memory_mb:g} MB, {config.limits.sockets} descriptors",
         "standing": asdict(p.policy),
     }
--- a/moorusher/cli/forecast.py
+++ b/moorusher/cli/forecast.py
@@ -23,8 +23,10 @@
 
 
 def _lines(got: dict[str, Any]) -> list[str]:
-    lines = [f"from {_at(got['first_hour'])} UTC, in term {got['term']}; requests of the next day at 50, 90, 99 of "
-             "100, and of the week"]
+    lines = [
+        f"from {_at(got['first_hour'])} UTC, in term {got['term']}; requests of the next day at 50, 90, 99 of "
+        "100, and of the week"
+    ]
     for r in got["routes"]:
         name = f"{r['customer'] or '-'}/{r['route'] or '-'}" + (f"@{r['zone']}" if r["zone"] else "")
         day = "  ".join(f"{n:>9.0f}" for n in r["day"])
--- a/moorusher/cli/laboratory.py
+++ b/moorusher/cli/laboratory.py
@@ -54,7 +54,9 @@
 @lab.command("up")
 @click.option("--seconds", default=0.0, help="End by itself after so long (default: until ^C).")
 @click.option("--load", default=0.5, show_default=True, help="Share of the runner's capacity.")
-@click.option("--runners", default=1, show_default=True, help="More than one are a fleet; kill NAME and stop NAME.")
+@click.option(
+    "--runners", default=1, show_default=True, help="More than one are a fleet; kill NAME and stop NAME."
+)
 def lab_up(seconds: float, load: float, runners: int) -> None:
     """A runner in service with its kernel, what is below and a trickle of load; a line each second."""
     _needs_extra()
--- a/moorusher/cli/namespace.py
+++ b/moorusher/cli/namespace.py
@@ -26,7 +26,9 @@
     what = "deleted" if told["deleted"] else f"revision {told['revision']}"
     lines = [f"{told['customer']}: {what} of incarnation {told['born']}"]
     if "complete" in told:
-        lines.append(f"  {'everywhere' if told['complete'] else 'not everywhere yet'} after {told['took_ms']:.0f} ms")
+        lines.append(
+            f"  {'everywhere' if told['complete'] else 'not everywhere yet'} after {told['took_ms']:.0f} ms"
+        )
         lines += [f"  lacks it  {seat}: {why}" for seat, why in sorted(told["lacking"].items())]
     return lines
 
@@ -38,14 +40,22 @@
 
 
 def _query(wait: bool, by: str | None, **more: str) -> str:
-    given = {"id": os.urandom(12).hex(), "by": by or getpass.getuser()} | more | ({"wait": "1"} if wait else {})
+    given = (
+        {"id": os.urandom(12).hex(), "by": by or getpass.getuser()} | more | ({"wait": "1"} if wait else {})
+    )
     return urlencode(given)
 
 
-WAIT = click.option("--wait", is_flag=True, help="Until each live runner has it; exit code 3 names who has not.")
+WAIT = click.option(
+    "--wait", is_flag=True, help="Until each live runner has it; exit code 3 names who has not."
+)
 BY = click.option("--by", help="Who publishes (default: the user's name).")
-EXPECTS = click.option("--expects", type=int, default=-1, help="The revision that it was made on top of; refused with "
-                       "what changed where another is there.")
+EXPECTS = click.option(
+    "--expects",
+    type=int,
+    default=-1,
+    help="The revision that it was made on top of; refused with what changed where another is there.",
+)
 
 
 @namespace.command("list")
@@ -54,11 +64,21 @@
 def list_(api: Api, as_json: bool) -> None:
     """Print the customers, and the revision that this runner goes by."""
     got = api.ask("GET", "namespaces")
-    lines = [f"{n['customer']:<28} " + (f"revision {n['revision']:<6} incarnation {n['born']}" if n["published"]
-                                        else "deleted" if n["deleted"] else "the platform's default")
-             for n in got["namespaces"]]
+    lines = [
+        f"{n['customer']:<28} "
+        + (
+            f"revision {n['revision']:<6} incarnation {n['born']}"
+            if n["published"]
+            else "deleted"
+            if n["deleted"]
+            else "the platform's default"
+        )
+        for n in got["namespaces"]
+    ]
     if got["cut_off"]:
-        lines.append(f"{got['seats_up']} of {got['seats']} runners are heard of: others may go by later revisions")
+        lines.append(
+            f"{got['seats_up']} of {got['seats']} runners are heard of: others may go by later revisions"
+        )
     show(got, as_json, "\n".join(lines) or "no customers are set")
 
 
@@ -87,10 +107,15 @@
 @WAIT
 @api
 @JSON
-def publish(api: Api, customer: str, file: Path, expects: int, by: str | None, wait: bool, as_json: bool) -> None:
+def publish(
+    api: Api, customer: str, file: Path, expects: int, by: str | None, wait: bool, as_json: bool
+) -> None:
     """Publish the draft in FILE as the customer's next revision."""
     query = _query(wait, by, expects=str(expects))
-    _changed(api.send("PUT", f"namespaces/{quote(customer, safe='')}?{query}", file.read_bytes(), PUBLISH_S), as_json)
+    _changed(
+        api.send("PUT", f"namespaces/{quote(customer, safe='')}?{query}", file.read_bytes(), PUBLISH_S),
+        as_json,
+    )
 
 
 @namespace.command("back")
@@ -102,8 +127,12 @@
 @JSON
 def back(api: Api, customer: str, number: int, by: str | None, wait: bool, as_json: bool) -> None:
     """Publish the draft of revision NUMBER anew, as the next revision."""
-    _changed(api.send("POST", f"namespaces/{quote(customer, safe='')}/back/{number}?{_query(wait, by)}", b"",
-                      PUBLISH_S), as_json)
+    _changed(
+        api.send(
+            "POST", f"namespaces/{quote(customer, safe='')}/back/{number}?{_query(wait, by)}", b"", PUBLISH_S
+        ),
+        as_json,
+    )
 
 
 @namespace.command("delete")
@@ -114,7 +143,10 @@
 @JSON
 def delete(api: Api, customer: str, wait: bool, as_json: bool) -> None:
     """Delete a customer's rules. Made anew, they are another namespace."""
-    _changed(api.send("DELETE", f"namespaces/{quote(customer, safe='')}?{_query(wait, None)}", b"", PUBLISH_S), as_json)
+    _changed(
+        api.send("DELETE", f"namespaces/{quote(customer, safe='')}?{_query(wait, None)}", b"", PUBLISH_S),
+        as_json,
+    )
 
 
 @namespace.command("explain")
@@ -134,7 +166,13 @@
     if got.get("refused"):
         lines.append(f"refused   {got['refused']}")
     for hop in got.get("way", ()):
-        where = f"pool {hop['pool']}" if hop["pool"] else ", ".join(f"{s} ({w})" for s, w in hop["servers"].items())
-        lines.append(f"route     {hop['route']}: {where}; {hop['tries']} tries, limit {hop['limit'] or 'none'}")
+        where = (
+            f"pool {hop['pool']}"
+            if hop["pool"]
+            else ", ".join(f"{s} ({w})" for s, w in hop["servers"].items())
+        )
+        lines.append(
+            f"route     {hop['route']}: {where}; {hop['tries']} tries, limit {hop['limit'] or 'none'}"
+        )
     lines += [f"also      {label} matches, less specific" for label in got.get("also_match", ())]
     show(got, as_json, "\n".join(lines))
--- a/moorusher/cli/outage.py
+++ b/moorusher/cli/outage.py
@@ -66,16 +66,29 @@
 def _lines(got: dict[str, Any]) -> list[str]:
     lines = []
     if not got["current"]:
-        age = "nothing is known here yet" if got["age_ms"] is None else f"as of {_for(got['age_ms'] / 1000)} ago"
+        age = (
+            "nothing is known here yet"
+            if got["age_ms"] is None
+            else f"as of {_for(got['age_ms'] / 1000)} ago"
+        )
         lines.append(f"no majority answers; {age}. Nobody new goes out meanwhile")
     if got["hold"]:
         lines.append(f"held: {got['hold']}")
-    lines += [f"{a['id']:<18} {a['reason']}, by {a['by']}: {a['done']} done, {a['waiting']} wait"
-              + (f", ends with {a['ends']}" if a["ends"] != "boot" else "") for a in got["asks"]]
-    lines += [f"  {t['seat']:<14} {t['stage']} for {_for(t['for_s'])}, work of {_for(t['lasts_s'])}: {t['reason']}"
-              + (f" ({t['note']})" if t["note"] else "") for t in got["turns"]]
-    lines += [f"  {h['seat']:<14} held back: {h['why']}; `moorusher outage resume {h['seat']}`"
-              for a in got["asks"] for h in a["held"]]
+    lines += [
+        f"{a['id']:<18} {a['reason']}, by {a['by']}: {a['done']} done, {a['waiting']} wait"
+        + (f", ends with {a['ends']}" if a["ends"] != "boot" else "")
+        for a in got["asks"]
+    ]
+    lines += [
+        f"  {t['seat']:<14} {t['stage']} for {_for(t['for_s'])}, work of {_for(t['lasts_s'])}: {t['reason']}"
+        + (f" ({t['note']})" if t["note"] else "")
+        for t in got["turns"]
+    ]
+    lines += [
+        f"  {h['seat']:<14} held back: {h['why']}; `moorusher outage resume {h['seat']}`"
+        for a in got["asks"]
+        for h in a["held"]
+    ]
     lines += [f"  {w['seat']:<14} waits, likely {_for(w['in_s'])}: {w['why']}" for w in got["order"]]
     ends = [t["in_s"] for t in got["order"] if t["in_s"] is not None]
     if ends:
@@ -112,24 +125,66 @@
 @click.option("--due", type=Moment(), default=0.0, help="By when it should be done.")
 @click.option("--priority", type=click.IntRange(0, 9), default=0, help="9 goes first: a security fix.")
 @click.option("--together", is_flag=True, help="May be done with others of its zone.")
-@click.option("--ends", type=click.Choice(["boot", "done"]), default="boot", show_default=True,
-              help="What ends it: the machine's next start, or `moorusher outage done`.")
-@click.option("--id", "id_", help="Asked again with the same id, nothing happens twice (default: one is made).")
+@click.option(
+    "--ends",
+    type=click.Choice(["boot", "done"]),
+    default="boot",
+    show_default=True,
+    help="What ends it: the machine's next start, or `moorusher outage done`.",
+)
+@click.option(
+    "--id", "id_", help="Asked again with the same id, nothing happens twice (default: one is made)."
+)
 @click.option("--by", help="Who asks (default: the user's name).")
-@click.option("--wait", is_flag=True, help="Until this machine may be worked on: exit code 0 then, and only then. "
-              f"{REFUSED}: refused or held back; {WITHDRAWN}: withdrawn; {OUT_OF_TIME}: out of time. A signal, or the "
-              "end of the terminal, withdraws it.")
-@click.option("--timeout", type=Span(), default="1d", show_default=True, help="Of --wait; then it is withdrawn.")
+@click.option(
+    "--wait",
+    is_flag=True,
+    help="Until this machine may be worked on: exit code 0 then, and only then. "
+    f"{REFUSED}: refused or held back; {WITHDRAWN}: withdrawn; {OUT_OF_TIME}: out of time. A signal, or the "
+    "end of the terminal, withdraws it.",
+)
+@click.option(
+    "--timeout", type=Span(), default="1d", show_default=True, help="Of --wait; then it is withdrawn."
+)
 @api
 @JSON
-def ask(api: Api, seats: tuple[str, ...], every: bool, zone: str, group: str, reason: str, lasts: float,
-        not_before: float, due: float, priority: int, together: bool, ends: str, id_: str | None, by: str | None,
-        wait: bool, timeout: float, as_json: bool) -> None:
+def ask(
+    api: Api,
+    seats: tuple[str, ...],
+    every: bool,
+    zone: str,
+    group: str,
+    reason: str,
+    lasts: float,
+    not_before: float,
+    due: float,
+    priority: int,
+    together: bool,
+    ends: str,
+    id_: str | None,
+    by: str | None,
+    wait: bool,
+    timeout: float,
+    as_json: bool,
+) -> None:
     """Ask for machines to be taken out: SEATS, this runner's own where none is named."""
     by, id_ = by or getpass.getuser(), id_ or os.urandom(8).hex()
-    sent = {"id": id_, "seats": list(seats), "all": every, "zone": zone, "group": group, "reason": reason, "by": by,
-            "lasts_s": lasts, "not_before_s": not_before, "due_s": due, "priority": priority, "together": together,
-            "ends": ends, "bound": wait}
+    sent = {
+        "id": id_,
+        "seats": list(seats),
+        "all": every,
+        "zone": zone,
+        "group": group,
+        "reason": reason,
+        "by": by,
+        "lasts_s": lasts,
+        "not_before_s": not_before,
+        "due_s": due,
+        "priority": priority,
+        "together": together,
+        "ends": ends,
+        "bound": wait,
+    }
     if not wait:
         return _shown(_post(api, "ask", **sent), as_json)
     if every or zone or group or len(seats) > 1:
@@ -145,8 +200,11 @@
     for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
         signal.signal(number, signal.SIG_DFL)
     show(got, as_json, f"{got['seat']}: {got['word']}" + (f": {got['note']}" if got["note"] else ""))
-    raise SystemExit({"granted": 0, "withdrawn": WITHDRAWN, "over": WITHDRAWN, "out of time": OUT_OF_TIME}.get(
-        got["word"], REFUSED))
+    raise SystemExit(
+        {"granted": 0, "withdrawn": WITHDRAWN, "over": WITHDRAWN, "out of time": OUT_OF_TIME}.get(
+            got["word"], REFUSED
+        )
+    )
 
 
 class _Wait:
@@ -160,15 +218,18 @@
                 _post(self.api, "ask", **sent)
                 return
             except Shown as exc:
-                if (exc.exit_code != UNREACHED and " 503: " not in exc.message) or time.monotonic() >= self.until:
+                if (
+                    exc.exit_code != UNREACHED and " 503: " not in exc.message
+                ) or time.monotonic() >= self.until:
                     raise
                 time.sleep(0.5)
 
     def until_told(self) -> dict[str, Any]:
         while (left := self.until - time.monotonic()) > 0:
             try:
-                got: dict[str, Any] = _post(self.api, "wait", id=self.id, seat=self.seat,
-                                            for_s=max(0.1, min(POLL_S, left)))
+                got: dict[str, Any] = _post(
+                    self.api, "wait", id=self.id, seat=self.seat, for_s=max(0.1, min(POLL_S, left))
+                )
             except Shown as exc:
                 if exc.exit_code != UNREACHED:
                     raise
@@ -189,8 +250,11 @@
                     return 0
                 click.echo(f"moorusher: {exc.message}", err=True)
             elif exc.exit_code == UNREACHED:
-                click.echo("moorusher: the runner is not there to hear that it is withdrawn; where nobody asks again "
-                           "it takes it back by itself", err=True)
+                click.echo(
+                    "moorusher: the runner is not there to hear that it is withdrawn; where nobody asks again "
+                    "it takes it back by itself",
+                    err=True,
+                )
         return code
 
 
--- a/moorusher/cli/runner.py
+++ b/moorusher/cli/runner.py
@@ -34,7 +34,9 @@
         """The answer's JSON, also that of these statuses. Raises Shown where the runner is not there, or refuses."""
         return self.send(method, path, None if body is None else json.dumps(body).encode(), TIMEOUT_S, also)
 
-    def send(self, method: str, path: str, data: bytes | None, timeout_s: float, also: Container[int] = ()) -> Any:
+    def send(
+        self, method: str, path: str, data: bytes | None, timeout_s: float, also: Container[int] = ()
+    ) -> Any:
         """The same with bytes as they are."""
         headers = {"Authorization": f"Bearer {self.token}"} if self.token and method != "GET" else {}
         request = Request(f"http://{self.host}:{self.port}/{path}", data=data, method=method, headers=headers)
@@ -58,8 +60,12 @@
     """Hands the verb the API that --address, or the operator's file, names."""
 
     @click.option("--address", help="HOST:PORT of the API (default: admin.listen of the operator's file).")
-    @click.option("--fronts", type=click.Path(path_type=Path), default=FRONTS_FILE, help="The operator's file.")
-    @click.option("--token", envvar="MOORUSHER_TOKEN", help="For changes (default: that of the operator's file).")
+    @click.option(
+        "--fronts", type=click.Path(path_type=Path), default=FRONTS_FILE, help="The operator's file."
+    )
+    @click.option(
+        "--token", envvar="MOORUSHER_TOKEN", help="For changes (default: that of the operator's file)."
+    )
     @wraps(command)
     def with_api(address: str | None, fronts: Path, token: str | None, **rest: Any) -> None:
         try:
@@ -160,9 +166,14 @@
 
 
 def _served(got: Any, as_json: bool) -> None:
-    lines = [f"{'server':<16} {'state':<9} {'flight/limit':>12} {'calls':>8} {'answered':>8} {'short ms':>9}  why"]
-    lines += [f"{s['name']:<16} {s['state']:<9} {s['in_flight']:>5}/{s['limit']:<6} {s['calls']:>8} "
-              f"{s['answered_share']:>8.0%} {s['short_ms']:>9.1f}  {s['why'] or ''}" for s in got["servers"]]
+    lines = [
+        f"{'server':<16} {'state':<9} {'flight/limit':>12} {'calls':>8} {'answered':>8} {'short ms':>9}  why"
+    ]
+    lines += [
+        f"{s['name']:<16} {s['state']:<9} {s['in_flight']:>5}/{s['limit']:<6} {s['calls']:>8} "
+        f"{s['answered_share']:>8.0%} {s['short_ms']:>9.1f}  {s['why'] or ''}"
+        for s in got["servers"]
+    ]
     show(got, as_json, "\n".join(lines))
 
 
@@ -182,8 +193,9 @@
 @click.option("--protocol", type=click.Choice(["http", "uwsgi"]), default="http", show_default=True)
 @api
 @JSON
-def servers_put(api: Api, name: str, server_address: str, weight: float, zone: str, protocol: str,
-                as_json: bool) -> None:
+def servers_put(
+    api: Api, name: str, server_address: str, weight: float, zone: str, protocol: str, as_json: bool
+) -> None:
     """Add a server, or change the one that has the name. Until the next configuration is read."""
     body = {"address": server_address, "weight": weight, "zone": zone, "protocol": protocol}
     _served(api.ask("PUT", f"servers/{name}", body), as_json)
@@ -219,10 +231,14 @@
     """Print it, as it would be handed on."""
     got = api.ask("GET", "knowledge")
     lines = [f"{got['donor']}, {got.get('condition', 'well')}, in service for {got.get('up_s', 0):.0f} s"]
-    lines += [f"{s['name']:<16} {s.get('short_us', 0) / 1000:>9.1f} ms  {s.get('samples', 0):>6} samples  "
-              f"{s.get('answered', 1):>5.0%} answered{'  out' if s.get('out') else ''}" for s in got.get("servers", [])]
+    lines += [
+        f"{s['name']:<16} {s.get('short_us', 0) / 1000:>9.1f} ms  {s.get('samples', 0):>6} samples  "
+        f"{s.get('answered', 1):>5.0%} answered{'  out' if s.get('out') else ''}"
+        for s in got.get("servers", [])
+    ]
     show(got, as_json, "\n".join(lines))
 
+
 @click.group()
 def fleet() -> None:
     """The runners that keep each other's work."""
@@ -235,12 +251,18 @@
     """Print the members as this runner sees them, and what became of keyed work."""
     got = api.ask("GET", "fleet")
     knows = "remembers" if got["remembers"] else "has forgotten, and has no vote yet"
-    lines = [f"fleet {got['name']}, seat {got['seat']}: {knows}; keeps {got['keeps']} keys, {got['in_hand']} in hand",
-             f"{'seat':<16} {'zone':<8} {'state':<8} {'fit':<4} {'for s':>8} {'heard s':>8}"]
-    lines += [f"{m['seat']:<16} {m['zone']:<8} {m['state']:<8} {'yes' if m['fit'] else 'no':<4} "
-              f"{m['since_ms'] / 1000:>8.1f} {'-' if m['heard_ms'] is None else format(m['heard_ms'] / 1000, '.1f'):>8}"
-              for m in got["members"]]
-    lines += [f"{name.removeprefix('fleet: '):<40} {value}" for name, value in sorted(got["counters"].items())]
+    lines = [
+        f"fleet {got['name']}, seat {got['seat']}: {knows}; keeps {got['keeps']} keys, {got['in_hand']} in hand",
+        f"{'seat':<16} {'zone':<8} {'state':<8} {'fit':<4} {'for s':>8} {'heard s':>8}",
+    ]
+    lines += [
+        f"{m['seat']:<16} {m['zone']:<8} {m['state']:<8} {'yes' if m['fit'] else 'no':<4} "
+        f"{m['since_ms'] / 1000:>8.1f} {'-' if m['heard_ms'] is None else format(m['heard_ms'] / 1000, '.1f'):>8}"
+        for m in got["members"]
+    ]
+    lines += [
+        f"{name.removeprefix('fleet: '):<40} {value}" for name, value in sorted(got["counters"].items())
+    ]
     show(got, as_json, "\n".join(lines))
 
 
@@ -251,24 +273,34 @@
     """Print the keyed work that this runner has in hand, or waits for."""
     got = api.ask("GET", "fleet/work")
     lines = [f"{'key':<12} {'class':<12} {'stage':<30} {'owner':<12} {'try':>3} {'left s':>7}"]
-    lines += [f"{w['key']:<12} {w['class'] or '-':<12} {w['stage']:<30} {w['owner'] or 'here':<12} {w['attempt']:>3} "
-              f"{w['left_ms'] / 1000:>7.1f}" for w in got["work"]]
+    lines += [
+        f"{w['key']:<12} {w['class'] or '-':<12} {w['stage']:<30} {w['owner'] or 'here':<12} {w['attempt']:>3} "
+        f"{w['left_ms'] / 1000:>7.1f}"
+        for w in got["work"]
+    ]
     show(got, as_json, "\n".join(lines))
 
 
 @fleet.command("begin")
-@click.option("--lost", is_flag=True, help="Too many seats have forgotten: what the others remember is all there was.")
+@click.option(
+    "--lost", is_flag=True, help="Too many seats have forgotten: what the others remember is all there was."
+)
 @api
 @JSON
 def fleet_begin(api: Api, lost: bool, as_json: bool) -> None:
     """Say that nothing of this fleet ran before. Refused where a seat is not heard, or remembers."""
-    show(api.ask("POST", "fleet/begin" + ("/lost" if lost else "")), as_json,
-         "begun: keyed work is covered from now on")
+    show(
+        api.ask("POST", "fleet/begin" + ("/lost" if lost else "")),
+        as_json,
+        "begun: keyed work is covered from now on",
+    )
 
 
 @click.command()
 @click.argument("call", type=click.Choice(["health", "quiesce", "resume"]))
-@click.option("--address", help="HOST:PORT of the second address (default: $GW_CONSOLE, else that of $GW_CONFIG).")
+@click.option(
+    "--address", help="HOST:PORT of the second address (default: $GW_CONSOLE, else that of $GW_CONFIG)."
+)
 @JSON
 def console(call: str, address: str | None, as_json: bool) -> None:
     """Ask a runner over its second address: is it ready; drain; take clients again."""
@@ -280,8 +312,12 @@
     if where is None:
         raise Shown("console: not set; name it with --address")
     got = Api(*where, "").ask("GET" if call == "health" else "POST", f"admin/{call}", also={409, 503})
-    why = [f"quiesced: {got['quiesced']}" if got["quiesced"] else "", "leaving" if got["leaving"] else "",
-           "replaced" if got["replaced"] else "", "" if got["kernel"] else "no kernel"]
+    why = [
+        f"quiesced: {got['quiesced']}" if got["quiesced"] else "",
+        "leaving" if got["leaving"] else "",
+        "replaced" if got["replaced"] else "",
+        "" if got["kernel"] else "no kernel",
+    ]
     show(got, as_json, ", ".join(["ready" if got["ready"] else "not ready", *filter(None, why)]))
     if call == "health" and not got["ready"]:
         raise SystemExit(NOT_ROUTABLE)
@@ -295,13 +331,19 @@
 
 
 def _duty_lines(d: Any) -> list[str]:
-    lines = [f"{d['name']:<28} {d['life']:<9} {d['owner'] or '-':<12} term {d['term']:<5} "
-             f"change {d['number']:<7} {d['why']}"]
+    lines = [
+        f"{d['name']:<28} {d['life']:<9} {d['owner'] or '-':<12} term {d['term']:<5} "
+        f"change {d['number']:<7} {d['why']}"
+    ]
     if d["here"] is not None:
-        lines.append(f"  here     {d['here']['stage']} for {d['here']['for_ms'] / 1000:.1f} s"
-                     + (f": {d['here']['trouble']}" if d["here"]["trouble"] else ""))
-    lines += [f"  open     {i['number']} to {i['to']}, of term {i['term']}, settled by {i['settle']}: {i['what']}"
-              for i in d["intents"]]
+        lines.append(
+            f"  here     {d['here']['stage']} for {d['here']['for_ms'] / 1000:.1f} s"
+            + (f": {d['here']['trouble']}" if d["here"]["trouble"] else "")
+        )
+    lines += [
+        f"  open     {i['number']} to {i['to']}, of term {i['term']}, settled by {i['settle']}: {i['what']}"
+        for i in d["intents"]
+    ]
     return lines
 
 
@@ -312,8 +354,11 @@
 def duty_show(api: Api, name: str | None, as_json: bool) -> None:
     """Print the duties that this runner has or keeps; one by NAME as a majority has it now."""
     got = api.ask("GET", "duties" if name is None else f"duties/{name}")
-    lines = [line for d in got["duties"] for line in _duty_lines(d)] if name is None else \
-        [*_duty_lines(got), f"  state    {got['state'] or '(none)'}"]
+    lines = (
+        [line for d in got["duties"] for line in _duty_lines(d)]
+        if name is None
+        else [*_duty_lines(got), f"  state    {got['state'] or '(none)'}"]
+    )
     show(got, as_json, "\n".join(lines) or "no duties are known here")
 
 
--- a/moorusher/config.py
+++ b/moorusher/config.py
@@ -95,19 +95,29 @@
 
 # Bounds of `[standing]`: what each figure may be without a report that can't do what it is for.
 POLICY_BOUNDS: dict[str, tuple[float, float]] = {
-    "probe_ms": (10, 10_000), "reaction_ms": (0, 10_000), "tip_per_core": (0, 1_000), "crowded_at": (0.1, 0.79),
-    "full_at": (0.81, 1), "calm_at": (0.05, 1), "crowded_weight": (1, 100),
-    "hold_share": (0.01, 10), "refused_share": (0.01, 1),
-    "climb_s": (0, 600), "gauge_fresh_ms": (50, 60_000), "gauge_unknown_ms": (100, 600_000),
-    "link_trust_ms": (500, 60_000), "settle_ms": (0, 60_000),
+    "probe_ms": (10, 10_000),
+    "reaction_ms": (0, 10_000),
+    "tip_per_core": (0, 1_000),
+    "crowded_at": (0.1, 0.79),
+    "full_at": (0.81, 1),
+    "calm_at": (0.05, 1),
+    "crowded_weight": (1, 100),
+    "hold_share": (0.01, 10),
+    "refused_share": (0.01, 1),
+    "climb_s": (0, 600),
+    "gauge_fresh_ms": (50, 60_000),
+    "gauge_unknown_ms": (100, 600_000),
+    "link_trust_ms": (500, 60_000),
+    "settle_ms": (0, 60_000),
 }
 
 
 def _policy(section: Section) -> Policy:
     section.unknown(set(POLICY_BOUNDS))
     d = Policy()
-    made = Policy(**{name: section.between(name, getattr(d, name), *bounds)
-                     for name, bounds in POLICY_BOUNDS.items()})
+    made = Policy(
+        **{name: section.between(name, getattr(d, name), *bounds) for name, bounds in POLICY_BOUNDS.items()}
+    )
     for lower, upper in (("calm_at", "crowded_at"), ("gauge_fresh_ms", "gauge_unknown_ms")):
         if not getattr(made, lower) < getattr(made, upper):
             raise ConfigError(f"{section.key(lower)}: expected less than {upper}, {getattr(made, upper):g}")
@@ -116,12 +126,24 @@
 
 def _codes(section: Section) -> Codes:
     d = Codes()
-    return Codes(*(section.between(f"{name}_status", getattr(d, name), 200, 599)
-                   for name in ("crowded", "full", "draining", "maintenance")))
+    return Codes(
+        *(
+            section.between(f"{name}_status", getattr(d, name), 200, 599)
+            for name in ("crowded", "full", "draining", "maintenance")
+        )
+    )
 
 
-Fronts = tuple[UwsgiConfig, ProbeConfig, AdminConfig, TierConfig, FleetConfig, NamespacesConfig, ForecastPolicy,
-               OutagePolicy]
+Fronts = tuple[
+    UwsgiConfig,
+    ProbeConfig,
+    AdminConfig,
+    TierConfig,
+    FleetConfig,
+    NamespacesConfig,
+    ForecastPolicy,
+    OutagePolicy,
+]
 
 
 def _forecast(section: Section, fleet: FleetConfig) -> ForecastPolicy:
@@ -145,18 +167,40 @@
     try:
         raw = tomllib.loads(path.read_text())
     except FileNotFoundError:
-        return (UwsgiConfig(), ProbeConfig(), AdminConfig(), TierConfig(), FleetConfig(), NamespacesConfig(),
-                ForecastPolicy(), OutagePolicy())
+        return (
+            UwsgiConfig(),
+            ProbeConfig(),
+            AdminConfig(),
+            TierConfig(),
+            FleetConfig(),
+            NamespacesConfig(),
+            ForecastPolicy(),
+            OutagePolicy(),
+        )
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as exc:
         raise ConfigError(f"{path.name}: {exc}") from exc
     root = Section(raw, "")
-    root.unknown({"uwsgi", "health", "agent", "admin", "standing", "tier", "fleet", "duties", "namespaces",
-                  "forecast", "outage"})
+    root.unknown(
+        {
+            "uwsgi",
+            "health",
+            "agent",
+            "admin",
+            "standing",
+            "tier",
+            "fleet",
+            "duties",
+            "namespaces",
+            "forecast",
+            "outage",
+        }
+    )
     uwsgi, health, agent, admin = (root.section(n) for n in ("uwsgi", "health", "agent", "admin"))
     uwsgi.unknown({"listen", "below", "body_bytes", "idle_s", "load_report"})
     admin.unknown({"listen", "token", "token_file"})
-    health.unknown({"listen", "load_report", "crowded_status", "full_status", "draining_status",
-                    "maintenance_status"})
+    health.unknown(
+        {"listen", "load_report", "crowded_status", "full_status", "draining_status", "maintenance_status"}
+    )
     agent.unknown({"listen", "maxconn"})
     token = admin.get("token", "")
     if name := admin.get("token_file", ""):
@@ -169,16 +213,33 @@
     fleet = read_fleet(root.section("fleet"), root.section("duties"))
     return (
         UwsgiConfig(
-            uwsgi.address("listen"), uwsgi.address("below"), uwsgi.positive("body_bytes", d.body_bytes),
-            uwsgi.positive("idle_s", d.idle_s), uwsgi.get("load_report", False)),
+            uwsgi.address("listen"),
+            uwsgi.address("below"),
+            uwsgi.positive("body_bytes", d.body_bytes),
+            uwsgi.positive("idle_s", d.idle_s),
+            uwsgi.get("load_report", False),
+        ),
         ProbeConfig(
-            agent.address("listen"), agent.get("maxconn", False), health.address("listen"), _codes(health),
-            health.get("load_report", False), _policy(root.section("standing"))),
+            agent.address("listen"),
+            agent.get("maxconn", False),
+            health.address("listen"),
+            _codes(health),
+            health.get("load_report", False),
+            _policy(root.section("standing")),
+        ),
         AdminConfig(loopback(admin.address("listen"), "admin.listen"), token),
-        tier, fleet,
-        read_namespaces(root.section("namespaces"), {s.name for s in tier.servers}, fleet.duties.on,
-                        fleet.duties.state_bytes) if root.section("namespaces").data else NamespacesConfig(),
-        _forecast(root.section("forecast"), fleet), _outage(root.section("outage"), fleet),
+        tier,
+        fleet,
+        read_namespaces(
+            root.section("namespaces"),
+            {s.name for s in tier.servers},
+            fleet.duties.on,
+            fleet.duties.state_bytes,
+        )
+        if root.section("namespaces").data
+        else NamespacesConfig(),
+        _forecast(root.section("forecast"), fleet),
+        _outage(root.section("outage"), fleet),
     )
 
 
@@ -200,7 +261,9 @@
     elif isinstance(old, list) and isinstance(new, list) and old and all(isinstance(x, dict) for x in old):
         common = [name for name in old[0] if all(name in x for x in old)]
         for i, item in enumerate(new):
-            if isinstance(item, dict) and (lost := [n for n in common if n not in item and n not in MAY_BE_ABSENT]):
+            if isinstance(item, dict) and (
+                lost := [n for n in common if n not in item and n not in MAY_BE_ABSENT]
+            ):
                 return f"{path}[{i}].{lost[0]}"
     return None
 
@@ -252,8 +315,10 @@
         raise ConfigError(f"settings: {exc}") from exc
     except (ValueError, OverflowError) as exc:  # the interface's own checks name the setting too
         raise ConfigError(f"settings: {exc}") from exc
-    for listed, names in (("classes", [c.name for c in settings.classes]),
-                          ("realms", [t.name for t in settings.tenants])):
+    for listed, names in (
+        ("classes", [c.name for c in settings.classes]),
+        ("realms", [t.name for t in settings.tenants]),
+    ):
         for i, one in enumerate(names):
             if not one or one in names[:i]:
                 raise ConfigError(f"settings.{listed}[{i}].name: expected one that no other has, got {one!r}")
@@ -261,8 +326,26 @@
     if fleet.listen is not None and all(seat.name != name for seat in fleet.seats):
         raise ConfigError(f"fleet.seat: none has this runner's name, {name}")
     return Config(
-        name, listen, kernel, root.address("announce"), root.address("db"),
+        name,
+        listen,
+        kernel,
+        root.address("announce"),
+        root.address("db"),
         root.positive("stop_ms", 3000.0),
-        Limits(limits.positive("cores", d.cores), limits.positive("memory_mb", d.memory_mb),
-               limits.positive("sockets", d.sockets)),
-        settings, uwsgi, admin, probes, tier, console, fleet, namespaces, forecast, outage, raw)
+        Limits(
+            limits.positive("cores", d.cores),
+            limits.positive("memory_mb", d.memory_mb),
+            limits.positive("sockets", d.sockets),
+        ),
+        settings,
+        uwsgi,
+        admin,
+        probes,
+        tier,
+        console,
+        fleet,
+        namespaces,
+        forecast,
+        outage,
+        raw,
+    )
--- a/moorusher/config_fleet.py
+++ b/moorusher/config_fleet.py
@@ -15,8 +15,15 @@
 
 # What each figure may be: `most` slots of some 300 bytes, `most` times `state_bytes` of memory at the very most.
 BOUNDS: dict[str, tuple[float, float]] = {
-    "most": (1, 100_000), "state_bytes": (1 << 10, 4 << 20), "versions": (1, 8), "intents": (1, 256),
-    "most_lost": (2, 100), "steady_ms": (100, 600_000), "moves_a_minute": (0.1, 600), "patience_ms": (100, 60_000)}
+    "most": (1, 100_000),
+    "state_bytes": (1 << 10, 4 << 20),
+    "versions": (1, 8),
+    "intents": (1, 256),
+    "most_lost": (2, 100),
+    "steady_ms": (100, 600_000),
+    "moves_a_minute": (0.1, 600),
+    "patience_ms": (100, 60_000),
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,8 +46,9 @@
     """`[duties]`, read and checked. Raises ConfigError."""
     section.unknown({"on", "report", *BOUNDS})
     d = Duties()
-    figures: dict[str, Any] = {name: section.between(name, getattr(d, name), *bounds)
-                               for name, bounds in BOUNDS.items()}
+    figures: dict[str, Any] = {
+        name: section.between(name, getattr(d, name), *bounds) for name, bounds in BOUNDS.items()
+    }
     reports: list[Report] = []
     listed: list[Any] = section.get("report", [])
     for i, raw in enumerate(listed):
@@ -48,11 +56,12 @@
         one.unknown({"name", "to", "every_ms"})
         name, to = one.get("name", ""), inside(one.address("to"), one.key("to"))
         if not is_word(name, 64) or any(name == r.name for r in reports):
-            raise ConfigError(f"{one.key('name')}: expected letters, digits and -_.: that no other has, got {name!r}")
+            raise ConfigError(
+                f"{one.key('name')}: expected letters, digits and -_.: that no other has, got {name!r}"
+            )
         if to is None:
             raise ConfigError(f"{one.key('to')}: required, as HOST:PORT")
-        reports.append(Report(name, to, one.between("every_ms", 5_000.0,
-                                                    10, 3_600_000)))
+        reports.append(Report(name, to, one.between("every_ms", 5_000.0, 10, 3_600_000)))
     return Duties(on=section.get("on", False), reports=tuple(reports), **figures)
 
 
@@ -64,8 +73,11 @@
     uncovered = section.get("uncovered", "refuse")
     if uncovered not in ("refuse", "alone"):
         raise ConfigError(f"{section.key('uncovered')}: expected one of refuse, alone, got {uncovered!r}")
-    policy = FleetPolicy(section.between("claim_ms", d.claim_ms, 10, 10_000), section.between("copies", d.copies, 1, 7),
-                         uncovered == "alone")
+    policy = FleetPolicy(
+        section.between("claim_ms", d.claim_ms, 10, 10_000),
+        section.between("copies", d.copies, 1, 7),
+        uncovered == "alone",
+    )
     if policy.copies % 2 == 0:
         raise ConfigError(f"{section.key('copies')}: expected an odd number, got {policy.copies}")
     work = read_duties(duties)
@@ -88,7 +100,9 @@
         one.unknown({"name", "address", "zone", "group"})
         seat, address = one.get("name", ""), inside(one.address("address"), one.key("address"))
         if not is_word(seat, 64) or any(seat == s.name for s in seats):
-            raise ConfigError(f"{one.key('name')}: expected letters, digits and -_.: that no other has, got {seat!r}")
+            raise ConfigError(
+                f"{one.key('name')}: expected letters, digits and -_.: that no other has, got {seat!r}"
+            )
         if address is None:
             raise ConfigError(f"{one.key('address')}: required, as HOST:PORT")
         seats.append(Seat(seat, address, one.get("zone", ""), one.get("group", "")))
--- a/moorusher/config_forecast.py
+++ b/moorusher/config_forecast.py
@@ -9,10 +9,20 @@
 from .section import ConfigError, Section, inside
 
 FIGURES: dict[str, tuple[float, float]] = {
-    "report_ms": (100, 3_600_000), "save_ms": (100, 3_600_000), "routes": (1, 10_000)}
+    "report_ms": (100, 3_600_000),
+    "save_ms": (100, 3_600_000),
+    "routes": (1, 10_000),
+}
 SCALING: dict[str, tuple[float, float]] = {
-    "cores": (0.1, 1_000), "fill": (0.05, 1), "least": (0, 100_000), "most": (1, 100_000), "cold_min": (0, 1_440),
-    "down_h": (0, 168), "valid_min": (1, 10_080), "worthy": (0, 1e9)}
+    "cores": (0.1, 1_000),
+    "fill": (0.05, 1),
+    "least": (0, 100_000),
+    "most": (1, 100_000),
+    "cold_min": (0, 1_440),
+    "down_h": (0, 168),
+    "valid_min": (1, 10_080),
+    "worthy": (0, 1e9),
+}
 ROUTE_BYTES = 6_000  # of the duty's state, at most, for eight weeks of one
 MOST_DAYS = 1_000
 
@@ -63,6 +73,8 @@
     if on and not duties:
         raise ConfigError(f"{section.key('on')}: a forecast is a duty of a fleet: set duties.on")
     if on and figures["routes"] * ROUTE_BYTES > state_bytes:
-        raise ConfigError(f"{section.key('routes')}: {figures['routes']} of them may take "
-                          f"{figures['routes'] * ROUTE_BYTES} bytes; duties.state_bytes is {state_bytes}")
+        raise ConfigError(
+            f"{section.key('routes')}: {figures['routes']} of them may take "
+            f"{figures['routes'] * ROUTE_BYTES} bytes; duties.state_bytes is {state_bytes}"
+        )
     return Policy(on=on, calendars=calendars, scaling=made, **figures)
--- a/moorusher/config_namespaces.py
+++ b/moorusher/config_namespaces.py
@@ -13,8 +13,14 @@
 MEMORY_MB = 64.0  # for all customers' drafts and tables at a runner
 # What each figure of a customer's budget may be, and the revisions that are kept of it.
 BUDGET: dict[str, tuple[float, float]] = {
-    "bytes": (1 << 10, 768 << 10), "rules": (1, 100_000), "routes": (1, 1_000), "route_servers": (1, 10_000),
-    "words": (1, 1_000_000), "steps": (1_000, 100_000_000), "table_bytes": (1 << 16, 64 << 20)}
+    "bytes": (1 << 10, 768 << 10),
+    "rules": (1, 100_000),
+    "routes": (1, 1_000),
+    "route_servers": (1, 10_000),
+    "words": (1, 1_000_000),
+    "steps": (1_000, 100_000_000),
+    "table_bytes": (1 << 16, 64 << 20),
+}
 KEPT: dict[str, tuple[float, float]] = {"keep": (1, 64), "an_hour": (1, 100_000)}
 
 
@@ -39,10 +45,17 @@
 
 def _budget(section: Section, d: Customer) -> Customer:
     """The figures of this section over those of `d`."""
-    budget = Budget(**{f.name: section.between(f.name, getattr(d.granted.budget, f.name), *BUDGET[f.name])
-                       for f in fields(Budget)})
-    bounds = Bounds(section.between("keep", d.bounds.keep, *KEPT["keep"]), d.bounds.bytes,
-                    section.between("an_hour", d.bounds.an_hour, *KEPT["an_hour"]))
+    budget = Budget(
+        **{
+            f.name: section.between(f.name, getattr(d.granted.budget, f.name), *BUDGET[f.name])
+            for f in fields(Budget)
+        }
+    )
+    bounds = Bounds(
+        section.between("keep", d.bounds.keep, *KEPT["keep"]),
+        d.bounds.bytes,
+        section.between("an_hour", d.bounds.an_hour, *KEPT["an_hour"]),
+    )
     return Customer(replace(d.granted, budget=budget), bounds)
 
 
@@ -87,18 +100,30 @@
     if on:
         _fits(section, customers)
         if not duties:
-            raise ConfigError(f"{section.key('on')}: namespaces are published by duties of a fleet: set duties.on")
+            raise ConfigError(
+                f"{section.key('on')}: namespaces are published by duties of a fleet: set duties.on"
+            )
         if common.granted.budget.bytes + SMALL > state_bytes or any(
-                c.granted.budget.bytes + SMALL > state_bytes for c in customers.values()):
-            raise ConfigError(f"{section.key('bytes')}: expected {SMALL} less than duties.state_bytes, {state_bytes}")
+            c.granted.budget.bytes + SMALL > state_bytes for c in customers.values()
+        ):
+            raise ConfigError(
+                f"{section.key('bytes')}: expected {SMALL} less than duties.state_bytes, {state_bytes}"
+            )
         if not servers:
             raise ConfigError(f"{section.key('on')}: there is nothing to route to: set tier.server")
     grants = Grants(own, shares, pools)
     if on and not servers - grants.taken():
-        raise ConfigError(f"{section.key('customer')}: all servers of the tier are granted to customers or in pools, "
-                          "and none is left for who has no rules")
-    return NamespacesConfig(on, customers, grants, section.between("most", d.most, 1, MOST_CUSTOMERS),
-                            section.between("start_ms", d.start_ms, 0.0, 60_000.0))
+        raise ConfigError(
+            f"{section.key('customer')}: all servers of the tier are granted to customers or in pools, "
+            "and none is left for who has no rules"
+        )
+    return NamespacesConfig(
+        on,
+        customers,
+        grants,
+        section.between("most", d.most, 1, MOST_CUSTOMERS),
+        section.between("start_ms", d.start_ms, 0.0, 60_000.0),
+    )
 
 
 def _fits(section: Section, customers: dict[str, Customer]) -> None:
@@ -107,8 +132,10 @@
     most = section.between("memory_mb", MEMORY_MB, 1.0, 1_048_576.0)
     granted = sum(c.granted.budget.table_bytes + c.granted.budget.bytes for c in customers.values()) / 2**20
     if granted > most:
-        raise ConfigError(f"{section.key('memory_mb')}: {len(customers)} customers may take {granted:.0f} MB together, "
-                          f"and {most:g} are set; set a lower table_bytes, or more")
+        raise ConfigError(
+            f"{section.key('memory_mb')}: {len(customers)} customers may take {granted:.0f} MB together, "
+            f"and {most:g} are set; set a lower table_bytes, or more"
+        )
 
 
 def _each(section: Section, name: str, known: set[str]) -> list[Section]:
@@ -124,8 +151,10 @@
 
     name = one.get("name", "")
     if not is_normal(name) or name in others:
-        raise ConfigError(f"{one.key('name')}: expected 1 to {MOST} characters in Unicode's form NFC, without spaces, "
-                          f"that no other has, got {name!r}")
+        raise ConfigError(
+            f"{one.key('name')}: expected 1 to {MOST} characters in Unicode's form NFC, without spaces, "
+            f"that no other has, got {name!r}"
+        )
     return name
 
 
@@ -135,8 +164,10 @@
     for name, servers in own.items():
         for server in servers:
             if server in whose:
-                raise ConfigError(f"{section.key('customer')}: server {server!r} is granted to {whose[server]} and to "
-                                  f"{name}; make a pool of it")
+                raise ConfigError(
+                    f"{section.key('customer')}: server {server!r} is granted to {whose[server]} and to "
+                    f"{name}; make a pool of it"
+                )
             whose[server] = name
     for pool in pools.values():
         for server in pool.servers:
--- a/moorusher/config_outage.py
+++ b/moorusher/config_outage.py
@@ -8,9 +8,21 @@
 from .section import ConfigError, Section
 
 FIGURES: dict[str, tuple[float, float]] = {
-    "most": (1, 1_000), "most_zone": (1, 1_000), "most_group": (1, 1_000), "least_share": (0, 1), "fill": (0.05, 1),
-    "peak_s": (1, 86_400), "settle_s": (0, 3_600), "drain_s": (1, 3_600), "go_s": (1, 86_400), "overdue": (1, 100),
-    "back_s": (1, 86_400), "ages_s": (1, 604_800), "most_asks": (1, 1_000), "most_kept": (8, 1_000)}
+    "most": (1, 1_000),
+    "most_zone": (1, 1_000),
+    "most_group": (1, 1_000),
+    "least_share": (0, 1),
+    "fill": (0.05, 1),
+    "peak_s": (1, 86_400),
+    "settle_s": (0, 3_600),
+    "drain_s": (1, 3_600),
+    "go_s": (1, 86_400),
+    "overdue": (1, 100),
+    "back_s": (1, 86_400),
+    "ages_s": (1, 604_800),
+    "most_asks": (1, 1_000),
+    "most_kept": (8, 1_000),
+}
 
 
 def read_outage(section: Section, fleet: bool) -> Policy:
--- a/moorusher/config_tier.py
+++ b/moorusher/config_tier.py
@@ -22,11 +22,25 @@
 
 # Bounds of `[tier]`.
 TIER_BOUNDS: dict[str, tuple[float, float]] = {
-    "subset": (0, MOST_SERVERS), "spill": (1, 100), "least_limit": (1, 1000), "most_limit": (1, 10_000),
-    "queue": (0, 10_000), "consecutive": (1, 1000), "failure_share": (0.01, 1), "outlier": (1.5, 1000),
-    "eject_s": (0.1, 600), "most_eject_s": (0.1, 3600), "most_ejected": (0, 1), "panic": (0, 1),
-    "retry_share": (0, 1), "retry_floor_per_s": (0, 100), "backoff_ms": (0, 10_000), "most_backoff_ms": (0, 60_000),
-    "slow_start_s": (0, 600), "slow_start_calls": (0, 1_000_000), "slow_start_window_ms": (10, 600_000),
+    "subset": (0, MOST_SERVERS),
+    "spill": (1, 100),
+    "least_limit": (1, 1000),
+    "most_limit": (1, 10_000),
+    "queue": (0, 10_000),
+    "consecutive": (1, 1000),
+    "failure_share": (0.01, 1),
+    "outlier": (1.5, 1000),
+    "eject_s": (0.1, 600),
+    "most_eject_s": (0.1, 3600),
+    "most_ejected": (0, 1),
+    "panic": (0, 1),
+    "retry_share": (0, 1),
+    "retry_floor_per_s": (0, 100),
+    "backoff_ms": (0, 10_000),
+    "most_backoff_ms": (0, 60_000),
+    "slow_start_s": (0, 600),
+    "slow_start_calls": (0, 1_000_000),
+    "slow_start_window_ms": (10, 600_000),
     "runners": (1, 10_000),
 }
 
@@ -42,7 +56,9 @@
     speaks = section.get("protocol", Speaks.HTTP.value)
     if speaks not in {s.value for s in Speaks}:
         raise ConfigError(f"{section.key('protocol')}: expected one of http, uwsgi, got {speaks!r}")
-    return Server(name, address, section.between("weight", 1.0, 0.01, 1000), section.get("zone", ""), Speaks(speaks))
+    return Server(
+        name, address, section.between("weight", 1.0, 0.01, 1000), section.get("zone", ""), Speaks(speaks)
+    )
 
 
 def read_tier(section: Section, folder: Path) -> TierConfig:
--- a/moorusher/core/actions.py
+++ b/moorusher/core/actions.py
@@ -28,11 +28,20 @@
     def __init__(self, core: Decider, kernel: Kernel) -> None:
         self._core, self._kernel = core, kernel
         self._methods: dict[type, Callable[[Any], None]] = {
-            api.Start: self._start, api.Stop: self._stop, api.Reject: self._reject,
-            api.Fail: self._fail, api.Call: self._call, api.SkipCall: self._skip_call,
-            api.Remember: self._remember, api.Forget: self._forget, api.ShareResult: self._share,
-            api.SetHealth: self._set_health, api.Signal: self._signal, api.TrimConnections: self._trim_connections,
-            api.SetTimer: self._set_timer, api.Log: self._log,
+            api.Start: self._start,
+            api.Stop: self._stop,
+            api.Reject: self._reject,
+            api.Fail: self._fail,
+            api.Call: self._call,
+            api.SkipCall: self._skip_call,
+            api.Remember: self._remember,
+            api.Forget: self._forget,
+            api.ShareResult: self._share,
+            api.SetHealth: self._set_health,
+            api.Signal: self._signal,
+            api.TrimConnections: self._trim_connections,
+            api.SetTimer: self._set_timer,
+            api.Log: self._log,
         }
 
     def carry_out(self, action: api.Action) -> None:
@@ -66,7 +75,9 @@
             log.error("request %s was to be refused after a run", request.rid)
             return self._fail(api.Fail(action.id))
         core.watch.refused(core.clock.now)
-        core.answer(request, Answer(Verdict.REFUSED, b"", Cause.TURNED_AWAY, action.retry_after_ms, action.final))
+        core.answer(
+            request, Answer(Verdict.REFUSED, b"", Cause.TURNED_AWAY, action.retry_after_ms, action.final)
+        )
         core.drop_unrun(action.id)
 
     def _fail(self, action: api.Fail) -> None:
@@ -87,7 +98,8 @@
         way = None if request.ruling is None else request.ruling.way
         timeout_ms = max(1, round(action.timeout_ms))
         core.calls.make(
-            action.id, Asked(request.rid, run.route, request.tenant, token, run.call, timeout_ms, way), core)
+            action.id, Asked(request.rid, run.route, request.tenant, token, run.call, timeout_ms, way), core
+        )
 
     def _skip_call(self, action: api.SkipCall) -> None:
         self._core.counters.add("calls left out")
--- a/moorusher/core/claims.py
+++ b/moorusher/core/claims.py
@@ -41,14 +41,24 @@
 class Claims:
     """`go` hands a request on to the module, `refuse` answers one that never ran, `shared` those that waited."""
 
-    def __init__(self, keys: Keys, table: Table, clock: Clock, alarms: Alarms, counters: Counters,
-                 go: Callable[[Request], None], refuse: Callable[[Request, str], None],
-                 shared: Callable[[int, bytes | None], None]) -> None:
+    def __init__(
+        self,
+        keys: Keys,
+        table: Table,
+        clock: Clock,
+        alarms: Alarms,
+        counters: Counters,
+        go: Callable[[Request], None],
+        refuse: Callable[[Request, str], None],
+        shared: Callable[[int, bytes | None], None],
+    ) -> None:
         self._keys, self._table, self._clock, self._alarms = keys, table, clock, alarms
         self._counters, self._go, self._refuse, self._shared = counters, go, refuse, shared
         self.peer: Peer | None = None
         self.first = False  # the successor: of two claims that cross, this one's counts
-        self.unanswered: Callable[[], bool] = lambda: False  # True where the other is given up, and all is ours
+        self.unanswered: Callable[[], bool] = lambda: (
+            False
+        )  # True where the other is given up, and all is ours
         self._asked: dict[Key, _Asked] = {}
         self._serial = 0
         keys.told.append(self)
--- a/moorusher/core/clock.py
+++ b/moorusher/core/clock.py
@@ -20,8 +20,9 @@
 class Clock:
     """`now` stands still within a turn, so that all of its events happen at one time."""
 
-    def __init__(self, monotonic_ns: Callable[[], int] = time.monotonic_ns,
-                 unix_ns: Callable[[], int] = time.time_ns) -> None:
+    def __init__(
+        self, monotonic_ns: Callable[[], int] = time.monotonic_ns, unix_ns: Callable[[], int] = time.time_ns
+    ) -> None:
         self._monotonic, self._unix = monotonic_ns, unix_ns
         self.now = self._zero = self._unix_at_zero = 0
         self.read()
--- a/moorusher/core/decide.py
+++ b/moorusher/core/decide.py
@@ -38,15 +38,24 @@
     `soon` has the loop call `turn_over` once, after what else is ready in this turn has been read.
     """
 
-    def __init__(self, settings: api.Settings, clock: Clock, alarms: Alarms, kernel: Kernel, calls: Calls,
-                 soon: Callable[[Callable[[], None]], None],
-                 make: Callable[[api.Settings], Balancer] = Balancer, memory_mb: float = 192.0) -> None:
+    def __init__(
+        self,
+        settings: api.Settings,
+        clock: Clock,
+        alarms: Alarms,
+        kernel: Kernel,
+        calls: Calls,
+        soon: Callable[[Callable[[], None]], None],
+        make: Callable[[api.Settings], Balancer] = Balancer,
+        memory_mb: float = 192.0,
+    ) -> None:
         self.settings, self.clock, self.alarms = settings, clock, alarms
         self.counters, self.table, self.keys = Counters(), Table(), Keys(memory_mb)
         self.intake = Intake(settings, clock, self.table, self.keys)
         self.runs = Runs(kernel, clock)
-        self.claims = Claims(self.keys, self.table, clock, alarms, self.counters, self._claimed, self.turn_away,
-                             self.shared)
+        self.claims = Claims(
+            self.keys, self.table, clock, alarms, self.counters, self._claimed, self.turn_away, self.shared
+        )
         self.care: Care = NoCare()
         self.others = Others(self)
         self.routes: Routes = NoRoutes()
@@ -133,7 +142,9 @@
             self._actions.carry_out(action)
         self.events.append(self._beside)
         if self._stop_at is not None:
-            self.events.append(api.DrainNotice(max(0.0, (self._stop_at - self.clock.now) / MS), self.replaced))
+            self.events.append(
+                api.DrainNotice(max(0.0, (self._stop_at - self.clock.now) / MS), self.replaced)
+            )
 
     def watched_by(self, watch: Watch) -> None:
         self.watch = self.runs.watch = watch
@@ -200,8 +211,12 @@
         self.touch()
         self._count(request)
         log.warning("request %s turned away: %s", request.rid, why)
-        self.answer(request, Answer(Verdict.REFUSED, b"", Cause.KEY_UNSURE, BUSY_MS) if proven
-                     else Answer(Verdict.FAILED, cause=Cause.MAY_GO_ON))
+        self.answer(
+            request,
+            Answer(Verdict.REFUSED, b"", Cause.KEY_UNSURE, BUSY_MS)
+            if proven
+            else Answer(Verdict.FAILED, cause=Cause.MAY_GO_ON),
+        )
         self.drop_unrun(request.number)
 
     def _count(self, request: Request) -> None:
@@ -213,7 +228,9 @@
     def _rule_out(self, request: Request) -> None:
         """Nobody else would serve it: there is no use in coming back."""
         self.counters.add("ruled out", request.tenant)
-        self.answer(request, Answer(Verdict.REFUSED, request.ruling.refusal.encode(), Cause.RULED_OUT, BUSY_MS, True))
+        self.answer(
+            request, Answer(Verdict.REFUSED, request.ruling.refusal.encode(), Cause.RULED_OUT, BUSY_MS, True)
+        )
         self.drop_unrun(request.number)
 
     def gone(self, request: Request) -> None:
@@ -266,8 +283,10 @@
     def memory_kb(self) -> float:
         """What the requests here are booked for in the kernel, about."""
         factor = self.settings.run_memory_factor
-        return sum(r.arrival.memory_kb * (factor if r.stage is Stage.RUNNING else 1.0)
-                   for r in self.table.by_number.values())
+        return sum(
+            r.arrival.memory_kb * (factor if r.stage is Stage.RUNNING else 1.0)
+            for r in self.table.by_number.values()
+        )
 
     def beside(self, on_cores: int, running: int, memory_kb: float) -> None:
         """What the process that this one replaces still takes."""
@@ -322,8 +341,12 @@
         self.demand.ran(request, run.core_us(self.clock.now, self.settings.cores, self.runs.on_cores + 1))
         passed = ending is Ending.RUN_PASSED
         self.counters.add("runs " + ("passed" if passed else "not passed"), request.tenant)
-        self.answer(request, Answer(Verdict.SERVED, body) if passed
-                     else Answer(Verdict.FAILED, cause=FAILED_BY.get(ending, Cause.RUN_FAILED)))
+        self.answer(
+            request,
+            Answer(Verdict.SERVED, body)
+            if passed
+            else Answer(Verdict.FAILED, cause=FAILED_BY.get(ending, Cause.RUN_FAILED)),
+        )
         self.over(request, ending)
         for waiter in self.keys.settle(request.number, body if passed else None):
             self.shared(waiter, body if passed else None)
@@ -359,7 +382,9 @@
 
     def command(self, request: Request) -> None:
         """Have the kernel run it, unless another try holds its key."""
-        if request.key is not None and not self.keys.runs(request.number, request.came, request.cls.window_ms):
+        if request.key is not None and not self.keys.runs(
+            request.number, request.came, request.cls.window_ms
+        ):
             # Never twice by one key, whatever the module says.
             log.error("request %s was to run, and another try holds its key", request.rid)
             self.answer(request, Answer(Verdict.FAILED, cause=Cause.FAULT))
@@ -386,8 +411,12 @@
         if request is None:
             return
         self.touch()
-        self.answer(request, Answer(Verdict.FAILED, cause=Cause.NO_RESULT) if result is None
-                     else Answer(Verdict.SERVED, result))
+        self.answer(
+            request,
+            Answer(Verdict.FAILED, cause=Cause.NO_RESULT)
+            if result is None
+            else Answer(Verdict.SERVED, result),
+        )
         self.over(request, Ending.RUN_FAILED if result is None else Ending.RUN_PASSED)
 
     def over(self, request: Request, ending: Ending) -> None:
@@ -416,10 +445,18 @@
         self.touch()
         self.turn_over()
         for request in [r for r in self.table.by_number.values() if r.reply is not None]:
-            alone = request.key is None or isinstance(self.care, NoCare)  # else other runners may go on with it
+            alone = request.key is None or isinstance(
+                self.care, NoCare
+            )  # else other runners may go on with it
             never_ran = request.stage is Stage.HELD and request.repeats is None and alone
-            self.answer(request, Answer(Verdict.REFUSED if never_ran else Verdict.FAILED, cause=Cause.STOPPING,
-                                        backoff_ms=BUSY_MS if never_ran else 0.0))
+            self.answer(
+                request,
+                Answer(
+                    Verdict.REFUSED if never_ran else Verdict.FAILED,
+                    cause=Cause.STOPPING,
+                    backoff_ms=BUSY_MS if never_ran else 0.0,
+                ),
+            )
 
     # ---- new settings ----
 
--- a/moorusher/core/intake.py
+++ b/moorusher/core/intake.py
@@ -115,6 +115,18 @@
             tenant = self.tenants.get(request.tenant)  # one that is gone meanwhile counts as nobody's
         same = klass >= 0 and self.settings.classes[klass] is request.cls
         return api.Request(
-            request.number, klass, a.memory_kb, waited, left, a.caller, tenant, a.is_retry,
-            request.key is not None, request.repeats, a.rank, a.subject, a.hint_ms, None if same else request.cls,
+            request.number,
+            klass,
+            a.memory_kb,
+            waited,
+            left,
+            a.caller,
+            tenant,
+            a.is_retry,
+            request.key is not None,
+            request.repeats,
+            a.rank,
+            a.subject,
+            a.hint_ms,
+            None if same else request.cls,
         )
--- a/moorusher/core/keys.py
+++ b/moorusher/core/keys.py
@@ -65,11 +65,15 @@
         self.limit(memory_mb)
         self._by_key: dict[Key, Entry] = {}
         self._by_number: dict[int, Entry] = {}
-        self._ends: list[tuple[int, int]] = []  # (until, number of the try); stale where the entry says otherwise
+        self._ends: list[
+            tuple[int, int]
+        ] = []  # (until, number of the try); stale where the entry says otherwise
         self.bytes = 0
         self._theirs_most: int | None = None  # of bytes; how far the other process's results are kept
         self.told: list[Told] = []
-        self.unsure_until = 0  # what ran before, and where, is not known: until then a new key may be an old one's
+        self.unsure_until = (
+            0  # what ran before, and where, is not known: until then a new key may be an old one's
+        )
 
     def __len__(self) -> int:
         return len(self._by_key)
@@ -80,7 +84,9 @@
         room = max(2_000_000, round(memory_mb * 1e6 - PROCESS_BYTES) // 2)
         self.most_bytes = min(MOST_BYTES, room * 2 // 3)
         self.most_entries = min(MOST_ENTRIES, room // 3 // ENTRY_BYTES)
-        self._tables = max(4_000_000, round(memory_mb * 1e6) - 2 * PROCESS_BYTES) // 2  # room for those of both
+        self._tables = (
+            max(4_000_000, round(memory_mb * 1e6) - 2 * PROCESS_BYTES) // 2
+        )  # room for those of both
 
     @property
     def size(self) -> int:
--- a/moorusher/core/others.py
+++ b/moorusher/core/others.py
@@ -59,8 +59,11 @@
             return
         self._core.touch()
         self._give(request)
-        self._core.events.append(api.RunEnded(request.number, api.Outcome.MOOT) if request.stage is Stage.BEGINNING
-                            else api.CallerGone(request.number))
+        self._core.events.append(
+            api.RunEnded(request.number, api.Outcome.MOOT)
+            if request.stage is Stage.BEGINNING
+            else api.CallerGone(request.number)
+        )
         request.stage = Stage.SHARING
         if request.reply is None:
             self._core.table.remove(request)
@@ -73,7 +76,10 @@
 
     def begun(self, request: Request) -> None:
         """Enough others know that it may run."""
-        if self._core.table.by_number.get(request.number) is not request or request.stage is not Stage.BEGINNING:
+        if (
+            self._core.table.by_number.get(request.number) is not request
+            or request.stage is not Stage.BEGINNING
+        ):
             return
         self._core.touch()
         if request.reply is None or request.number in self._core.unwanted:
@@ -84,7 +90,10 @@
     def not_begun(self, request: Request, why: str) -> None:
         """Nobody could be told: it is not commanded here, and never will be. Others may take this runner for lost, and
         run it: its caller gets no promise."""
-        if self._core.table.by_number.get(request.number) is not request or request.stage is not Stage.BEGINNING:
+        if (
+            self._core.table.by_number.get(request.number) is not request
+            or request.stage is not Stage.BEGINNING
+        ):
             return
         self._core.touch()
         log.warning("request %s turned away: %s", request.rid, why)
@@ -101,7 +110,9 @@
         for waiter in self._core.keys.drop(request.number):
             self._core.shared(waiter, None)
 
-    def take_up(self, arrival: Arrival, reply: Reply, tag: int, ruling: Ruling | None = None) -> Request | Fault:
+    def take_up(
+        self, arrival: Arrival, reply: Reply, tag: int, ruling: Ruling | None = None
+    ) -> Request | Fault:
         """Work that another runner held. Its key is this runner's already, and its rules are those it was read under
         there."""
         self._core.touch()
--- a/moorusher/core/requests.py
+++ b/moorusher/core/requests.py
@@ -39,8 +39,9 @@
     under: bool = False  # nor the most
 
     def has(self, value: float) -> bool:
-        return (self.least < value if self.above else self.least <= value) and \
-            (value < self.most if self.under else value <= self.most)
+        return (self.least < value if self.above else self.least <= value) and (
+            value < self.most if self.under else value <= self.most
+        )
 
     def __str__(self) -> str:
         return f"{'above' if self.above else 'from'} {self.least:g} {'and under' if self.under else 'to'} {self.most:g}"
--- a/moorusher/core/retune.py
+++ b/moorusher/core/retune.py
@@ -10,8 +10,23 @@
 from peattack import interface as api
 
 # Facts about the machine and its kernel, or what the module has sized itself by: they hold until the next start.
-FIXED = ("seed", "cores", "memory_kb", "run_memory_factor", "key_entry_kb", "crowd_window_ms", "cold", "cold_speed",
-         "warm_after_ms", "halting", "signal", "below", "fair_calls", "call_window_ms", "gauges")
+FIXED = (
+    "seed",
+    "cores",
+    "memory_kb",
+    "run_memory_factor",
+    "key_entry_kb",
+    "crowd_window_ms",
+    "cold",
+    "cold_speed",
+    "warm_after_ms",
+    "halting",
+    "signal",
+    "below",
+    "fair_calls",
+    "call_window_ms",
+    "gauges",
+)
 NEW = -1
 
 
@@ -29,8 +44,11 @@
 
     @property
     def changes(self) -> bool:
-        return bool(self.added or self.dropped or self.redefined) or self._moved(self.classes) \
+        return (
+            bool(self.added or self.dropped or self.redefined)
+            or self._moved(self.classes)
             or self._moved(self.tenants)
+        )
 
     @staticmethod
     def _moved(places: tuple[int, ...]) -> bool:
@@ -38,8 +56,11 @@
 
     def words(self) -> str:
         """For the log."""
-        told = [f"{what} {', '.join(names)}" for what, names in (
-            ("added", self.added), ("dropped", self.dropped), ("changed", self.redefined)) if names]
+        told = [
+            f"{what} {', '.join(names)}"
+            for what, names in (("added", self.added), ("dropped", self.dropped), ("changed", self.redefined))
+            if names
+        ]
         return "; classes: " + "; ".join(told) if told else ""
 
 
@@ -56,5 +77,11 @@
         tuple(c.name for c in new.classes if all(c.name != o.name for o in old.classes)),
         tuple(c.name for c in old.classes if c.name not in names),
         changed,
-        tuple(f.name for f in fields(api.Settings)
-              if f.name in FIXED and f.name not in ("seed", "cold") and getattr(old, f.name) != getattr(new, f.name)))
+        tuple(
+            f.name
+            for f in fields(api.Settings)
+            if f.name in FIXED
+            and f.name not in ("seed", "cold")
+            and getattr(old, f.name) != getattr(new, f.name)
+        ),
+    )
--- a/moorusher/core/run.py
+++ b/moorusher/core/run.py
@@ -31,7 +31,9 @@
     notice: int = 0  # of the call that it waits for; 0 where it waits for none
     calls: int = 0  # calls that it has asked for, this one included
     call: bytes = b""
-    told: tuple[int, bytes | None] | None = None  # last notice answered, with the reply or None for 'left out'
+    told: tuple[int, bytes | None] | None = (
+        None  # last notice answered, with the reply or None for 'left out'
+    )
     told_at: int = 0
     began: int = 0  # us
     away: int = 0  # us, at calls
--- a/moorusher/duties/errors.py
+++ b/moorusher/duties/errors.py
@@ -25,8 +25,10 @@
 
 class NoMajority(DutyError):
     status = 503
-    remedy = ("See `moorusher fleet show` on several runners: bring back seats that are down or cut off. Where "
-              "all have begun anew without a journal, `moorusher fleet begin`.")
+    remedy = (
+        "See `moorusher fleet show` on several runners: bring back seats that are down or cut off. Where "
+        "all have begun anew without a journal, `moorusher fleet begin`."
+    )
 
     def __init__(self, duty: str) -> None:
         super().__init__(f"{duty}: no majority of its keepers answers; nothing was changed that is known of")
@@ -41,7 +43,9 @@
 
 
 class SetAside(DutyError):
-    remedy = ("Find out why its owners were lost (their logs name the duty); then `moorusher duty resume NAME`.")
+    remedy = (
+        "Find out why its owners were lost (their logs name the duty); then `moorusher duty resume NAME`."
+    )
 
     def __init__(self, duty: str, why: str) -> None:
         super().__init__(f"{duty}: put aside: {why}")
@@ -57,23 +61,31 @@
 
 class OverBudget(DutyError):
     status = 413
-    remedy = "Make it smaller, settle what is open, or raise the bound that is named in [duties] on all runners."
+    remedy = (
+        "Make it smaller, settle what is open, or raise the bound that is named in [duties] on all runners."
+    )
 
 
 class Damaged(DutyError):
     status = 503
-    remedy = ("A copy of the state is missing or does not match its digest at all keepers that answer. Bring back the "
-              "seats that are down; they may have a whole one.")
+    remedy = (
+        "A copy of the state is missing or does not match its digest at all keepers that answer. Bring back the "
+        "seats that are down; they may have a whole one."
+    )
 
 
 class Forgotten(DutyError):
-    remedy = ("The receiver knows later work than the fleet's registers do: they were lost and began anew. Make sure "
-              "that no runner of the earlier fleet is left, then `moorusher duty resume NAME`: it goes on above that.")
+    remedy = (
+        "The receiver knows later work than the fleet's registers do: they were lost and began anew. Make sure "
+        "that no runner of the earlier fleet is left, then `moorusher duty resume NAME`: it goes on above that."
+    )
 
 
 class Uncertain(DutyError):
-    remedy = ("Nobody here can tell whether this was done. Look at its receiver, then `moorusher duty settle NAME "
-              "NUMBER done` or `undone`.")
+    remedy = (
+        "Nobody here can tell whether this was done. Look at its receiver, then `moorusher duty settle NAME "
+        "NUMBER done` or `undone`."
+    )
 
 
 class Unreached(DutyError):
@@ -86,5 +98,16 @@
     remedy = "Again later: its owner is giving it up, or has too much before it."
 
 
-ERRORS: tuple[type[DutyError], ...] = (Superseded, NoMajority, Unknown, SetAside, Conflict, OverBudget, Damaged,
-                                       Forgotten, Uncertain, Unreached, Busy)
+ERRORS: tuple[type[DutyError], ...] = (
+    Superseded,
+    NoMajority,
+    Unknown,
+    SetAside,
+    Conflict,
+    OverBudget,
+    Damaged,
+    Forgotten,
+    Uncertain,
+    Unreached,
+    Busy,
+)
--- a/moorusher/duties/library.py
+++ b/moorusher/duties/library.py
@@ -39,7 +39,9 @@
     parts: dict[bytes, bytes]
     until: int
     then: Callable[[bool], None]
-    has: dict[str, tuple[int, set[bytes]]] = field(default_factory=dict)  # by keeper: its incarnation, what it has
+    has: dict[str, tuple[int, set[bytes]]] = field(
+        default_factory=dict
+    )  # by keeper: its incarnation, what it has
     refused: set[str] = field(default_factory=set)
 
 
@@ -64,8 +66,9 @@
 
     # ---- to the keepers ----
 
-    def put(self, key: Key, mark: Mark, state: bytes, known: set[bytes], until: int,
-            then: Callable[[bool], None]) -> None:
+    def put(
+        self, key: Key, mark: Mark, state: bytes, known: set[bytes], until: int, then: Callable[[bool], None]
+    ) -> None:
         """`then(True)` once a majority of the keepers has all of it, where there is a disk on it; `then(False)` where
         that did not come about by `until`. `known`: pieces that the keepers should have already."""
         self._serial += 1
@@ -125,7 +128,11 @@
             put.has[seat] = (m.inc, names | {m.name} if inc == m.inc else {m.name})
         seats = self.host.keepers(put.key)
         # Who has begun anew since it said so may have lost it.
-        whole = [s for s, (inc, names) in put.has.items() if names >= put.parts.keys() and inc >= self.host.inc_of(s)]
+        whole = [
+            s
+            for s, (inc, names) in put.has.items()
+            if names >= put.parts.keys() and inc >= self.host.inc_of(s)
+        ]
         if len(whole) >= majority(len(seats)):
             del self._puts[m.serial]
             put.then(True)
--- a/moorusher/duties/office.py
+++ b/moorusher/duties/office.py
@@ -59,7 +59,9 @@
     """The process."""
 
     def fit(self) -> bool: ...  # to have duties
-    def perform(self, to: str, duty: str, fence: Fence, body: bytes, then: Callable[[Told], None]) -> None: ...
+    def perform(
+        self, to: str, duty: str, fence: Fence, body: bytes, then: Callable[[Told], None]
+    ) -> None: ...
     def intend(self, to: str, duty: str, intent: Intent, then: Callable[[Told], None]) -> None: ...
     def asked(self, to: str, duty: str, intent: Intent, then: Callable[[Told], None]) -> None: ...
     def work(self, tour: Tour) -> Worker | None: ...  # who does what such a duty is for
@@ -83,12 +85,28 @@
 class Office:
     tour = Tour
 
-    def __init__(self, node: Node, host: Host, policy: Policy, remembers: bool = False,
-                 make: type[LastingKeeper] = LastingKeeper) -> None:
+    def __init__(
+        self,
+        node: Node,
+        host: Host,
+        policy: Policy,
+        remembers: bool = False,
+        make: type[LastingKeeper] = LastingKeeper,
+    ) -> None:
         self.node, self._host, self.policy = node, host, policy
         seats = node.seats
-        self.keeper = make(node.me, node.owner.inc, seats.keepers, frozenset(seats.names) - {node.me}, remembers,
-                           policy.most, told=self._kept, lasting=True, part=seats.part, of=seats.of)
+        self.keeper = make(
+            node.me,
+            node.owner.inc,
+            seats.keepers,
+            frozenset(seats.names) - {node.me},
+            remembers,
+            policy.most,
+            told=self._kept,
+            lasting=True,
+            part=seats.part,
+            of=seats.of,
+        )
         self.shelf = Shelf(policy.state_bytes * (policy.versions + 1))
         self.keeper.shelf = self.shelf
         self.registers = Registers(LASTING, self.keeper, node, None)
@@ -98,8 +116,13 @@
         steady = round(policy.steady_ms * MS)
         self.library = Library(self, self.shelf)
         self.library.wanted, self.library.mended = self._named, self.keeper.mended
-        self.tending = Tending(self, node.members, seats.copies, Steady(steady, steady * MOST_STEADY),
-                               round(2 * policy.patience_ms * MS))
+        self.tending = Tending(
+            self,
+            node.members,
+            seats.copies,
+            Steady(steady, steady * MOST_STEADY),
+            round(2 * policy.patience_ms * MS),
+        )
         self.tours: dict[Key, Tour] = {}
         self._workers: dict[Key, Worker] = {}
         self._accepting: set[Key] = set()
@@ -108,9 +131,15 @@
         self._moved = 0
         self._wanted: list[tuple[str, str]] = []  # duties that the settings name, with their kinds
         self._handlers: dict[type, Callable[[str, Any], None]] = {
-            Offer: self._offered, Declined: lambda seat, m: self.tending.was_declined(m.key, m.term),
-            Passed: self._passed, Keep: self.library.keep, Kept: self.library.kept,
-            Named: lambda seat, m: self.library.named(m), Fetch: self.library.fetch, Fetched: self.library.fetched}
+            Offer: self._offered,
+            Declined: lambda seat, m: self.tending.was_declined(m.key, m.term),
+            Passed: self._passed,
+            Keep: self.library.keep,
+            Kept: self.library.kept,
+            Named: lambda seat, m: self.library.named(m),
+            Fetch: self.library.fetch,
+            Fetched: self.library.fetched,
+        }
 
     # ---- what its parts ask of it ----
 
@@ -158,7 +187,9 @@
     def look(self, key: Key, then: Callable[[Done | None], None]) -> None:
         self.registers.look(key, round(self.node.policy.claim_ms * MS), then)
 
-    def change(self, key: Key, change: Change, hold: Hold | None, then: Callable[[Done | None], None]) -> None:
+    def change(
+        self, key: Key, change: Change, hold: Hold | None, then: Callable[[Done | None], None]
+    ) -> None:
         self.registers.change(key, change, FOREVER, round(self.node.policy.claim_ms * MS), then, hold)
 
     def perform(self, to: str, duty: str, fence: Fence, body: bytes, then: Callable[[Told], None]) -> None:
@@ -229,7 +260,9 @@
         fair = mean(seen, self.tending.copies)
         if len(self.tours) <= too_many(fair) or now - self._moved < 60_000 * MS / self.policy.moves_a_minute:
             return
-        others = {m.seat: m.has for m in seen if m.fit and m.steady and m.seat != self.me and m.has + 1 < fair}
+        others = {
+            m.seat: m.has for m in seen if m.fit and m.steady and m.seat != self.me and m.has + 1 < fair
+        }
         for key in self.tours:
             to = next((s for s in self.tending.able(key) if s in others), None)
             if to is not None and self.tours[key].is_open:
@@ -358,9 +391,15 @@
     def settle(self, name: str, number: int, then: Callable[[Post | DutyError], None]) -> None:
         self._ask(name, SettleIt(number), lambda p: all(i.number != number for i in p.intents), then)
 
-    def _ask(self, name: str, change: Change | None, good: Callable[[Post], bool],
-             then: Callable[[Post | DutyError], None]) -> None:
+    def _ask(
+        self,
+        name: str,
+        change: Change | None,
+        good: Callable[[Post], bool],
+        then: Callable[[Post | DutyError], None],
+    ) -> None:
         """Without a change, it is only looked at."""
+
         def answered(done: Done | None) -> None:
             if done is None:
                 return then(NoMajority(name))
@@ -373,10 +412,12 @@
             return self.look(key_of(name), answered)
         return self.change(key_of(name), change, None, answered)
 
-    def read(self, name: str, then: Callable[[Reading | DutyError], None], state: bool = True,
-             closed: bool = False) -> None:
+    def read(
+        self, name: str, then: Callable[[Reading | DutyError], None], state: bool = True, closed: bool = False
+    ) -> None:
         """As it is chosen now, by a majority. `closed`: and no change that was given up before this can come about any
         more, unless it is seen here."""
+
         def looked(got: Post | DutyError) -> None:
             if isinstance(got, DutyError):
                 return then(got)
@@ -384,9 +425,16 @@
                 return then(Unknown(name))
             if not state or not got.versions:
                 return then(Reading(got, b"" if state else None, 0))
-            return self.library.get(key_of(name), got.versions[0], self.clock() + 2_000 * MS, lambda found: then(
-                Damaged(f"{name}: no whole copy of version {got.versions[0].number}") if found is None
-                else Reading(got, found, 0)))
+            return self.library.get(
+                key_of(name),
+                got.versions[0],
+                self.clock() + 2_000 * MS,
+                lambda found: then(
+                    Damaged(f"{name}: no whole copy of version {got.versions[0].number}")
+                    if found is None
+                    else Reading(got, found, 0)
+                ),
+            )
 
         self._ask(name, Look() if closed else None, lambda p: True, looked)
 
--- a/moorusher/duties/pieces.py
+++ b/moorusher/duties/pieces.py
@@ -23,12 +23,12 @@
 
 def cut(state: bytes) -> dict[bytes, bytes]:
     """In order; equal pieces are one."""
-    parts = [state[i:i + PIECE] for i in range(0, len(state), PIECE)]
+    parts = [state[i : i + PIECE] for i in range(0, len(state), PIECE)]
     return {digest(p): p for p in parts}
 
 
 def order(state: bytes) -> tuple[bytes, ...]:
-    return tuple(digest(state[i:i + PIECE]) for i in range(0, len(state), PIECE))
+    return tuple(digest(state[i : i + PIECE]) for i in range(0, len(state), PIECE))
 
 
 def whole(version: Version, found: Callable[[bytes], bytes | None]) -> bytes | None:
--- a/moorusher/duties/policy.py
+++ b/moorusher/duties/policy.py
@@ -25,4 +25,6 @@
     most_lost: int = 3  # owners lost one after the other, before it is put aside
     steady_ms: float = 10_000.0  # a member that came back gets none for so long; doubled each time
     moves_a_minute: float = 6.0  # duties that one member gives up so that others have as many
-    patience_ms: float = 1_000.0  # not fit for so long, it gives up what it has; for twice as long, others take it
+    patience_ms: float = (
+        1_000.0  # not fit for so long, it gives up what it has; for twice as long, others take it
+    )
--- a/moorusher/duties/post.py
+++ b/moorusher/duties/post.py
@@ -158,8 +158,15 @@
         self.before = old.owner
         lost = old.lost + self.counts
         if lost >= self.most_lost and self.counts:
-            return _next(old, term=old.term + 1, life=Life.ASIDE.value, owner=None, step=0, lost=lost,
-                         why=f"{lost} owners were lost one after the other, the last one {_seat(old.owner)}")
+            return _next(
+                old,
+                term=old.term + 1,
+                life=Life.ASIDE.value,
+                owner=None,
+                step=0,
+                lost=lost,
+                why=f"{lost} owners were lost one after the other, the last one {_seat(old.owner)}",
+            )
         return _next(old, term=old.term + 1, life=Life.HELD.value, owner=self.me, step=0, to="", lost=lost)
 
 
@@ -209,8 +216,17 @@
 
     also_yielding = True
 
-    def __init__(self, me: Owner, born: int, term: int, step: int, number: int, size: int, pieces: tuple[bytes, ...],
-                 keep: int) -> None:
+    def __init__(
+        self,
+        me: Owner,
+        born: int,
+        term: int,
+        step: int,
+        number: int,
+        size: int,
+        pieces: tuple[bytes, ...],
+        keep: int,
+    ) -> None:
         super().__init__(me, born, term, step)
         self.number, self.size, self.pieces, self.keep = number, size, pieces, keep
 
@@ -219,11 +235,13 @@
 
     def own(self, old: Post) -> Post:
         version = Version(old.number + 1, self.size, self.pieces)
-        return _next(old, step=self.step, versions=(version, *old.versions)[:self.keep])
+        return _next(old, step=self.step, versions=(version, *old.versions)[: self.keep])
 
 
 class Intend(Own):
-    def __init__(self, me: Owner, born: int, term: int, step: int, to: str, what: bytes, settle: Settle) -> None:
+    def __init__(
+        self, me: Owner, born: int, term: int, step: int, to: str, what: bytes, settle: Settle
+    ) -> None:
         super().__init__(me, born, term, step)
         self.to, self.what, self.settle = to, what, settle
 
@@ -264,8 +282,11 @@
         return _next(old, step=self.step, life=life.value, owner=None, to=self.to, lost=0)
 
     def made_in(self, post: Post | None) -> bool:
-        return post is not None and post.born == self.born and (
-            post.term > self.term or (post.term == self.term and post.wants_an_owner))
+        return (
+            post is not None
+            and post.born == self.born
+            and (post.term > self.term or (post.term == self.term and post.wants_an_owner))
+        )
 
 
 class PutAside(Own):
@@ -279,7 +300,12 @@
         return _next(old, step=self.step, life=Life.ASIDE.value, owner=None, why=self.why, above=self.above)
 
     def made_in(self, post: Post | None) -> bool:
-        return post is not None and post.born == self.born and post.term == self.term and post.life == Life.ASIDE.value
+        return (
+            post is not None
+            and post.born == self.born
+            and post.term == self.term
+            and post.life == Life.ASIDE.value
+        )
 
 
 # ---- an operator's word ----
--- a/moorusher/duties/report.py
+++ b/moorusher/duties/report.py
@@ -30,8 +30,14 @@
 
 
 class Reporting:
-    def __init__(self, tour: Tour, report: Report, at: Callable[[int, Callable[[], None]], None],
-                 clock: Callable[[], int], fleet: Callable[[], dict[str, Any]]) -> None:
+    def __init__(
+        self,
+        tour: Tour,
+        report: Report,
+        at: Callable[[int, Callable[[], None]], None],
+        clock: Callable[[], int],
+        fleet: Callable[[], dict[str, Any]],
+    ) -> None:
         self.tour, self._report, self._at, self._clock, self._fleet = tour, report, at, clock, fleet
         self._stopped = self._open = False
         self.told = msgspec.json.decode(tour.state, type=Told) if tour.state else Told()
--- a/moorusher/duties/tending.py
+++ b/moorusher/duties/tending.py
@@ -91,7 +91,13 @@
         for owner in list(self._by_owner):
             member = self.members.by_seat.get(owner.seat)
             # Who has not been heard of yet has not said that it is unfit, either.
-            if owner == self.host.owner or member is None or not member.up or member.told.fit or self.past(owner):
+            if (
+                owner == self.host.owner
+                or member is None
+                or not member.up
+                or member.told.fit
+                or self.past(owner)
+            ):
                 self._unfit.pop(owner, None)
                 if owner != self.host.owner and self.past(owner):
                     for key in self.owned_by(owner):
@@ -180,7 +186,13 @@
 
     def seen(self) -> list[Seen]:
         now, me = self.host.clock(), self.host.owner.seat
-        return [Seen(m.seat, self.host.fit() if m.seat == me else m.fit,
-                     self.host.has() if m.seat == me else m.told.duties,
-                     len(self.posts) if m.seat == me else m.told.keeps,
-                     self.steady.is_steady(now, m.seat)) for m in self.members.by_seat.values()]
+        return [
+            Seen(
+                m.seat,
+                self.host.fit() if m.seat == me else m.fit,
+                self.host.has() if m.seat == me else m.told.duties,
+                len(self.posts) if m.seat == me else m.told.keeps,
+                self.steady.is_steady(now, m.seat),
+            )
+            for m in self.members.by_seat.values()
+        ]
--- a/moorusher/duties/tour.py
+++ b/moorusher/duties/tour.py
@@ -73,13 +73,19 @@
 
     @property
     def owner(self) -> Owner: ...
-    def change(self, key: Key, change: Change, hold: Hold | None, then: Callable[[Done | None], None]) -> None: ...
+    def change(
+        self, key: Key, change: Change, hold: Hold | None, then: Callable[[Done | None], None]
+    ) -> None: ...
     def at(self, when: int, action: Callable[[], None]) -> None: ...
     def clock(self) -> int: ...
     def count(self, name: str) -> None: ...
-    def perform(self, to: str, duty: str, fence: Fence, body: bytes, then: Callable[[Told], None]) -> None: ...
+    def perform(
+        self, to: str, duty: str, fence: Fence, body: bytes, then: Callable[[Told], None]
+    ) -> None: ...
     def intend(self, to: str, duty: str, intent: Intent, then: Callable[[Told], None]) -> None: ...
-    def asked(self, to: str, duty: str, intent: Intent, then: Callable[[Told], None]) -> None: ...  # and closed
+    def asked(
+        self, to: str, duty: str, intent: Intent, then: Callable[[Told], None]
+    ) -> None: ...  # and closed
     def started(self, tour: Tour) -> None: ...
     def ended(self, tour: Tour, why: DutyError | None) -> None: ...
 
@@ -117,8 +123,12 @@
             # Those who have it may be back soon; whoever takes the duty over then finds it.
             self.told = Damaged(f"{self.name}: no whole copy of its state")
             self.host.count("duties: state not found")
-            self.host.at(self.host.clock() + LATER, lambda: self.host.library.get(
-                self.key, self.post.versions[0], self.host.clock() + FETCH, self._fetched))
+            self.host.at(
+                self.host.clock() + LATER,
+                lambda: self.host.library.get(
+                    self.key, self.post.versions[0], self.host.clock() + FETCH, self._fetched
+                ),
+            )
             return
         self._begin(state)
 
@@ -132,10 +142,13 @@
 
     def _prove(self) -> None:
         if self.stage is Stage.HELD and self.post.lost:
-            self._queue(lambda: self._change(Proven, (), lambda got: self._done(lambda o: None, got)), lambda o: None)
+            self._queue(
+                lambda: self._change(Proven, (), lambda got: self._done(lambda o: None, got)), lambda o: None
+            )
 
     def _later(self, us: int, then: Callable[[], None]) -> None:
         """Unless it is over by then."""
+
         def due() -> None:
             if self.stage is not Stage.OVER:
                 then()
@@ -148,7 +161,9 @@
         """`then` is called once, with what was made or why nothing was, as far as that is known: an error of NoMajority
         says that it may come about yet, on the fleet's own state."""
         if self.stage is not Stage.HELD or len(self._waiting) >= MOST_WAITING:
-            return then(self._over() if self.stage is Stage.OVER else Busy(f"{self.name}: {self.stage.value}"))
+            return then(
+                self._over() if self.stage is Stage.OVER else Busy(f"{self.name}: {self.stage.value}")
+            )
         match effect:
             case OnFleet():
                 self._queue(lambda: self._advance(effect.state, then), then)
@@ -158,7 +173,9 @@
                 self._queue(lambda: self._fenced(effect, then), then)
             case _:
                 if len(effect.what) > MOST_WHAT:
-                    return then(OverBudget(f"{self.name}: an intent of {len(effect.what)} bytes; {MOST_WHAT} at most"))
+                    return then(
+                        OverBudget(f"{self.name}: an intent of {len(effect.what)} bytes; {MOST_WHAT} at most")
+                    )
                 self._queue(lambda: self._once(effect.to, effect.what, effect.settle, then), then)
         return None
 
@@ -206,7 +223,11 @@
             if change.made_in(found) and found is not None:
                 self.post, self._hold = found, done.hold
                 return then(Made(Fence(*found.at)))
-            if found is None or (found.born, found.term, found.owner) != (self.post.born, self.post.term, self.owner):
+            if found is None or (found.born, found.term, found.owner) != (
+                self.post.born,
+                self.post.term,
+                self.owner,
+            ):
                 return self.superseded(found)
             self.post, self._hold = found, done.hold  # an operator has changed it meanwhile
             return then(Busy(f"{self.name}: it was changed meanwhile"))
@@ -215,13 +236,18 @@
 
     def check(self) -> None:
         """After a pause, or a word that another has it: is it ours yet?"""
+
         def looked(done: Done | None) -> None:
             if self.stage is Stage.OVER:
                 return
             if done is None:
                 return self.host.at(self.host.clock() + LATER, self.check)
             found = unpack(done.value)
-            if found is None or (found.born, found.term, found.owner) != (self.post.born, self.post.term, self.owner):
+            if found is None or (found.born, found.term, found.owner) != (
+                self.post.born,
+                self.post.term,
+                self.owner,
+            ):
                 self.superseded(found)
 
         if self.stage is not Stage.OVER:
@@ -247,7 +273,9 @@
     def _advance(self, state: bytes, then: Callable[[Outcome], None], tries: int = 0) -> None:
         most = self.host.policy.state_bytes
         if len(state) > most:
-            return self._done(then, OverBudget(f"{self.name}: a state of {len(state)} bytes; state_bytes is {most}"))
+            return self._done(
+                then, OverBudget(f"{self.name}: a state of {len(state)} bytes; state_bytes is {most}")
+            )
         names, number = pieces.order(state), self.post.number
         mark = self.post.born, self.post.term, number + 1
 
@@ -293,19 +321,26 @@
 
     def _behind(self, to: str, highest: Fence, then: Callable[[Outcome], None]) -> None:
         """The receiver knows of later work. That is another's, or the fleet has forgotten what it was."""
+
         def looked(done: Done | None) -> None:
             if self.stage is Stage.OVER:
                 return
             if done is None:
                 return self._done(then, NoMajority(self.name))
             found = unpack(done.value)
-            if found is None or (found.born, found.term, found.owner) != (self.post.born, self.post.term, self.owner):
+            if found is None or (found.born, found.term, found.owner) != (
+                self.post.born,
+                self.post.term,
+                self.owner,
+            ):
                 return self.superseded(found)
             if Fence(*found.at) > highest:
                 return self._done(then, Busy(f"{self.name}: overtaken by a later change of its own"))
             why = f"{to} knows of birth {highest.born}, term {highest.term}; the registers, {found.born}, {found.term}"
             self.host.count("duties: forgotten")
-            self._change(PutAside, (why, highest.born + 1), lambda o: self.end(Forgotten(f"{self.name}: {why}")))
+            self._change(
+                PutAside, (why, highest.born + 1), lambda o: self.end(Forgotten(f"{self.name}: {why}"))
+            )
             return None
 
         self.host.change(self.key, Look(), None, looked)
@@ -317,13 +352,22 @@
         def chosen(outcome: Outcome) -> None:
             if not isinstance(outcome, Made):
                 return self._done(then, outcome)
-            intent = next((i for i in reversed(self.post.intents) if (i.term, i.to, i.what) == (
-                self.post.term, to, what) and i.number not in self._performed), None)
+            intent = next(
+                (
+                    i
+                    for i in reversed(self.post.intents)
+                    if (i.term, i.to, i.what) == (self.post.term, to, what)
+                    and i.number not in self._performed
+                ),
+                None,
+            )
             if intent is None:
                 return self._done(then, Busy(f"{self.name}: an operator has settled it at once"))
             self._trying.add(intent.number)
             self._performed.add(intent.number)
-            self.host.intend(to, self.name, intent, lambda got: self._intended(intent, outcome.fence, got, then))
+            self.host.intend(
+                to, self.name, intent, lambda got: self._intended(intent, outcome.fence, got, then)
+            )
             return None
 
         return self._change(Intend, (to, what, settle), chosen)
@@ -334,8 +378,9 @@
         self._trying.discard(intent.number)
         if not got.heard:
             self._settle_open()
-            return self._done(then, Uncertain(
-                f"{self.name}: {intent.to} has not said whether {intent.number} was done"))
+            return self._done(
+                then, Uncertain(f"{self.name}: {intent.to} has not said whether {intent.number} was done")
+            )
 
         def noted(outcome: Outcome) -> None:
             if isinstance(outcome, Made):
@@ -362,8 +407,10 @@
                 return
             if not got.heard:
                 return self._later(LATER, lambda: self._settle(intent))
-            self._queue(lambda: self._change(OutcomeChange, (intent.number,), lambda o: noted(o, got.done)),
-                        lambda o: None)
+            self._queue(
+                lambda: self._change(OutcomeChange, (intent.number,), lambda o: noted(o, got.done)),
+                lambda o: None,
+            )
 
         def noted(outcome: Outcome, done: bool) -> None:
             if isinstance(outcome, Made):
--- a/moorusher/fleet/journal.py
+++ b/moorusher/fleet/journal.py
@@ -91,7 +91,7 @@
     if at + _HEAD.size > len(data):
         return None
     length, digest = _HEAD.unpack_from(data, at)
-    body = data[at + _HEAD.size:at + _HEAD.size + length]
+    body = data[at + _HEAD.size : at + _HEAD.size + length]
     if length > MOST or len(body) < length or xxhash.xxh64_intdigest(body) != digest:
         return None
     try:
--- a/moorusher/fleet/keeper.py
+++ b/moorusher/fleet/keeper.py
@@ -43,10 +43,14 @@
     slots: dict[Key, Slot] = field(default_factory=dict)
     incs: Incs = field(default_factory=dict)
     synced: set[str] = field(default_factory=set)  # who has told all that it knows, in this life of ours
-    vouched: dict[str, frozenset[int]] = field(default_factory=dict)  # who has told what it knows of these slices
+    vouched: dict[str, frozenset[int]] = field(
+        default_factory=dict
+    )  # who has told what it knows of these slices
     part: Callable[[Key], int] = lambda key: 0  # a key's slice,
     of: Callable[[int], tuple[str, ...]] | None = None  # and a slice's keepers
-    mine: list[int] | None = None  # slices that count here and that this seat keeps; worked out where it has forgotten
+    mine: list[int] | None = (
+        None  # slices that count here and that this seat keeps; worked out where it has forgotten
+    )
     _ends: list[tuple[int, Key]] = field(default_factory=list)  # stale where the slot says otherwise
     told: Callable[[Key, Slot], None] = lambda key, slot: None  # a slot has another value
     notes: bool = False  # there is a disk: what changes is noted until it is written
@@ -70,8 +74,11 @@
     def covered(self) -> bool:
         """It knows again all that its votes rest on: heard from all, or from enough for each slice that it keeps. One
         seat that is lost for good must not keep all that begin anew after it from ever remembering."""
-        return self.synced >= self.others or (self.mine is not None and self.of is not None and all(
-            self._covers(part, self.of(part)) for part in self.mine))
+        return self.synced >= self.others or (
+            self.mine is not None
+            and self.of is not None
+            and all(self._covers(part, self.of(part)) for part in self.mine)
+        )
 
     def vouches(self) -> frozenset[int]:
         """Slices that it votes for, while it does not remember all."""
@@ -94,7 +101,9 @@
         slot = self.slots.get(a.key)
         if slot is None:
             if len(self.slots) >= self.most:
-                return Vote(a.serial, a.key, False, NEVER, None, None, self.inc, incs, full=True, space=a.space)
+                return Vote(
+                    a.serial, a.key, False, NEVER, None, None, self.inc, incs, full=True, space=a.space
+                )
             slot = Slot()
         taken = self._take(slot, a)
         if taken:
@@ -102,7 +111,9 @@
             self._keep(a.key, slot, now + a.left_ms * 1000)
             if a.value is not None:
                 self.told(a.key, slot)
-        return Vote(a.serial, a.key, taken, slot.promised, slot.ballot, slot.value, self.inc, incs, space=a.space)
+        return Vote(
+            a.serial, a.key, taken, slot.promised, slot.ballot, slot.value, self.inc, incs, space=a.space
+        )
 
     def _take(self, slot: Slot, a: Ask) -> bool:
         if a.ballot == FAST:
@@ -153,13 +164,25 @@
         vouches = None if self.remembers else self.vouches()
         if vouches is not None and not vouches:
             return [Slots(inc, dict(self.incs), [], True, blank=True, space=space)]
-        theirs = [(key, s.promised, s.ballot, s.value, max(0, s.until - now) // 1000)
-                  for key, s in self.slots.items() if seat in self.keepers(key)
-                  and (vouches is None or (self.part(key) in vouches and self.votes_for(key)))]
+        theirs = [
+            (key, s.promised, s.ballot, s.value, max(0, s.until - now) // 1000)
+            for key, s in self.slots.items()
+            if seat in self.keepers(key)
+            and (vouches is None or (self.part(key) in vouches and self.votes_for(key)))
+        ]
         batch = FEW if self.lasting else BATCH
-        parts = [theirs[i:i + batch] for i in range(0, len(theirs), batch)] or [[]]
-        return [Slots(inc, dict(self.incs), part, part is parts[-1], space=space,
-                      vouches=None if vouches is None else sorted(vouches)) for part in parts]
+        parts = [theirs[i : i + batch] for i in range(0, len(theirs), batch)] or [[]]
+        return [
+            Slots(
+                inc,
+                dict(self.incs),
+                part,
+                part is parts[-1],
+                space=space,
+                vouches=None if vouches is None else sorted(vouches),
+            )
+            for part in parts
+        ]
 
     def take_slots(self, now: int, seat: str, told: Slots) -> None:
         self.hear_of(told.incs)
--- a/moorusher/fleet/left.py
+++ b/moorusher/fleet/left.py
@@ -17,7 +17,10 @@
 
 RANKS = 250 * MS  # between the keepers of a key, in their order, until the next one sees to it
 LOOK_AGAIN = 400 * MS
-PACE, AT_ONCE = 10 * MS, 8  # of takeovers that are begun: a lost runner's work comes as a stream, not as a blow
+PACE, AT_ONCE = (
+    10 * MS,
+    8,
+)  # of takeovers that are begun: a lost runner's work comes as a stream, not as a blow
 RECALLED = 1_000 * MS  # after a start from a disk, until owners that were not heard count as lost
 MOST_QUEUE = 4_000
 
@@ -47,7 +50,8 @@
         for owner in sorted(self._recalled, key=lambda o: (o.seat, o.inc)):
             member = self.node.members.by_seat.get(owner.seat)
             if owner == self.node.owner or (
-                    member is not None and member.up and owner.inc in (member.inc, member.told.elder)):
+                member is not None and member.up and owner.inc in (member.inc, member.told.elder)
+            ):
                 continue
             if owner in self._by_owner:
                 self._left.add(owner)
@@ -94,15 +98,22 @@
         """Again and again, until it is somebody's or over."""
         slot = self.node.keeper.slots.get(key)
         work = None if slot is None else slot.value
-        left = work is not None and (work.order is not None if work.state is State.FREE else self.past(work.owner))
+        left = work is not None and (
+            work.order is not None if work.state is State.FREE else self.past(work.owner)
+        )
         if work is None or slot is None or work.state is State.OVER or not left:
             self._tending.pop(key, None)
             return
         tries = self._tending[key] = self._tending.get(key, 0) + 1
         self.node.at(self.node.clock() + LOOK_AGAIN * min(tries, 5), lambda: self._see_to(key))
         if work.state is State.BEGUN:
-            self.node.change(key, Bury(work.owner, work.attempt), slot.until, round(self.node.policy.claim_ms * MS),
-                         lambda done: None)
+            self.node.change(
+                key,
+                Bury(work.owner, work.attempt),
+                slot.until,
+                round(self.node.policy.claim_ms * MS),
+                lambda done: None,
+            )
             self.node.host.count("fleet: buried")
         else:
             self.offer(key, work, tries - 1)
@@ -114,8 +125,12 @@
 
     def offer(self, key: Key, work: Work, tries: int = 0) -> None:
         """To the seat whose turn it is; where that one does not take it, to the next."""
-        able = [s for s in self.node.seats.takers(key) if s not in work.turned
-                and (self.node.host.fit() if s == self.node.me else self.node.members.by_seat[s].fit)]
+        able = [
+            s
+            for s in self.node.seats.takers(key)
+            if s not in work.turned
+            and (self.node.host.fit() if s == self.node.me else self.node.members.by_seat[s].fit)
+        ]
         if not able:
             return
         seat, take = able[tries % len(able)], Take(key, work.owner, work.attempt)
@@ -152,10 +167,17 @@
                     self.node.at(self.node.clock() + LOOK_AGAIN, lambda: self._take_over(m, until))
                 return
             work: Work | None = done.value
-            if work is None or work.owner != self.node.owner or work.order is None or work.state is not State.HELD \
-                    or m.key in self.node.tenures:
+            if (
+                work is None
+                or work.owner != self.node.owner
+                or work.order is None
+                or work.state is not State.HELD
+                or m.key in self.node.tenures
+            ):
                 return  # HELD by us is ours, though a later round of our own may have found it so
-            t = Tenure(m.key, work.body, work.order, until, Stage.MINE, work.attempt, hold=done.hold, taken=True)
+            t = Tenure(
+                m.key, work.body, work.order, until, Stage.MINE, work.attempt, hold=done.hold, taken=True
+            )
             self.node.tenures[m.key] = t
             self.node.host.count("fleet: taken over")
             if not self.node.host.take_up(m.key, work.body, work.order, until):
@@ -165,5 +187,10 @@
         slot = self.node.keeper.slots.get(m.key)
         if slot is not None:
             until = min(until, slot.until)
-        self.node.change(m.key, TakeWork(self.node.owner, m.owner, m.attempt), until,
-                         round(self.node.policy.claim_ms * MS), taken)
+        self.node.change(
+            m.key,
+            TakeWork(self.node.owner, m.owner, m.attempt),
+            until,
+            round(self.node.policy.claim_ms * MS),
+            taken,
+        )
--- a/moorusher/fleet/member.py
+++ b/moorusher/fleet/member.py
@@ -130,8 +130,9 @@
     def _no_answer(self, serial: int, seat: str, sent: int) -> None:
         if serial not in self._waits:
             return
-        helpers = sorted((s for s in self._others if s != seat and self.by_seat[s].up),
-                         key=lambda _: self._host.random())[:HELPERS]
+        helpers = sorted(
+            (s for s in self._others if s != seat and self.by_seat[s].up), key=lambda _: self._host.random()
+        )[:HELPERS]
         for helper in helpers:
             self._host.send(helper, PingFor(serial, seat, self._tell(helper)))
         self._host.at(self.now() + ANSWER * (1 + self.health), lambda: self._failed(serial, seat, sent))
@@ -225,7 +226,10 @@
                 kind.move_to_end(seat)
         if self.me not in chosen:
             chosen.append(self.me)
-        return [About(m.seat, m.inc, m.version, m.state.value, m.told) for m in map(self.by_seat.__getitem__, chosen)]
+        return [
+            About(m.seat, m.inc, m.version, m.state.value, m.told)
+            for m in map(self.by_seat.__getitem__, chosen)
+        ]
 
     def _spread(self, member: Member) -> None:
         """Something is new of it."""
@@ -237,7 +241,7 @@
 
     def _hear(self, news: list[About]) -> None:
         now = self.now()
-        for a in news[:2 * NEWS]:
+        for a in news[: 2 * NEWS]:
             member = self.by_seat.get(a.seat)
             if member is None or not 0 <= a.state <= 2:
                 continue
@@ -253,11 +257,18 @@
             if a.inc > member.inc:
                 self._reborn(member, a.inc, now)
                 member.state, member.version = State.UNKNOWN, -1
-            if state is not State.ALIVE and a.inc == member.inc and 0 <= now - member.heard < FRESH and member.up:
+            if (
+                state is not State.ALIVE
+                and a.inc == member.inc
+                and 0 <= now - member.heard < FRESH
+                and member.up
+            ):
                 continue  # we have just heard it ourselves
             newer = a.version > member.version
-            if newer or (a.version == member.version and (RANK[state] > RANK[member.state]
-                                                          or member.state is State.UNKNOWN)):
+            if newer or (
+                a.version == member.version
+                and (RANK[state] > RANK[member.state] or member.state is State.UNKNOWN)
+            ):
                 if (newer and state is State.ALIVE) or member.state is State.UNKNOWN:
                     self._told(member, a.told)
                 if state is not member.state or newer:
@@ -279,7 +290,9 @@
     def pong(self, seat: str, m: Pong) -> None:
         self._hear(m.news)
         if m.on_behalf and m.on_behalf != self.me:
-            if m.on_behalf in self.by_seat:  # we had asked for another: it is told that the one it asks about lives
+            if (
+                m.on_behalf in self.by_seat
+            ):  # we had asked for another: it is told that the one it asks about lives
                 self._host.send(m.on_behalf, Pong(m.serial, [*self._tell(m.on_behalf)], m.on_behalf))
             return
         target = self._waits.pop(m.serial, None)
--- a/moorusher/fleet/messages.py
+++ b/moorusher/fleet/messages.py
@@ -10,10 +10,18 @@
 from .work import Key, Owner, Work
 
 VERSION = 4
-MOST_FRAME = 1 << 20  # bytes of one frame: all that is said to a peer in one turn, cut into as many as it takes
-
-Ballot = tuple[int, int, int]  # (round, the proposer's incarnation, which of its writers); compared as a whole
-FAST: Ballot = (0, 0, 0)  # of a first write without a promise: anyone's, and chosen only where all keepers took it
+MOST_FRAME = (
+    1 << 20
+)  # bytes of one frame: all that is said to a peer in one turn, cut into as many as it takes
+
+Ballot = tuple[
+    int, int, int
+]  # (round, the proposer's incarnation, which of its writers); compared as a whole
+FAST: Ballot = (
+    0,
+    0,
+    0,
+)  # of a first write without a promise: anyone's, and chosen only where all keepers took it
 Incs = dict[str, int]  # incarnations of seats, the highest that somebody has heard of
 
 
@@ -189,7 +197,8 @@
     news: list[About]
 
 
-Message = (Hello | Refused | Ask | Vote | Sync | Slots | Begin | For | Has | Had | Take | Ping | Pong | PingFor)
+Message = Hello | Refused | Ask | Vote | Sync | Slots | Begin | For | Has | Had | Take | Ping | Pong | PingFor
+
 
 def spoken(kinds: Any) -> tuple[Callable[[Any], bytes], Callable[[bytes], Any]]:
     """How a part's messages, a union of them, are written and read. Reading raises msgspec.MsgspecError."""
--- a/moorusher/fleet/node.py
+++ b/moorusher/fleet/node.py
@@ -25,21 +25,41 @@
 from .work import Bury, Claim, Free, Key, Look, Order, Owner, Settle, State, Withdraw, Work
 from .work import Take as TakeWork
 
-TAKE_BACK = 8_000 * MS  # the same where nobody waits, and there may be thousands: the side of a cut without majorities
+TAKE_BACK = (
+    8_000 * MS
+)  # the same where nobody waits, and there may be thousands: the side of a cut without majorities
 ANSWERS = 150 * MS  # an owner says by then that it has the work, or is taken for silent
 WATCH = 400 * MS  # until it is asked again
 MOST_QUEUE = 4_000
 
 
 class Node:
-    def __init__(self, me: str, inc: int, seats: Seats, host: Host, policy: Policy, longest_us: int,
-                 remembers: bool = False, most: int = 8_000) -> None:
+    def __init__(
+        self,
+        me: str,
+        inc: int,
+        seats: Seats,
+        host: Host,
+        policy: Policy,
+        longest_us: int,
+        remembers: bool = False,
+        most: int = 8_000,
+    ) -> None:
         """`longest_us`: the longest window there is, with its margin: what was forgotten before then no longer counts
         once it has passed."""
         self.seats, self.host, self.policy = seats, host, policy
         self.owner = Owner(me, inc)
-        self.keeper = Keeper(me, inc, seats.keepers, frozenset(seats.names) - {me}, remembers, most,
-                             told=self._kept, part=seats.part, of=seats.of)
+        self.keeper = Keeper(
+            me,
+            inc,
+            seats.keepers,
+            frozenset(seats.names) - {me},
+            remembers,
+            most,
+            told=self._kept,
+            part=seats.part,
+            of=seats.of,
+        )
         self.members = Members(me, inc, seats.names, self)
         self.tenures: dict[Key, Tenure] = {}
         self.registers = Registers(WORK, self.keeper, self, longest_us)
@@ -56,10 +76,18 @@
         self.left = Left(self)
         self.told_of_loss = [self.left.died]
         self._handlers: dict[type, Callable[[str, Any], None]] = {
-            Ask: self._of(Registers.ask), Vote: self._of(Registers.vote), Sync: self._of(Registers.sync),
-            Slots: self._of(Registers.slots), Begin: self._of(Registers.begun), For: self._for,
-            Has: self._has, Had: self._had, Take: lambda seat, m: self.left.take(seat, m),
-            Ping: self.members.ping, Pong: self.members.pong, PingFor: self.members.ping_for,
+            Ask: self._of(Registers.ask),
+            Vote: self._of(Registers.vote),
+            Sync: self._of(Registers.sync),
+            Slots: self._of(Registers.slots),
+            Begin: self._of(Registers.begun),
+            For: self._for,
+            Has: self._has,
+            Had: self._had,
+            Take: lambda seat, m: self.left.take(seat, m),
+            Ping: self.members.ping,
+            Pong: self.members.pong,
+            PingFor: self.members.ping_for,
         }
 
     @property
@@ -220,6 +248,7 @@
 
         if before is not None and before.busy:  # an earlier try is still being taken back: that goes first
             self.at(self.clock() + round(self.policy.claim_ms * MS), late)
+
             def after() -> None:
                 self._do(t, step)
                 self._next(before)
@@ -255,7 +284,12 @@
             t.owner, t.state = None, State.FREE
         else:
             t.owner, t.attempt, t.state = work.owner, work.attempt, work.state
-            if work.state is State.FREE and self.me in work.turned and t.stage is Stage.JOINED and not claiming:
+            if (
+                work.state is State.FREE
+                and self.me in work.turned
+                and t.stage is Stage.JOINED
+                and not claiming
+            ):
                 # All that can run it have turned it away, and this one has too.
                 self.host.count("fleet: turned away by all")
                 self.host.none_ran(t.key)
@@ -284,8 +318,12 @@
                     self.host.not_begun(key, "no majority of its keepers answers")
                 return self._next(t)
             work: Work | None = done.value
-            if work is not None and work.state is State.BEGUN and work.owner == self.owner \
-                    and work.attempt == t.attempt:
+            if (
+                work is not None
+                and work.state is State.BEGUN
+                and work.owner == self.owner
+                and work.attempt == t.attempt
+            ):
                 t.stage, t.hold = Stage.BEGUN, done.hold
                 self.host.begun(key)
             else:
@@ -299,8 +337,14 @@
             if t.stage is not Stage.BEGINNING:  # given away meanwhile
                 return self._next(t)
             hold, t.hold = t.hold, None
-            self.change(key, BeginWork(self.owner, t.attempt), t.until, round(self.policy.claim_ms * MS), answered,
-                         hold)
+            self.change(
+                key,
+                BeginWork(self.owner, t.attempt),
+                t.until,
+                round(self.policy.claim_ms * MS),
+                answered,
+                hold,
+            )
 
         self._do(t, step)
         return True
@@ -338,8 +382,14 @@
                 self._next(t)
 
             hold, t.hold = t.hold, None
-            self.change(key, Free(self.owner, attempt, offer, turned), t.until, max(MS, t.until - self.clock()),
-                         freed, hold)
+            self.change(
+                key,
+                Free(self.owner, attempt, offer, turned),
+                t.until,
+                max(MS, t.until - self.clock()),
+                freed,
+                hold,
+            )
 
         self._do(t, step)
 
@@ -358,8 +408,12 @@
             self._forget(t)
             self._next(t)
 
-        self._do(t, lambda: self.change(t.key, Withdraw(self.owner), t.until, max(MS, t.until - self.clock()), back,
-                                         most=TAKE_BACK))
+        self._do(
+            t,
+            lambda: self.change(
+                t.key, Withdraw(self.owner), t.until, max(MS, t.until - self.clock()), back, most=TAKE_BACK
+            ),
+        )
         return None
 
     def _persist(self, t: Tenure, change: Change) -> None:
@@ -384,7 +438,11 @@
 
         def freed(done: Done | None) -> None:
             work = None if done is None else done.value
-            if done is not None and work is not None and not (work.owner == self.owner and work.state is State.HELD):
+            if (
+                done is not None
+                and work is not None
+                and not (work.owner == self.owner and work.state is State.HELD)
+            ):
                 self.host.given(key)
                 self.host.count("fleet: handed over")
                 t.stage, t.hold = Stage.JOINED, None
@@ -400,8 +458,14 @@
             if t.stage is not Stage.MINE:
                 return self._next(t)
             hold, t.hold = t.hold, None
-            self.change(key, Free(self.owner, t.attempt, order, turned=False), t.until,
-                         round(self.policy.claim_ms * MS), freed, hold)
+            self.change(
+                key,
+                Free(self.owner, t.attempt, order, turned=False),
+                t.until,
+                round(self.policy.claim_ms * MS),
+                freed,
+                hold,
+            )
 
         self._do(t, step)
 
@@ -432,8 +496,9 @@
         elif t.state is State.BEGUN or not self.host.fit():
             change = Look()
         elif t.state is State.FREE and t.order is not None:
-            change = _Either(TakeWork(self.owner, owner or self.owner, t.attempt),
-                             Claim(self.owner, t.body, t.order))
+            change = _Either(
+                TakeWork(self.owner, owner or self.owner, t.attempt), Claim(self.owner, t.body, t.order)
+            )
         else:
             change = TakeWork(self.owner, owner or self.owner, t.attempt)
 
@@ -471,8 +536,13 @@
 
     def _had(self, seat: str, m: Had) -> None:
         t = self.tenures.get(m.key)
-        if t is None or t.stage is not Stage.JOINED or t.owner is None or t.owner.seat != seat \
-                or t.attempt != m.attempt:
+        if (
+            t is None
+            or t.stage is not Stage.JOINED
+            or t.owner is None
+            or t.owner.seat != seat
+            or t.attempt != m.attempt
+        ):
             return
         if m.over:
             self._over(t, m.result)
@@ -496,7 +566,9 @@
     def tell(self, elder: int = 0, cores: int = 0) -> None:
         """Of this runner, where it has changed. `elder`: the process that this one replaces, while that one lives."""
         whole = SHARED not in self.spaces or self.spaces[SHARED].keeper.remembers
-        self.members.tell(Word(self.host.fit(), cores, elder, *self.duties, *self.capacity, whole, self.lasting))
+        self.members.tell(
+            Word(self.host.fit(), cores, elder, *self.duties, *self.capacity, whole, self.lasting)
+        )
 
     @property
     def pending(self) -> int:
@@ -515,8 +587,11 @@
 
 
 class _Either:
-    def __init__(self, first: Callable[[Work | None], Work | None], second: Callable[[Work | None], Work | None],
-                 ) -> None:
+    def __init__(
+        self,
+        first: Callable[[Work | None], Work | None],
+        second: Callable[[Work | None], Work | None],
+    ) -> None:
         self._first, self._second = first, second
 
     def __call__(self, old: Work | None) -> Work | None:
--- a/moorusher/fleet/register.py
+++ b/moorusher/fleet/register.py
@@ -72,7 +72,9 @@
     _seen: int = 1  # the highest round heard of
     _votes: dict[str, Vote] = field(default_factory=dict)
     _refused: set[str] = field(default_factory=set)
-    _may_have: set[str] = field(default_factory=set)  # keepers that a value has gone to, and that have not refused it
+    _may_have: set[str] = field(
+        default_factory=set
+    )  # keepers that a value has gone to, and that have not refused it
     _values: int = 0  # rounds that carried one,
     _value_serial: int = 0  # and the last of them
 
@@ -95,7 +97,9 @@
         if value is not None:
             self._values, self._value_serial = self._values + 1, self.serial
             self._may_have.update(self.keepers)
-        return [Ask(self.serial, self.key, ballot, value, self._after(ballot), quorum, self.left_ms, self.space)]
+        return [
+            Ask(self.serial, self.key, ballot, value, self._after(ballot), quorum, self.left_ms, self.space)
+        ]
 
     def _after(self, ballot: Ballot) -> Ballot:
         return (ballot[0] + 1, self.inc, self.number)
@@ -122,7 +126,9 @@
 
     def heard(self, seat: str, vote: Vote) -> list[Ask]:
         if not vote.taken and vote.serial == self._value_serial and self._values == 1:
-            self._may_have.discard(seat)  # though the next round is under way; what two rounds left is not known
+            self._may_have.discard(
+                seat
+            )  # though the next round is under way; what two rounds left is not known
         if self.done is not None or vote.serial != self.serial or seat not in self.keepers:
             return []
         self._seen = max(self._seen, vote.promised[0], vote.ballot[0] if vote.ballot else 0)
@@ -137,9 +143,13 @@
     def valid(self) -> dict[str, Vote]:
         """Votes that count: not those of a life of a keeper that another voter knows to be over."""
         incs = merged(list(self._votes.values()))
-        return {seat: v for seat, v in self._votes.items()
-                if v.inc >= incs.get(seat, 0) and v.inc >= self._quorum.get(seat, 0)
-                and all(incs.get(s, 0) <= inc for s, inc in self._quorum.items())}
+        return {
+            seat: v
+            for seat, v in self._votes.items()
+            if v.inc >= incs.get(seat, 0)
+            and v.inc >= self._quorum.get(seat, 0)
+            and all(incs.get(s, 0) <= inc for s, inc in self._quorum.items())
+        }
 
     def _count(self, wanted: int) -> list[Ask]:
         votes = self.valid()
@@ -168,8 +178,9 @@
     @property
     def stuck(self) -> bool:
         """The rest of the answers can't bring a majority."""
-        return len(self.keepers) - len(self._refused) < majority(len(self.keepers)) or \
-            (self._ballot == FAST and bool(self._refused))
+        return len(self.keepers) - len(self._refused) < majority(len(self.keepers)) or (
+            self._ballot == FAST and bool(self._refused)
+        )
 
     def nudge(self) -> list[Ask]:
         """The rest of the answers is not waited for. A first write that a majority took goes on with their promises."""
--- a/moorusher/fleet/registers.py
+++ b/moorusher/fleet/registers.py
@@ -21,7 +21,10 @@
 NUDGE = 6 * MS  # a first write goes on with a majority
 AGAIN = 40 * MS  # a round without a majority is asked again, with a higher ballot; twice as late each time
 MOST_AGAIN = 1_000 * MS
-SYNC, MOST_SYNC = 500 * MS, 16_000 * MS  # until those that have not told all are asked again; twice as late each time
+SYNC, MOST_SYNC = (
+    500 * MS,
+    16_000 * MS,
+)  # until those that have not told all are asked again; twice as late each time
 BEGINS = 100 * MS  # from the word that a fleet is new to the first vote by it
 SURVEY, SURVEY_AGAIN = 64, 5 * MS  # slices that are looked at in one turn
 LOOK = 60 * MS  # until who looks asks for a promise after all
@@ -119,7 +122,9 @@
 
     def ask(self, seat: str, m: Ask) -> None:
         vote = self.keeper.ask(self.host.clock(), m)
-        if not vote.taken and m.ballot != NEVER:  # it promises nothing; who only looks must not see what may be lost
+        if (
+            not vote.taken and m.ballot != NEVER
+        ):  # it promises nothing; who only looks must not see what may be lost
             return self.host.reply(seat, vote)
         say = self.host.replier(seat)
         return self.host.durable(lambda: say(vote), self.space)
@@ -176,7 +181,9 @@
     def _look_closely(self, serial: int) -> None:
         looking = self._looks.pop(serial, None)
         if looking is not None:
-            self.change(looking.key, lambda old: None, self.host.clock() + FOREVER, looking.wait_us, looking.then)
+            self.change(
+                looking.key, lambda old: None, self.host.clock() + FOREVER, looking.wait_us, looking.then
+            )
 
     # ---- a keeper that has forgotten ----
 
@@ -192,7 +199,10 @@
         self.host.at(self.host.clock() + later, lambda: self._sync_all(later))
 
     def sync(self, seat: str, m: Sync) -> None:
-        parts, say = self.keeper.answer_sync(self.host.clock(), seat, m.inc, self.space), self.host.replier(seat)
+        parts, say = (
+            self.keeper.answer_sync(self.host.clock(), seat, m.inc, self.space),
+            self.host.replier(seat),
+        )
 
         def tell() -> None:
             for part in parts:
@@ -219,7 +229,9 @@
             return "this runner remembers: " + ("ask one that does not" if lost else "the fleet has begun")
         told = self.keeper.synced | self.keeper.vouched.keys() if lost else set()
         if missing := sorted(self.keeper.others - self.blank_peers - told):
-            return ("not heard of" if lost else "not heard as one that remembers nothing") + f": {', '.join(missing)}"
+            return (
+                "not heard of" if lost else "not heard as one that remembers nothing"
+            ) + f": {', '.join(missing)}"
         for seat in self.keeper.others:
             self.host.send(seat, Begin(self.keeper.incs[seat], self.space, lost))
         self.begun(self.me, Begin(self.keeper.inc, self.space, lost))
@@ -238,12 +250,28 @@
 
     # ---- changes of registers ----
 
-    def change(self, key: Key, change: Change, until: int, wait_us: int, then: Callable[[Done | None], None],
-                hold: Hold | None = None, most: int = MOST_AGAIN) -> None:
+    def change(
+        self,
+        key: Key,
+        change: Change,
+        until: int,
+        wait_us: int,
+        then: Callable[[Done | None], None],
+        hold: Hold | None = None,
+        most: int = MOST_AGAIN,
+    ) -> None:
         self._serial += 1
         now = self.host.clock()
-        writer = Writer(key, self.keeper.keepers(key), self.keeper.inc, self._serial, change,
-                        max(1, (until - now) // 1000), hold, self.space)
+        writer = Writer(
+            key,
+            self.keeper.keepers(key),
+            self.keeper.inc,
+            self._serial,
+            change,
+            max(1, (until - now) // 1000),
+            hold,
+            self.space,
+        )
         job = self._jobs[self._serial] = _Job(writer, then, now + wait_us, most=most)
         self._went(job, writer.begin(self._serial * 1000))
 
@@ -262,8 +290,11 @@
             if self._jobs.pop(writer.serial // 1000, None) is not None:
                 job.then(writer.done)
         elif job.until - self.host.clock() <= MOST_AGAIN and (
-                writer.full or writer.blanks > len(writer.keepers) - majority(len(writer.keepers))):
-            self._give_up(job)  # what may wait for long is asked again: those who have forgotten are told again
+            writer.full or writer.blanks > len(writer.keepers) - majority(len(writer.keepers))
+        ):
+            self._give_up(
+                job
+            )  # what may wait for long is asked again: those who have forgotten are told again
         elif writer.stuck:
             writer.conflicts += 1
             if writer.conflicts == 1:
--- a/moorusher/fleet/seats.py
+++ b/moorusher/fleet/seats.py
@@ -12,8 +12,13 @@
 
 from .policy import Seat
 
-SLICES = 4096  # keys share their keepers by slices: that is worked out once for each, however many seats there are
-WIDE, MOST_WIDE = b"fleet:", 7  # keys of the fleet as a whole begin so: more seats keep them, in a slice of their own
+SLICES = (
+    4096  # keys share their keepers by slices: that is worked out once for each, however many seats there are
+)
+WIDE, MOST_WIDE = (
+    b"fleet:",
+    7,
+)  # keys of the fleet as a whole begin so: more seats keep them, in a slice of their own
 
 
 def score(name: str, what: bytes) -> int:
@@ -36,7 +41,10 @@
 
     def digest(self) -> str:
         """Of what all must agree on. Not of addresses: one machine may be reached by several."""
-        told = [f"{name} {s.zone}" + (f" {s.group}" if s.group else "") for name, s in sorted(self.by_name.items())]
+        told = [
+            f"{name} {s.zone}" + (f" {s.group}" if s.group else "")
+            for name, s in sorted(self.by_name.items())
+        ]
         return xxhash.xxh64_hexdigest("\n".join([str(self.copies), *told]).encode())
 
     def keepers(self, key: bytes) -> tuple[str, ...]:
--- a/moorusher/fleet/tenure.py
+++ b/moorusher/fleet/tenure.py
@@ -33,7 +33,9 @@
     owner: Owner | None = None  # where another has it
     state: State = State.HELD  # of the register, as last read
     hold: Hold | None = None
-    asked: int = 0  # serial of the watch: an answer or a delay that belongs to an older one counts for nothing
+    asked: int = (
+        0  # serial of the watch: an answer or a delay that belongs to an older one counts for nothing
+    )
     alive: bool = False  # the owner has answered since
     askers: set[str] = field(default_factory=set)
     queue: list[Callable[[], None]] = field(default_factory=list)
--- a/moorusher/fleet/work.py
+++ b/moorusher/fleet/work.py
@@ -50,7 +50,9 @@
     state: State
     owner: Owner
     attempt: int  # grows with each one that takes it up: what an earlier owner says of it then counts no more
-    body: int  # digest: another body under the same key is another request, and gets none of this one's result
+    body: (
+        int  # digest: another body under the same key is another request, and gets none of this one's result
+    )
     order: Order | None = None  # while it may be taken over
     result: bytes | None = None
     turned: tuple[str, ...] = ()  # seats that have turned it away
@@ -85,8 +87,9 @@
     def __call__(self, old: Work | None) -> Work | None:
         if old is None or old.order is None or old.owner == self.me:
             return None
-        if old.state is State.FREE or (old.state is State.HELD and old.owner == self.owner
-                                       and old.attempt == self.attempt):
+        if old.state is State.FREE or (
+            old.state is State.HELD and old.owner == self.owner and old.attempt == self.attempt
+        ):
             return Work(State.HELD, self.me, old.attempt + 1, old.body, old.order, None, old.turned)
         return None
 
@@ -116,8 +119,14 @@
         self.result = result
 
     def __call__(self, old: Work | None) -> Work | None:
-        if old is not None and self.mine(old) and (old.state is State.BEGUN or (
-                old.state is State.OVER and old.result is None and self.result is not None)):
+        if (
+            old is not None
+            and self.mine(old)
+            and (
+                old.state is State.BEGUN
+                or (old.state is State.OVER and old.result is None and self.result is not None)
+            )
+        ):
             return Work(State.OVER, old.owner, old.attempt, old.body, None, self.result)
         return None
 
--- a/moorusher/forecast/choose.py
+++ b/moorusher/forecast/choose.py
@@ -55,9 +55,11 @@
     said = np.full((len(models), routes, len(origins), WEEK), np.nan)
     truth = np.full((routes, len(origins), WEEK), np.nan)
     for j, origin in enumerate(origins):
-        known = Known(y[:, :origin], hour_of_week[:origin + WEEK])
+        known = Known(y[:, :origin], hour_of_week[: origin + WEEK])
         until = min(hours, origin + WEEK)
-        truth[:, j, :until - origin] = np.where(_tells(y, now.flat.jumps, origin, until), y[:, origin:until], np.nan)
+        truth[:, j, : until - origin] = np.where(
+            _tells(y, now.flat.jumps, origin, until), y[:, origin:until], np.nan
+        )
         for i, name in enumerate(models):
             said[i, :, j] = MODELS[name](known)
     errors = truth[None] - said
@@ -73,18 +75,26 @@
     alone[plain] = 1.0
     weights = np.where(better[None, :], weights, alone)
     weighed = np.where(better[:, None, None], weighed, said[plain])
-    ahead = sum((weights[i][:, None] * MODELS[name](now) for i, name in enumerate(models) if weights[i].any()),
-                np.zeros((routes, WEEK)))
-    return Chosen(np.maximum(ahead, 0.0), models, weights, truth - weighed, weighed,
-                  {name: scores[i] for i, name in enumerate(models)})
+    ahead = sum(
+        (weights[i][:, None] * MODELS[name](now) for i, name in enumerate(models) if weights[i].any()),
+        np.zeros((routes, WEEK)),
+    )
+    return Chosen(
+        np.maximum(ahead, 0.0),
+        models,
+        weights,
+        truth - weighed,
+        weighed,
+        {name: scores[i] for i, name in enumerate(models)},
+    )
 
 
 def _tells(y: Floats, jumps: Floats, origin: int, until: int) -> npt.NDArray[np.bool_]:
     """Hours by which an origin can be judged: none after a jump that nobody could have seen from there, and none from
     where the route was known for less than a week, or half of what it is known for now."""
     known = np.isfinite(y).cumsum(axis=1)
-    enough = known[:, origin - 1:origin] >= np.minimum(WEEK, known[:, -1:] / 2)
-    level = np.abs(jumps[:, origin:until] - jumps[:, origin - 1:origin]) < 0.01
+    enough = known[:, origin - 1 : origin] >= np.minimum(WEEK, known[:, -1:] / 2)
+    level = np.abs(jumps[:, origin:until] - jumps[:, origin - 1 : origin]) < 0.01
     return np.asarray(enough & level)
 
 
