--- a/moorusher/forecast/demand.py
+++ b/moorusher/forecast/demand.py
@@ -36,13 +36,25 @@
     core_us: int = 0  # of runs that ended
     worth: float = 0.0  # of what was asked
 
-    def more(self, asked: int = 0, refused: int = 0, runs: int = 0, core_us: int = 0, worth: float = 0.0) -> Count:
-        return Count(self.asked + asked, self.refused + refused, self.runs + runs, self.core_us + core_us,
-                     self.worth + worth)
+    def more(
+        self, asked: int = 0, refused: int = 0, runs: int = 0, core_us: int = 0, worth: float = 0.0
+    ) -> Count:
+        return Count(
+            self.asked + asked,
+            self.refused + refused,
+            self.runs + runs,
+            self.core_us + core_us,
+            self.worth + worth,
+        )
 
     def merged(self, other: Count) -> Count:
-        return Count(max(self.asked, other.asked), max(self.refused, other.refused), max(self.runs, other.runs),
-                     max(self.core_us, other.core_us), max(self.worth, other.worth))
+        return Count(
+            max(self.asked, other.asked),
+            max(self.refused, other.refused),
+            max(self.runs, other.runs),
+            max(self.core_us, other.core_us),
+            max(self.worth, other.worth),
+        )
 
 
 class Part(msgspec.Struct, frozen=True, array_like=True):
@@ -60,8 +72,15 @@
         rows = dict(self.rows)
         for name, count in other.rows.items():
             rows[name] = rows[name].merged(count) if name in rows else count
-        return Part(self.seat, self.inc, self.zone, self.bucket, min(self.since_ms, other.since_ms),
-                    max(self.until_ms, other.until_ms), rows)
+        return Part(
+            self.seat,
+            self.inc,
+            self.zone,
+            self.bucket,
+            min(self.since_ms, other.since_ms),
+            max(self.until_ms, other.until_ms),
+            rows,
+        )
 
     @property
     def covered_ms(self) -> int:
@@ -128,8 +147,17 @@
         made = []
         for bucket in sorted(self._rows):
             if self._told.get(bucket, -1) < self._until[bucket]:
-                made.append(Part(self.seat, self.inc, self.zone, bucket, self._since[bucket], self._until[bucket],
-                                 dict(self._rows[bucket])))
+                made.append(
+                    Part(
+                        self.seat,
+                        self.inc,
+                        self.zone,
+                        bucket,
+                        self._since[bucket],
+                        self._until[bucket],
+                        dict(self._rows[bucket]),
+                    )
+                )
             if len(made) >= MOST_PARTS:
                 break
         return made
--- a/moorusher/forecast/hints.py
+++ b/moorusher/forecast/hints.py
@@ -43,7 +43,10 @@
 def cores_of(needs: Sequence[Need]) -> list[float]:
     """That all of them need together, by the hour."""
     hours = max((len(n.an_hour) for n in needs), default=0)
-    return [sum(n.an_hour[h] * n.core_us for n in needs if h < len(n.an_hour)) / 1e6 / HOUR_S for h in range(hours)]
+    return [
+        sum(n.an_hour[h] * n.core_us for n in needs if h < len(n.an_hour)) / 1e6 / HOUR_S
+        for h in range(hours)
+    ]
 
 
 def steps(cores: Sequence[float], scaling: Scaling) -> list[int]:
@@ -54,13 +57,19 @@
     early = max(1, ceil(scaling.cold_min / 60))
     made = list(wanted)
     for h in range(len(wanted)):
-        made[h] = max(wanted[h:h + early + 1])
+        made[h] = max(wanted[h : h + early + 1])
     late = max(0, round(scaling.down_h))
-    return [max(made[max(0, h - late):h + 1]) for h in range(len(made))]
+    return [max(made[max(0, h - late) : h + 1]) for h in range(len(made))]
 
 
-def hints(needs: Sequence[Need], first: int, scaling: Scaling, now_ms: int, untold: Mapping[str, str],
-          running: Mapping[str, int]) -> Hints:
+def hints(
+    needs: Sequence[Need],
+    first: int,
+    scaling: Scaling,
+    now_ms: int,
+    untold: Mapping[str, str],
+    running: Mapping[str, int],
+) -> Hints:
     """`running`: runners of each zone now. A zone of which nothing is known gets no hint, and the reason."""
     made: list[Hint] = []
     zones = sorted({n.zone for n in needs})
@@ -76,9 +85,14 @@
         largest = max(its, key=lambda n: sum(n.an_hour) * n.core_us)
         for h, runners in enumerate(planned):
             if runners != before:
-                ahead = max(range(h, min(len(cores), h + 2 + ceil(scaling.cold_min / 60))), key=lambda i: cores[i])
-                why = (f"{cores[ahead]:.2f} cores in {ahead - h} h, most of them for {largest.name}" if runners > before
-                       else f"{cores[h]:.2f} cores, and no more for {scaling.down_h:g} h")
+                ahead = max(
+                    range(h, min(len(cores), h + 2 + ceil(scaling.cold_min / 60))), key=lambda i: cores[i]
+                )
+                why = (
+                    f"{cores[ahead]:.2f} cores in {ahead - h} h, most of them for {largest.name}"
+                    if runners > before
+                    else f"{cores[h]:.2f} cores, and no more for {scaling.down_h:g} h"
+                )
                 made.append(Hint(zone, first + h, runners, cores[h], why))
                 before = runners
     return Hints(now_ms, now_ms + round(scaling.valid_min * 60_000), tuple(made), dict(untold))
--- a/moorusher/forecast/ledger.py
+++ b/moorusher/forecast/ledger.py
@@ -59,8 +59,10 @@
     def since(self, hour: int) -> list[float]:
         """What each hour from that one on would have had, had all of it been counted; nan where under half was."""
         at = max(0, hour - self.first)
-        return [n * WHOLE / counted if 2 * counted >= WHOLE else nan
-                for n, counted in zip(self.asked[at:], self.counted[at:], strict=True)]
+        return [
+            n * WHOLE / counted if 2 * counted >= WHOLE else nan
+            for n, counted in zip(self.asked[at:], self.counted[at:], strict=True)
+        ]
 
     @staticmethod
     def _mean(old: float, new: float) -> float:
@@ -153,7 +155,11 @@
         if there is not None:
             for i, (n, counted) in enumerate(zip(there.asked, there.counted, strict=True)):
                 made.add(there.first + i, Count(n), counted / WHOLE)
-            made.core_us, made.worth, made.refused = there.core_us or core_us, there.worth or worth, there.refused
+            made.core_us, made.worth, made.refused = (
+                there.core_us or core_us,
+                there.worth or worth,
+                there.refused,
+            )
         self.series[name] = made
         self._changed.add(name)
 
@@ -162,15 +168,20 @@
     def close(self, now_ms: int) -> int:
         """Buckets that can be closed by now; how many. Only the newest known hour can wait for others."""
         done = 0
-        while self.closed and (self.closed + 1) * BUCKET_MS <= now_ms and self._may_close(self.closed, now_ms):
+        while (
+            self.closed and (self.closed + 1) * BUCKET_MS <= now_ms and self._may_close(self.closed, now_ms)
+        ):
             self._close(self.closed)
             done += 1
         return done
 
     def _expected(self, bucket: int) -> dict[str, str]:
         """Seats that should tell of it, with their zones: all that there are, but for those that have not for a day."""
-        return {seat: zone for seat, zone in self.seats.items()
-                if bucket - self.seen.get(seat, self.began) < EXPECTED}
+        return {
+            seat: zone
+            for seat, zone in self.seats.items()
+            if bucket - self.seen.get(seat, self.began) < EXPECTED
+        }
 
     def _shares(self, bucket: int) -> dict[str, float]:
         """By seat: how much of the bucket it has counted, over all its processes."""
@@ -196,7 +207,9 @@
         for part in self.open.pop(bucket, {}).values():
             for name, count in part.rows.items():
                 have = self._hour.get(name, Count())
-                self._hour[name] = have.more(count.asked, count.refused, count.runs, count.core_us, count.worth)
+                self._hour[name] = have.more(
+                    count.asked, count.refused, count.runs, count.core_us, count.worth
+                )
         self.closed = bucket + 1
         if self.closed % HOUR_BUCKETS == 0:
             self._close_hour(bucket // HOUR_BUCKETS)
@@ -232,8 +245,19 @@
         parts = [part for bucket in sorted(self.open) for _, part in sorted(self.open[bucket].items())]
         kept, hour = dict(sorted(self._kept.items())), dict(sorted(self._hour.items()))
         shares = dict(sorted(self._hour_shares.items()))
-        return _encode(_State(kept, self.closed, self.began, dict(sorted(self.seen.items())), hour, shares, parts,
-                              self.late, self.odd))
+        return _encode(
+            _State(
+                kept,
+                self.closed,
+                self.began,
+                dict(sorted(self.seen.items())),
+                hour,
+                shares,
+                parts,
+                self.late,
+                self.odd,
+            )
+        )
 
     @classmethod
     def unpack(cls, state: bytes, seats: Mapping[str, str], most: int = 1_000) -> Ledger:
@@ -250,8 +274,8 @@
                 n, odd = divmod(len(data), 5)
                 if odd:
                     raise ValueError("hours and shares differ in number")
-                series.asked.frombytes(data[:4 * n])
-                series.counted.frombytes(data[4 * n:])
+                series.asked.frombytes(data[: 4 * n])
+                series.counted.frombytes(data[4 * n :])
                 made.series[name] = series
                 made._kept[name] = one
         except (msgspec.MsgspecError, zlib.error) as exc:
--- a/moorusher/forecast/level.py
+++ b/moorusher/forecast/level.py
@@ -42,7 +42,9 @@
         level = np.nanmean(weeks, axis=2, keepdims=True)
         rough = np.nanmean(weeks / np.where(level > 0, level, np.nan), axis=1)
         rough = np.where(np.isfinite(rough), rough, 1.0)
-        level = level / np.nanmean(np.where(np.isfinite(weeks), rough[:, None, :], np.nan), axis=2, keepdims=True)
+        level = level / np.nanmean(
+            np.where(np.isfinite(weeks), rough[:, None, :], np.nan), axis=2, keepdims=True
+        )
     return np.asarray(np.where(level > 0, level, np.nan))
 
 
@@ -94,20 +96,24 @@
         noise = np.maximum(1.4826 * median(np.abs(steps - median(steps, 1)[:, None]), 1) / np.sqrt(2), 0.03)
         noise = np.sqrt(np.nan_to_num(noise, nan=0.1) ** 2 + 1 / np.maximum(np.nanmean(counted, axis=1), 1.0))
         for day in range(LEAST_BEFORE, count - AFTER + 1):
-            a, b = ratio[:, max(0, day - BEFORE):day], ratio[:, day:day + BEFORE]
+            a, b = ratio[:, max(0, day - BEFORE) : day], ratio[:, day : day + BEFORE]
             n, m = np.isfinite(a).sum(axis=1), np.isfinite(b).sum(axis=1)
             differs = median(b, 1) - median(a, 1)
             sure = np.abs(differs) / (noise * np.sqrt(1.6 / np.maximum(n, 1) + 1.6 / np.maximum(m, 1)))
             known = np.isfinite(ratio[:, :day]).sum(axis=1)
             good = (n >= LEAST_BEFORE) & (known >= LEAST_KNOWN) & (m >= AFTER) & (np.abs(differs) > LARGE)
             # Of the days that are sure, the one that leaves the least unexplained.
-            explains = _scatter(ratio[:, max(0, day - BEFORE):day + BEFORE]) - _scatter(a) - _scatter(b)
+            explains = _scatter(ratio[:, max(0, day - BEFORE) : day + BEFORE]) - _scatter(a) - _scatter(b)
             good &= (sure > SURE) & (explains > best)
-            best, size, at = np.where(good, explains, best), np.where(good, differs, size), np.where(good, day, at)
+            best, size, at = (
+                np.where(good, explains, best),
+                np.where(good, differs, size),
+                np.where(good, day, at),
+            )
     found = np.flatnonzero(best > 0)
     for route in found:
-        y[route, :first + 24 * at[route]] *= np.exp(size[route])
-        jumps[route, :first + 24 * at[route]] += size[route]
+        y[route, : first + 24 * at[route]] *= np.exp(size[route])
+        jumps[route, : first + 24 * at[route]] += size[route]
     return bool(len(found))
 
 
@@ -125,10 +131,10 @@
         mean_x = np.where(there, days, 0).sum(axis=1) / n
         mean_y = np.nansum(ratio, axis=1) / n
         dx = np.where(there, days[None, :] - mean_x[:, None], 0.0)
-        spread = (dx ** 2).sum(axis=1)
+        spread = (dx**2).sum(axis=1)
         slope = np.nansum(dx * np.nan_to_num(ratio - mean_y[:, None]), axis=1) / spread
         rest = np.where(there, ratio - mean_y[:, None] - slope[:, None] * dx, 0.0)
         # A level that wanders makes slopes of its own: its errors hang together.
-        error = WANDERS * (rest ** 2).sum(axis=1) / np.maximum(n - 2, 1) / spread
-        made = slope * np.maximum(0.0, 1 - error / np.maximum(slope ** 2, 1e-12))
+        error = WANDERS * (rest**2).sum(axis=1) / np.maximum(n - 2, 1) / spread
+        made = slope * np.maximum(0.0, 1 - error / np.maximum(slope**2, 1e-12))
     return np.clip(np.where(n >= 21, np.nan_to_num(made), 0.0), -MOST_GROWTH, MOST_GROWTH)[:, None]
--- a/moorusher/forecast/models.py
+++ b/moorusher/forecast/models.py
@@ -41,11 +41,11 @@
 
     @property
     def ahead(self) -> Ints:
-        return self.hour_of_week[self.y.shape[1]:self.y.shape[1] + WEEK]
+        return self.hour_of_week[self.y.shape[1] : self.y.shape[1] + WEEK]
 
     @property
     def past(self) -> Ints:
-        return self.hour_of_week[:self.y.shape[1]]
+        return self.hour_of_week[: self.y.shape[1]]
 
 
 def _mean(values: Floats, weights: Floats, axis: int) -> Floats:
@@ -94,10 +94,14 @@
 def _noise_of(x: Floats, own: Floats, weights: Floats) -> Floats:
     """The variance of each hour's mean, as the weeks differ; by neighbours together, as weeks are few."""
     there = np.where(np.isfinite(x), weights, 0.0)
-    total, squares = there.sum(axis=1), (there ** 2).sum(axis=1)
-    n = np.where(squares > 0, total ** 2 / np.where(squares > 0, squares, 1.0), 0.0)
-    spread = np.where(total > 0, np.nansum(there * (np.nan_to_num(x) - own[:, None, :]) ** 2, axis=1)
-                      / np.where(total > 0, total, 1.0), 1.0)
+    total, squares = there.sum(axis=1), (there**2).sum(axis=1)
+    n = np.where(squares > 0, total**2 / np.where(squares > 0, squares, 1.0), 0.0)
+    spread = np.where(
+        total > 0,
+        np.nansum(there * (np.nan_to_num(x) - own[:, None, :]) ** 2, axis=1)
+        / np.where(total > 0, total, 1.0),
+        1.0,
+    )
     spread = (np.roll(spread, -1, axis=1) + spread + np.roll(spread, 1, axis=1)) / 3
     made: Floats = np.where(n > 1.5, spread / np.maximum(n - 1, 0.5), np.maximum(own, 0.2) ** 2)
     return made
@@ -107,7 +111,7 @@
     """As far as what differs from what is common is more than noise (James and Stein)."""
     size = np.maximum(common, 0.05)
     differs = (((own - common) / size) ** 2).mean(axis=1, keepdims=True)
-    chance = (noise / size ** 2).mean(axis=1, keepdims=True)
+    chance = (noise / size**2).mean(axis=1, keepdims=True)
     trust = np.maximum(0.0, differs - chance) / np.maximum(differs, 1e-12)
     return np.asarray(np.maximum(0.0, common + trust * (own - common)))
 
@@ -128,7 +132,9 @@
         hours = some.mean(axis=1, keepdims=True) / np.maximum(shared, 1e-9)
         smooth = (np.roll(hours, 1, axis=2) + 2 * hours + np.roll(hours, -1, axis=2)) / 4
         rough = ((hours - smooth) ** 2).mean(axis=2, keepdims=True)
-        error = chance[:, part].mean(axis=(1, 2), keepdims=True) / some.shape[1] / np.maximum(shared, 1e-9) ** 2
+        error = (
+            chance[:, part].mean(axis=(1, 2), keepdims=True) / some.shape[1] / np.maximum(shared, 1e-9) ** 2
+        )
         keep = np.maximum(0.0, rough - error) / np.maximum(rough, 1e-12)
         made[:, part] = (shared + trust * (size - shared)) * (smooth + keep * (hours - smooth))
     return made.reshape(routes, WEEK)
@@ -152,7 +158,7 @@
     made = level_of(Known(flat.y, known.hour_of_week), shape, half_life_days) * shape[:, known.ahead]
     if growing:
         on = (np.arange(WEEK) + 1) / WEEK
-        made = made * np.exp(flat.growth * (1 - DAMPED ** on) / -np.log(DAMPED))
+        made = made * np.exp(flat.growth * (1 - DAMPED**on) / -np.log(DAMPED))
     return made
 
 
--- a/moorusher/forecast/quantiles.py
+++ b/moorusher/forecast/quantiles.py
@@ -60,13 +60,21 @@
         # As if one more had been seen, worse than all others; hours of one day count for a few.
         n = np.maximum(days * A_DAY, 1.0)
         wanted = np.minimum(0.995, reach * (n + 1.0) / n)
-        at = np.array([np.nanquantile(row, q) if k >= LEAST else np.nan
-                       for row, q, k in zip(errors, wanted, known, strict=True)])
+        at = np.array(
+            [
+                np.nanquantile(row, q) if k >= LEAST else np.nan
+                for row, q, k in zip(errors, wanted, known, strict=True)
+            ]
+        )
         middle = np.nan_to_num(median(errors, 1))
     at = np.where(np.isfinite(at), at, 3.0 * NORMAL[0.9])
     if level > 0.9:
-        own = np.array([np.nanquantile(row, level) if n >= LEAST else np.nan
-                        for row, n in zip(errors, known, strict=True)])
+        own = np.array(
+            [
+                np.nanquantile(row, level) if n >= LEAST else np.nan
+                for row, n in zip(errors, known, strict=True)
+            ]
+        )
         tail = middle + TAIL * np.maximum(at - middle, 0.5) * NORMAL[level] / NORMAL[0.9]
         at = np.fmax(own, tail)
     return at
--- a/moorusher/forecast/season.py
+++ b/moorusher/forecast/season.py
@@ -31,7 +31,7 @@
         first_local, last_local = a.astimezone(local), b.astimezone(local)
         if first_local.utcoffset() == last_local.utcoffset():
             at = first_local.weekday() * 24 + first_local.hour
-            made[i:i + n] = (at + np.arange(n)) % WEEK
+            made[i : i + n] = (at + np.arange(n)) % WEEK
         else:
             for j in range(i, i + n):
                 one = (start + timedelta(hours=j)).astimezone(local)
--- a/moorusher/forecast/week.py
+++ b/moorusher/forecast/week.py
@@ -49,8 +49,8 @@
         s = series[name]
         n = min(len(s.asked), last - s.first)
         at = s.first - first
-        y[i, at:at + n] = s.asked[:n]
-        counted[i, at:at + n] = np.asarray(s.counted[:n], float) / WHOLE
+        y[i, at : at + n] = s.asked[:n]
+        counted[i, at : at + n] = np.asarray(s.counted[:n], float) / WHOLE
     return y, counted, first
 
 
@@ -75,12 +75,16 @@
     return np.clip(made, 1 / MOST_FACTOR, MOST_FACTOR)
 
 
-def _of_customer(series: Mapping[str, Series], names: list[str], last: int, calendar: Days) -> tuple[Chosen, Floats]:
+def _of_customer(
+    series: Mapping[str, Series], names: list[str], last: int, calendar: Days
+) -> tuple[Chosen, Floats]:
     y, counted, first = matrix(series, names, last)
     hours = y.shape[1]
     hour_of_week = hours_of_week(first, hours + WEEK, calendar.zone)
     kinds, named = kinds_of_days(first, hours + WEEK, calendar)
-    ordinary = np.where(kinds[None, :hours] == 0, counted, 0.0)  # a special day is no flood, and nothing to go by else
+    ordinary = np.where(
+        kinds[None, :hours] == 0, counted, 0.0
+    )  # a special day is no flood, and nothing to go by else
     chosen = choose(cleaned(y, ordinary, hour_of_week[:hours]), hour_of_week)
     levels = quantiles(chosen)
     if len(named) > 1:
@@ -89,8 +93,9 @@
     return chosen, levels
 
 
-def week_ahead(series: Mapping[str, Series], customers: Mapping[str, str], last: int,
-               calendars: Mapping[str, Days]) -> Week:
+def week_ahead(
+    series: Mapping[str, Series], customers: Mapping[str, str], last: int, calendars: Mapping[str, Days]
+) -> Week:
     """`customers`: whose each route is; `last`: the hour that is the first to come."""
     told: list[str] = []
     models: list[str] = []
@@ -121,11 +126,11 @@
     for i, name in enumerate(week.names):
         had = np.asarray(hours.get(name, ()), float)
         known = np.isfinite(had)
-        said = float(week.levels[0, i, :len(had)][known].sum())
+        said = float(week.levels[0, i, : len(had)][known].sum())
         if said > 0:
             ratio = (float(had[known].sum()) + NUDGED) / (said + NUDGED)
             on = np.arange(WEEK - len(had))
-            levels[:, i, len(had):] *= ratio ** (0.5 ** (on / NUDGE_HOURS))
+            levels[:, i, len(had) :] *= ratio ** (0.5 ** (on / NUDGE_HOURS))
     return Week(week.first, week.names, levels, week.models, week.untold)
 
 
--- a/moorusher/forecasting/errors.py
+++ b/moorusher/forecasting/errors.py
@@ -16,8 +16,10 @@
 
 class Unreadable(ForecastError):
     status = 503
-    remedy = ("The state of the duty is damaged, and is left as it is. `moorusher duty show forecast` says who has it; "
-              "take the duty away and it begins anew, without a past.")
+    remedy = (
+        "The state of the duty is damaged, and is left as it is. `moorusher duty show forecast` says who has it; "
+        "take the duty away and it begins anew, without a past."
+    )
 
 
 class NoNumpy(ForecastError):
--- a/moorusher/forecasting/forecaster.py
+++ b/moorusher/forecasting/forecaster.py
@@ -42,8 +42,13 @@
     def ended(self, worker: Forecaster) -> None: ...
 
     # In a thread: `then` with a `week.Week`, or with why there is none.
-    def work_out(self, series: Mapping[str, Series], customers: Mapping[str, str], last: int,
-                 then: Callable[[Any], None]) -> None: ...
+    def work_out(
+        self,
+        series: Mapping[str, Series],
+        customers: Mapping[str, str],
+        last: int,
+        then: Callable[[Any], None],
+    ) -> None: ...
     def correct(self, week: Any, hours: Mapping[str, list[float]], then: Callable[[Any], None]) -> None: ...
 
 
@@ -144,8 +149,9 @@
         for one in past:
             self.ledger.load(pack_key(one.key), one.first, one.asked, one.core_us, one.worth)
         self.week, self._hour = None, 0
-        return self.tour.do(OnFleet(self.ledger.pack()), lambda outcome: then(
-            None if isinstance(outcome, Made) else outcome))
+        return self.tour.do(
+            OnFleet(self.ledger.pack()), lambda outcome: then(None if isinstance(outcome, Made) else outcome)
+        )
 
     # ---- forecasts ----
 
@@ -160,7 +166,9 @@
         self._working, hour = True, self.hour
         if self.week is None or hour - self.week.first >= ANEW_H:
             customers = {name: unpack_key(name).customer for name in self.ledger.series}
-            self.host.work_out(dict(self.ledger.series), customers, hour, lambda got: self._worked(got, hour, True))
+            self.host.work_out(
+                dict(self.ledger.series), customers, hour, lambda got: self._worked(got, hour, True)
+            )
         else:
             since = self.week.first
             hours = {name: s.since(since) for name, s in self.ledger.series.items() if s.first <= since}
@@ -184,8 +192,11 @@
     def _hint(self, hour: int) -> None:
         scaling, week = self.policy.scaling, self.said
         needs = [self._need(name, i, hour, scaling) for i, name in enumerate(week.names)]
-        untold = {unpack_key(name).zone: f"{label(name)}: {why}" for name, why in week.untold.items()
-                  if unpack_key(name).zone not in {n.zone for n in needs}}
+        untold = {
+            unpack_key(name).zone: f"{label(name)}: {why}"
+            for name, why in week.untold.items()
+            if unpack_key(name).zone not in {n.zone for n in needs}
+        }
         self.hints = hints(needs, hour, scaling, self.host.unix_ms(), untold, self.host.running())
         if scaling.to is not None:
             self.tour.do(Fenced("{}:{}".format(*scaling.to), _json.encode(self.hints)), self._hinted)
@@ -194,8 +205,12 @@
         series = self.ledger.series.get(name)
         core_us, worth = (0.0, 0.0) if series is None else (series.core_us, series.worth)
         level = 2 if worth >= scaling.worthy else 1
-        return Need(label(name), unpack_key(name).zone,
-                    tuple(float(v) for v in self.said.levels[level, i, hour - self.said.first:]), core_us)
+        return Need(
+            label(name),
+            unpack_key(name).zone,
+            tuple(float(v) for v in self.said.levels[level, i, hour - self.said.first :]),
+            core_us,
+        )
 
     def _hinted(self, outcome: Outcome) -> None:
         self.host.count("forecast: hints given" if isinstance(outcome, Made) else "forecast: hints not given")
@@ -214,15 +229,29 @@
             if customer and key.customer != customer:
                 continue
             middle, high, highest = (week.levels[j, i] for j in range(3))
-            routes.append({"customer": key.customer, "route": key.route, "zone": key.zone, "model": week.models[i],
-                           "day": [round(float(x[:24].sum()), 1) for x in (middle, high, highest)],
-                           "week": round(float(middle.sum()), 1),
-                           "hours": [round(float(v), 1) for v in middle]})
-        return {"first_hour": week.first, "term": self.tour.post.term, "routes": routes,
-                "untold": {label(name): why for name, why in week.untold.items()
-                           if not customer or unpack_key(name).customer == customer},
-                "late": self.ledger.late,
-                "hints": None if self.hints is None else msgspec.to_builtins(self.hints)}
+            routes.append(
+                {
+                    "customer": key.customer,
+                    "route": key.route,
+                    "zone": key.zone,
+                    "model": week.models[i],
+                    "day": [round(float(x[:24].sum()), 1) for x in (middle, high, highest)],
+                    "week": round(float(middle.sum()), 1),
+                    "hours": [round(float(v), 1) for v in middle],
+                }
+            )
+        return {
+            "first_hour": week.first,
+            "term": self.tour.post.term,
+            "routes": routes,
+            "untold": {
+                label(name): why
+                for name, why in week.untold.items()
+                if not customer or unpack_key(name).customer == customer
+            },
+            "late": self.ledger.late,
+            "hints": None if self.hints is None else msgspec.to_builtins(self.hints),
+        }
 
 
 def label(name: str) -> str:
--- a/moorusher/forecasting/member.py
+++ b/moorusher/forecasting/member.py
@@ -168,8 +168,12 @@
 
     def _load(self, seat: str, m: Load) -> None:
         def done(wrong: Exception | None) -> None:
-            self.say(seat, Told(m.serial, b"{}") if wrong is None else
-                     Told(m.serial, b"", type(wrong).__name__, str(wrong)))
+            self.say(
+                seat,
+                Told(m.serial, b"{}")
+                if wrong is None
+                else Told(m.serial, b"", type(wrong).__name__, str(wrong)),
+            )
 
         if self.forecaster is None:
             return done(NotYet(f"{self.office.me} has not got the forecast"))
--- a/moorusher/fronts/agent.py
+++ b/moorusher/fronts/agent.py
@@ -41,7 +41,7 @@
         self._alarm = self.core.alarms.at(self.core.clock.now + SILENCE, self.cut)
 
     def dataReceived(self, data: bytes) -> None:
-        self._sent += data[:MOST_SENT + 1 - len(self._sent)]
+        self._sent += data[: MOST_SENT + 1 - len(self._sent)]
         if len(self._sent) > MOST_SENT:
             self._ending = self._ending or Ending.LINE_TOO_LONG
             self.transport.abortConnection()
--- a/moorusher/fronts/console.py
+++ b/moorusher/fronts/console.py
@@ -79,8 +79,13 @@
 
     def _told(self, status: int) -> Said:
         maintenance = self.reporter.tracker.maintenance if not self.reporter.wanted else None
-        told = {"ready": self._ready, "kernel": self.core.ready, "leaving": self.core.draining,
-                "replaced": self.core.replaced, "quiesced": None if maintenance is None else maintenance.reason}
+        told = {
+            "ready": self._ready,
+            "kernel": self.core.ready,
+            "leaving": self.core.draining,
+            "replaced": self.core.replaced,
+            "quiesced": None if maintenance is None else maintenance.reason,
+        }
         return Said(status, json.dumps(told).encode() + b"\n", "application/json")
 
     @property
--- a/moorusher/fronts/health.py
+++ b/moorusher/fronts/health.py
@@ -33,7 +33,9 @@
 class HealthFront(ProbeFront):
     """Listens for health checks over HTTP."""
 
-    def __init__(self, core: Decider, reporter: Reporter, codes: words.Codes, load: LoadReport | None) -> None:
+    def __init__(
+        self, core: Decider, reporter: Reporter, codes: words.Codes, load: LoadReport | None
+    ) -> None:
         super().__init__(core, reporter, HttpConnection)
         self.codes, self.load = codes, load
 
@@ -41,7 +43,9 @@
         if method not in ("GET", "HEAD"):
             return not_allowed("GET", "HEAD")
         self.asked()
-        if path == "/alive":  # as long as the process answers: for what restarts dead processes, not for routing
+        if (
+            path == "/alive"
+        ):  # as long as the process answers: for what restarts dead processes, not for routing
             return Said(200, b"alive\n")
         report = self.reporter.report(source)
         if path == "/health":
@@ -62,8 +66,14 @@
         if self.load is not None and path == "/health":
             more.append(("endpoint-load-metrics", self.load.text()))
         if wants_json(headers.get("accept", "")):
-            body = json.dumps({"standing": report.standing.value, "weight": report.weight,
-                               "reason": words.clean(report.reason), "unknown": list(report.unknown)}).encode()
+            body = json.dumps(
+                {
+                    "standing": report.standing.value,
+                    "weight": report.weight,
+                    "reason": words.clean(report.reason),
+                    "unknown": list(report.unknown),
+                }
+            ).encode()
             return Said(said.status, body + b"\n", "application/json", more)
         line = f"{report.standing.value} {report.weight}% {words.clean(report.reason)}\n"
         return Said(said.status, line.encode("ascii"), more=more)
--- a/moorusher/fronts/http.py
+++ b/moorusher/fronts/http.py
@@ -17,9 +17,18 @@
 
 MOST_HEAD = 4096  # bytes of a call before its body, all lines together
 LINGER = 2 * SECOND  # for an answer to be read, and for the other side to close
-REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
-           409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests",
-           431: "Request Header Fields Too Large", 503: "Service Unavailable"}
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    503: "Service Unavailable",
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,7 +116,9 @@
     def _close(self, ending: Ending) -> None:
         self._ending = ending
         self.owner.places.closing(self)
-        read_pending(self.transport)  # thrown away: left unread, it would reset the connection, answer and all
+        read_pending(
+            self.transport
+        )  # thrown away: left unread, it would reset the connection, answer and all
         self.transport.loseConnection()
         self._cut_later()
 
@@ -198,10 +209,17 @@
             self.end(Ending.CLOSED_BY_US)
 
     def _write(self, said: Said, keep: bool, body: bool = True) -> None:
-        lines = [f"HTTP/1.1 {said.status} {REASONS.get(said.status, 'Health')}", f"Content-Type: {said.kind}",
-                 f"Content-Length: {len(said.body)}", "Cache-Control: no-store",
-                 f"Connection: {'keep-alive' if keep else 'close'}", *(f"{n}: {v}" for n, v in said.more)]
-        self.transport.write(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + (said.body if body else b""))
+        lines = [
+            f"HTTP/1.1 {said.status} {REASONS.get(said.status, 'Health')}",
+            f"Content-Type: {said.kind}",
+            f"Content-Length: {len(said.body)}",
+            "Cache-Control: no-store",
+            f"Connection: {'keep-alive' if keep else 'close'}",
+            *(f"{n}: {v}" for n, v in said.more),
+        ]
+        self.transport.write(
+            ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + (said.body if body else b"")
+        )
 
 
 def not_allowed(*allowed: str) -> Said:
--- a/moorusher/fronts/jsonrpc.py
+++ b/moorusher/fronts/jsonrpc.py
@@ -37,7 +37,9 @@
 from .places import Places
 
 MOST_OPEN = 32  # requests on one connection
-MOST_FAULTS = 16  # on one connection, until it is asked to leave: a front end makes none, but for classes that are not
+MOST_FAULTS = (
+    16  # on one connection, until it is asked to leave: a front end makes none, but for classes that are not
+)
 # here yet, and what it has on its way then has its answers
 END_FAULTS = MOST_FAULTS + 2 * MOST_OPEN  # it did not leave
 MOST_LINE = 8192  # a body in base64 takes 2,732 of it
@@ -48,6 +50,8 @@
 LINGER = SECOND  # for the other side to read why it is closed
 MOST_READ = 16_384  # in one turn, from one connection: two of the longest lines; a crowd of them must not hold the loop
 MOST_UNSENT = 256 * 1024  # 32 answers of 4 KiB in base64 are two thirds of it
+
+
 class JsonRpcConnection(LineOnlyReceiver):
     """One connection of a front end, and the way back for the requests that came on it."""
 
@@ -62,7 +66,9 @@
         self.active = self.faults = 0  # when something last came; what was malformed
         self._begun = 0  # when the message began whose end has not come yet; 0 where there is none
         self.leaving = False
-        self.last_ending: Ending | None = None  # nothing more is read; it closes once what is open has its answer
+        self.last_ending: Ending | None = (
+            None  # nothing more is read; it closes once what is open has its answer
+        )
         self.unsent = 0  # since the other side stopped reading; 0 where it reads
         self._produces = False  # it is registered as the transport's producer
         self.ending: Ending | None = None
--- a/moorusher/fronts/jsonrpc_messages.py
+++ b/moorusher/fronts/jsonrpc_messages.py
@@ -14,9 +14,14 @@
 PARSE, INVALID, NO_METHOD, BAD_PARAMS, FAILED, REFUSED = -32700, -32600, -32601, -32602, -32000, -32014
 MOST_BODY = 2048
 LEAVING = b'{"jsonrpc":"2.0","method":"leaving"}\n'
-FAULT_CODES = {Fault.NO_SUCH_CLASS: NO_METHOD, Fault.NO_SUCH_TENANT: BAD_PARAMS, Fault.NO_SUCH_TIME: BAD_PARAMS,
-               Fault.TOKEN_MISSING: BAD_PARAMS, Fault.RID_IN_USE: BAD_PARAMS,
-               Fault.BODY_DIFFERS: BAD_PARAMS}
+FAULT_CODES = {
+    Fault.NO_SUCH_CLASS: NO_METHOD,
+    Fault.NO_SUCH_TENANT: BAD_PARAMS,
+    Fault.NO_SUCH_TIME: BAD_PARAMS,
+    Fault.TOKEN_MISSING: BAD_PARAMS,
+    Fault.RID_IN_USE: BAD_PARAMS,
+    Fault.BODY_DIFFERS: BAD_PARAMS,
+}
 
 
 class BadMessage(ValueError):
@@ -113,10 +118,21 @@
     if peer != int(peer):
         raise BadParams("peer: expected a whole number")
     return Arrival(
-        rid, method, body, _needed(params, "t0", UNIX_MS), None, _number(params, "budget", BUDGET_MS),
-        _text(params, "acct", 256), int(peer), _needed(params, "mem", MEMORY_KB), _needed(params, "prio", RANK),
-        token, _hex(_text(params, "obj", 32), "obj"),
-        bool(params.get("again")), _number(params, "est", BUDGET_MS))
+        rid,
+        method,
+        body,
+        _needed(params, "t0", UNIX_MS),
+        None,
+        _number(params, "budget", BUDGET_MS),
+        _text(params, "acct", 256),
+        int(peer),
+        _needed(params, "mem", MEMORY_KB),
+        _needed(params, "prio", RANK),
+        token,
+        _hex(_text(params, "obj", 32), "obj"),
+        bool(params.get("again")),
+        _number(params, "est", BUDGET_MS),
+    )
 
 
 def error_line(tag: int | None, code: int, message: str, hint: float | None = None, **data: object) -> bytes:
--- a/moorusher/fronts/places.py
+++ b/moorusher/fronts/places.py
@@ -93,14 +93,20 @@
         if len(self.all) < self.most:
             return True
         now = self.core.clock.now
-        return (self._give_up_one(now - GRACE, mid_message=False) or self._cut_one(now - GRACE)
-                or self._give_up_one(now - GRACE, mid_message=True) or self._give_up_one(now, mid_message=True))
+        return (
+            self._give_up_one(now - GRACE, mid_message=False)
+            or self._cut_one(now - GRACE)
+            or self._give_up_one(now - GRACE, mid_message=True)
+            or self._give_up_one(now, mid_message=True)
+        )
 
     def _give_up_one(self, since: int, mid_message: bool) -> bool:
         """The longest useless one, of those that have been so since then or before. `mid_message`: also one on which a
         message has begun, as a slow client's has."""
-        return any(self._give_up_one_of(listed, since, mid_message)
-                   for listed in (self._asked, self._silent, self._idle))
+        return any(
+            self._give_up_one_of(listed, since, mid_message)
+            for listed in (self._asked, self._silent, self._idle)
+        )
 
     @staticmethod
     def _give_up_one_of(listed: dict[Placed, int], since: int, mid_message: bool) -> bool:
@@ -135,8 +141,12 @@
         return min(ends, default=None)
 
     def _waits(self) -> tuple[tuple[dict[Placed, int], int], ...]:
-        return ((self._silent, self.silence), (self._idle, self.idleness), (self._asked, ASKED),
-                (self._closing, CLOSING))
+        return (
+            (self._silent, self.silence),
+            (self._idle, self.idleness),
+            (self._asked, ASKED),
+            (self._closing, CLOSING),
+        )
 
     def _ring(self) -> None:
         self._alarm = None
--- a/moorusher/fronts/uwsgi.py
+++ b/moorusher/fronts/uwsgi.py
@@ -80,7 +80,9 @@
             return False
         if self.state is not State.OVER:
             self.ending = self.ending or ending
-            self._finish(response(408, b"the request did not come whole in time"), at_once=ending is Ending.MADE_WAY)
+            self._finish(
+                response(408, b"the request did not come whole in time"), at_once=ending is Ending.MADE_WAY
+            )
         return True
 
     def cut(self) -> None:
@@ -108,7 +110,7 @@
             if self.state is State.VARS:
                 self._read_packet()
             if self.state is State.BODY and len(self._data) >= self._length:
-                self._ask(bytes(self._data[:self._length]))
+                self._ask(bytes(self._data[: self._length]))
         except BadPacket as exc:
             self.core.counters.add("faulty")
             self._data.clear()
@@ -125,9 +127,9 @@
             raise BadPacket(400, f"modifiers {modifier1}, {modifier2}: only 0, 0 and pings are served")
         if len(self._data) < HEAD.size + size:
             return
-        self._vars = parse_vars(bytes(self._data[HEAD.size:HEAD.size + size]))
+        self._vars = parse_vars(bytes(self._data[HEAD.size : HEAD.size + size]))
         self._length = content_length(self._vars, self.owner.most_body)
-        del self._data[:HEAD.size + size]
+        del self._data[: HEAD.size + size]
         self.state = State.BODY
 
     def _ask(self, body: bytes) -> None:
@@ -164,9 +166,12 @@
             return self._finish(response(200, answer.content, **more))
         if answer.verdict is Verdict.REFUSED:
             # Whole seconds are all that Retry-After can say; the exact wait stands beside it.
-            more |= {"Retry_After": max(1, math.ceil(answer.backoff_ms / 1000)),
-                     "X_Moorusher_Backoff_Ms": round(answer.backoff_ms),
-                     "X_Moorusher_Never_Ran": 1, "X_Moorusher_Final": int(answer.final)}
+            more |= {
+                "Retry_After": max(1, math.ceil(answer.backoff_ms / 1000)),
+                "X_Moorusher_Backoff_Ms": round(answer.backoff_ms),
+                "X_Moorusher_Never_Ran": 1,
+                "X_Moorusher_Final": int(answer.final),
+            }
             return self._finish(response(503, answer.words.encode(), **more))
         self._finish(response(FAILED_STATUS[answer.cause], answer.cause.value.encode(), **more))
 
@@ -189,8 +194,9 @@
 
     noisy = False
 
-    def __init__(self, core: Decider, most: int, most_body: int, idle_s: float,
-                 fit: Callable[[], bool]) -> None:
+    def __init__(
+        self, core: Decider, most: int, most_body: int, idle_s: float, fit: Callable[[], bool]
+    ) -> None:
         self.core, self.most_body, self.fit = core, most_body, fit
         self.load: Callable[[], str] | None = None  # the load report that goes with each answer
         self.places = Places(core, most, round(idle_s * SECOND), 0)
--- a/moorusher/fronts/uwsgi_packets.py
+++ b/moorusher/fronts/uwsgi_packets.py
@@ -20,25 +20,54 @@
 MOST_UNREAD = 65_535 + 4  # a packet of variables can't be larger
 
 VARS = {
-    "class": "MOORUSHER_CLASS", "tenant": "MOORUSHER_TENANT", "budget": "MOORUSHER_BUDGET_MS",
-    "token": "MOORUSHER_TOKEN", "rid": "MOORUSHER_RID", "t0": "MOORUSHER_T0_MS", "peer": "MOORUSHER_PEER",
-    "mem": "MOORUSHER_MEMORY_KB", "prio": "MOORUSHER_RANK", "obj": "MOORUSHER_SUBJECT",
+    "class": "MOORUSHER_CLASS",
+    "tenant": "MOORUSHER_TENANT",
+    "budget": "MOORUSHER_BUDGET_MS",
+    "token": "MOORUSHER_TOKEN",
+    "rid": "MOORUSHER_RID",
+    "t0": "MOORUSHER_T0_MS",
+    "peer": "MOORUSHER_PEER",
+    "mem": "MOORUSHER_MEMORY_KB",
+    "prio": "MOORUSHER_RANK",
+    "obj": "MOORUSHER_SUBJECT",
 }
 
 FAULT_STATUS = {
-    Fault.NO_SUCH_CLASS: 404, Fault.NO_SUCH_TENANT: 403, Fault.TOKEN_MISSING: 400, Fault.RID_IN_USE: 409,
-    Fault.BODY_DIFFERS: 422, Fault.NO_SUCH_TIME: 400,
-    Fault.KEY_UNSURE: 503, Fault.TOO_MANY: 503, Fault.KEYS_FULL: 503, Fault.NOT_READY: 503,
+    Fault.NO_SUCH_CLASS: 404,
+    Fault.NO_SUCH_TENANT: 403,
+    Fault.TOKEN_MISSING: 400,
+    Fault.RID_IN_USE: 409,
+    Fault.BODY_DIFFERS: 422,
+    Fault.NO_SUCH_TIME: 400,
+    Fault.KEY_UNSURE: 503,
+    Fault.TOO_MANY: 503,
+    Fault.KEYS_FULL: 503,
+    Fault.NOT_READY: 503,
     Fault.RULES_UNKNOWN: 503,
 }
 # A gateway's two words: what stood behind it failed (502), or did not answer in time (504).
 FAILED_STATUS = {
-    Cause.RUN_FAILED: 502, Cause.NOT_ACCEPTED: 502, Cause.NO_RESULT: 502, Cause.FAULT: 502,
-    Cause.GIVEN_UP: 504, Cause.STOPPING: 504, Cause.MAY_GO_ON: 504,
+    Cause.RUN_FAILED: 502,
+    Cause.NOT_ACCEPTED: 502,
+    Cause.NO_RESULT: 502,
+    Cause.FAULT: 502,
+    Cause.GIVEN_UP: 504,
+    Cause.STOPPING: 504,
+    Cause.MAY_GO_ON: 504,
+}
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    403: "Forbidden",
+    404: "Not Found",
+    408: "Request Timeout",
+    409: "Conflict",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
 }
-REASONS = {200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found", 408: "Request Timeout", 409: "Conflict",
-           413: "Content Too Large",
-           422: "Unprocessable Content", 502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout"}
 
 
 class BadPacket(ValueError):
@@ -62,7 +91,7 @@
             at += 2
             if at + size > end:
                 raise BadPacket(400, "a variable runs past its packet")
-            pair.append(block[at:at + size].decode("latin-1"))
+            pair.append(block[at : at + size].decode("latin-1"))
             at += size
         if not pair[0]:
             raise BadPacket(400, "a variable without a name")
@@ -123,15 +152,28 @@
     except ValueError:
         raise BadPacket(400, f"{VARS['obj']}: expected hex digits") from None
     return Arrival(
-        rid, klass, body, _number(variables, "t0", UNIX_MS), came, _number(variables, "budget", BUDGET_MS),
-        variables.get(VARS["tenant"], "") or None, int(_number(variables, "peer", PEER) or 0),
-        _number(variables, "mem", MEMORY_KB) or len(body) / 1024 + 1, _number(variables, "prio", RANK) or 0.0,
-        token, obj)
+        rid,
+        klass,
+        body,
+        _number(variables, "t0", UNIX_MS),
+        came,
+        _number(variables, "budget", BUDGET_MS),
+        variables.get(VARS["tenant"], "") or None,
+        int(_number(variables, "peer", PEER) or 0),
+        _number(variables, "mem", MEMORY_KB) or len(body) / 1024 + 1,
+        _number(variables, "prio", RANK) or 0.0,
+        token,
+        obj,
+    )
 
 
 def response(status: int, body: bytes = b"", **headers: object) -> bytes:
     """An HTTP response; underscores in the names of headers stand for hyphens."""
-    lines = [f"HTTP/1.1 {status} {REASONS[status]}", f"Content-Length: {len(body)}",
-             "Content-Type: application/octet-stream", "Connection: close"]
+    lines = [
+        f"HTTP/1.1 {status} {REASONS[status]}",
+        f"Content-Length: {len(body)}",
+        "Content-Type: application/octet-stream",
+        "Connection: close",
+    ]
     lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
--- a/moorusher/knowledge/merge.py
+++ b/moorusher/knowledge/merge.py
@@ -14,7 +14,13 @@
 LEAST_WEIGHT = 0.05  # under which a word says nothing
 MOST_AGE_S = 600.0
 LEAST_UP_S = 10.0  # a donor that served for less counts by what it had
-TRUST = {Condition.WELL: 1.0, Condition.SLOW: 0.6, Condition.CROWDED: 0.6, Condition.COLD: 0.5, Condition.PAUSED: 0.25}
+TRUST = {
+    Condition.WELL: 1.0,
+    Condition.SLOW: 0.6,
+    Condition.CROWDED: 0.6,
+    Condition.COLD: 0.5,
+    Condition.PAUSED: 0.25,
+}
 APART = 3.0  # donors whose ratios differ by more contradict each other
 
 
@@ -69,6 +75,11 @@
         weight = max((w for _, w in (*ratios, *shares)), default=0.0)
         if len(ratios) > 1 and max(r for r, _ in ratios) > APART * min(r for r, _ in ratios):
             weight /= 2  # they contradict each other: one of them is wrong, and it is not known which
-        merged[name] = Prior(_middle(ratios) if ratios else 1.0, _middle(shares) if shares else 1.0, weight,
-                             bool(outs) and _middle(outs) > 0.5, tuple(said))
+        merged[name] = Prior(
+            _middle(ratios) if ratios else 1.0,
+            _middle(shares) if shares else 1.0,
+            weight,
+            bool(outs) and _middle(outs) > 0.5,
+            tuple(said),
+        )
     return merged
--- a/moorusher/knowledge/snapshot.py
+++ b/moorusher/knowledge/snapshot.py
@@ -48,14 +48,14 @@
     """Raises Refused, and nothing else, whatever the bytes are."""
     if len(raw) > MOST:
         raise Refused(Why.OVERSIZED, f"{len(raw)} bytes")
-    if raw[:4] != MAGIC[:len(raw[:4])]:
+    if raw[:4] != MAGIC[: len(raw[:4])]:
         raise Refused(Why.FOREIGN)
     if len(raw) < HEAD.size:
         raise Refused(Why.TRUNCATED)
     _, major, minor, length, checksum = HEAD.unpack_from(raw)
     if major > MAJOR:
         raise Refused(Why.FUTURE, f"{major}.{minor}, this is {MAJOR}.{MINOR}")
-    body = raw[HEAD.size:]
+    body = raw[HEAD.size :]
     if len(body) < length:
         raise Refused(Why.TRUNCATED, f"{len(body)} of {length} bytes")
     if len(body) > length or xxhash.xxh3_64_intdigest(body) != checksum:
--- a/moorusher/knowledge/trial.py
+++ b/moorusher/knowledge/trial.py
@@ -10,7 +10,10 @@
 
 ENOUGH = 4  # own samples that are held against a prior
 WRONG = 2.5  # times as fast or slow as told
-MOST_WRONG, LEAST_HEARD = 0.5, 4  # share of the checked words of a donor that may be wrong, once so many were checked
+MOST_WRONG, LEAST_HEARD = (
+    0.5,
+    4,
+)  # share of the checked words of a donor that may be wrong, once so many were checked
 
 
 class Trial:
--- a/moorusher/knowledge/value.py
+++ b/moorusher/knowledge/value.py
@@ -52,13 +52,26 @@
         return msgspec.structs.replace(self, age_s=self.age_s + max(0.0, by_s))
 
 
-def make(donor: str, members: Iterable[Member], now: int, up_us: int,
-         condition: Condition = Condition.WELL) -> Knowledge:
+def make(
+    donor: str, members: Iterable[Member], now: int, up_us: int, condition: Condition = Condition.WELL
+) -> Knowledge:
     """Of a router's members, at `now` (us). Servers that were never measured nor out are left out: they say nothing."""
-    facts = [ServerFacts(
-        m.server.name, m.latency.short, m.latency.long, m.latency.spread, m.latency.samples, m.answered_share(),
-        m.limit.value, m.state in (State.EJECTED, State.PROBED), m.ejections,
-        (now - m.first_seen) / 1e6, (now - m.last_seen) / 1e6)
-        for m in members if m.latency.samples or m.failures or m.state is not State.IN]
+    facts = [
+        ServerFacts(
+            m.server.name,
+            m.latency.short,
+            m.latency.long,
+            m.latency.spread,
+            m.latency.samples,
+            m.answered_share(),
+            m.limit.value,
+            m.state in (State.EJECTED, State.PROBED),
+            m.ejections,
+            (now - m.first_seen) / 1e6,
+            (now - m.last_seen) / 1e6,
+        )
+        for m in members
+        if m.latency.samples or m.failures or m.state is not State.IN
+    ]
     facts.sort(key=lambda f: f.last_seen_s)
     return Knowledge(donor, condition, up_us / 1e6, 0.0, tuple(facts[:MOST_SERVERS]))
--- a/moorusher/lab/balancer.py
+++ b/moorusher/lab/balancer.py
@@ -121,8 +121,14 @@
         self.over(b"")
 
 
-def ask(reactor: Any, port: int, sends: bytes, over: Callable[[bytes], None], timeout: float = 1.0,
-        source: str = HOST) -> None:
+def ask(
+    reactor: Any,
+    port: int,
+    sends: bytes,
+    over: Callable[[bytes], None],
+    timeout: float = 1.0,
+    source: str = HOST,
+) -> None:
     """Connect, send, read until the other side closes; b"" where nothing came in time."""
     asking = _Asking(sends, over)
     connector = reactor.connectTCP(HOST, port, asking, timeout=timeout, bindAddress=(source, 0))
@@ -140,8 +146,18 @@
 class Prober:
     """Asks one server each `inter` seconds, from a phase on: its agent, its HTTP health, or only if it is alive."""
 
-    def __init__(self, reactor: Any, server: Server, port: int, kind: str, inter: float, phase: float,
-                 rise: int = 2, fall: int = 3, source: str = HOST) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        server: Server,
+        port: int,
+        kind: str,
+        inter: float,
+        phase: float,
+        rise: int = 2,
+        fall: int = 3,
+        source: str = HOST,
+    ) -> None:
         self.reactor, self.server, self.port, self.kind, self.inter = reactor, server, port, kind, inter
         self.rise, self.fall, self.source = rise, fall, source
         self.took: list[int] = []  # us, of each probe that was answered
--- a/moorusher/lab/below.py
+++ b/moorusher/lab/below.py
@@ -50,7 +50,9 @@
     ends: Counter[str] = field(default_factory=Counter)
     took: list[float] = field(default_factory=list)  # ms, of the answered
     sent: list[tuple[float, str]] = field(default_factory=list)  # s, server
-    seconds: list[list[int]] = field(default_factory=list)  # calls and those in time, by second (or `bins`) of arrival
+    seconds: list[list[int]] = field(
+        default_factory=list
+    )  # calls and those in time, by second (or `bins`) of arrival
     twice: int = 0  # keyed calls that a server began twice
 
     @property
@@ -76,16 +78,33 @@
     """One caller's calls against the servers. `way`: 'tier' (the router), 'plain' (any server at random, as behind a
     proxy that hands calls out), or 'round' (each in turn)."""
 
-    def __init__(self, servers: list[Below], way: str, seed: int, rate: float = 150.0, seconds: float = 30.0,
-                 aim_ms: float = 400.0, deadline_ms: float = 1500.0, keyed: float = 0.15,
-                 policy: Policy | None = None, prepare: Callable[[Router], None] = lambda r: None,
-                 events: list[tuple[float, Callable[[World], None]]] | None = None,
-                 chance: int | None = None, bins: float = 1.0) -> None:
+    def __init__(
+        self,
+        servers: list[Below],
+        way: str,
+        seed: int,
+        rate: float = 150.0,
+        seconds: float = 30.0,
+        aim_ms: float = 400.0,
+        deadline_ms: float = 1500.0,
+        keyed: float = 0.15,
+        policy: Policy | None = None,
+        prepare: Callable[[Router], None] = lambda r: None,
+        events: list[tuple[float, Callable[[World], None]]] | None = None,
+        chance: int | None = None,
+        bins: float = 1.0,
+    ) -> None:
         self.servers = {s.name: s for s in servers}
         self.order, self.way = servers, way
         self.rng = random.Random(seed)  # arrivals and work: the same for every way
         self.chance = random.Random(seed + 1 if chance is None else chance)  # the way's own
-        self.rate, self.seconds, self.aim, self.deadline, self.keyed = rate, seconds, aim_ms, deadline_ms, keyed
+        self.rate, self.seconds, self.aim, self.deadline, self.keyed = (
+            rate,
+            seconds,
+            aim_ms,
+            deadline_ms,
+            keyed,
+        )
         self.now = 0
         self._heap: list[tuple[int, int, Callable[[], None]]] = []
         self._order = itertools.count()
@@ -99,8 +118,13 @@
         self._turn = itertools.cycle(servers)
         self._wakes_at: int | None = None
         self._attempts = itertools.count(1 << 40)
-        self.router = Router([Server(s.name, ("127.0.0.1", 1)) for s in servers], policy or Policy(), "r1",
-                             self.chance.random, 0)
+        self.router = Router(
+            [Server(s.name, ("127.0.0.1", 1)) for s in servers],
+            policy or Policy(),
+            "r1",
+            self.chance.random,
+            0,
+        )
         prepare(self.router)
         for at, event in events or []:
             self._after(round(at * 1e6), lambda event=event: event(self))  # type: ignore[misc]
@@ -187,7 +211,9 @@
         self._at[attempt], self._number_of[attempt] = server, number
         mood = server.mood_at(self.now)
         if mood in ("fail", "turn"):
-            self._after(1 * MS, lambda: self._ended(attempt, End.FAILED if mood == "fail" else End.TURNED_AWAY))
+            self._after(
+                1 * MS, lambda: self._ended(attempt, End.FAILED if mood == "fail" else End.TURNED_AWAY)
+            )
             if mood == "fail":
                 self._runs(number)
             return
--- a/moorusher/lab/cores.py
+++ b/moorusher/lab/cores.py
@@ -73,8 +73,9 @@
         """What has its work done by now."""
         self.advance(now)
         over = []
-        while self._ends and (self._runs.get(self._ends[0][1]) != self._ends[0][0]
-                              or self._ends[0][0] <= self._service + 1e-6):
+        while self._ends and (
+            self._runs.get(self._ends[0][1]) != self._ends[0][0] or self._ends[0][0] <= self._service + 1e-6
+        ):
             end, name = heapq.heappop(self._ends)
             if self._runs.get(name) == end:
                 del self._runs[name]
--- a/moorusher/lab/courses.py
+++ b/moorusher/lab/courses.py
@@ -69,17 +69,24 @@
 
 def _new(rng: np.random.Generator, mean: Floats, past: int) -> Floats:
     made = mean.copy()
-    made[:past - int(rng.integers(9, 20)) * 24] = 0.0
+    made[: past - int(rng.integers(9, 20)) * 24] = 0.0
     return made
 
 
 KINDS: dict[str, tuple[float, list[tuple[float, float, float]], float, Turn]] = {
     # kind: requests an hour, the day's peaks, weekend, what turns
-    "office": (300.0, OFFICE, 0.15, _none), "evening": (120.0, EVENING, 1.2, _none),
-    "round the clock": (900.0, [(12.0, 8.0, 0.4)], 0.95, _none), "night batch": (60.0, BATCH, 1.0, _none),
-    "growing": (150.0, OFFICE, 0.4, _grows), "shrinking": (250.0, EVENING, 0.9, _shrinks),
-    "jump": (200.0, OFFICE, 0.3, _jumps), "rare": (0.8, EVENING, 1.0, _none), "new": (80.0, OFFICE, 0.3, _new),
-    "outages": (200.0, OFFICE, 0.5, _none), "floods": (100.0, EVENING, 1.0, _none), "gaps": (150.0, OFFICE, 0.3, _none),
+    "office": (300.0, OFFICE, 0.15, _none),
+    "evening": (120.0, EVENING, 1.2, _none),
+    "round the clock": (900.0, [(12.0, 8.0, 0.4)], 0.95, _none),
+    "night batch": (60.0, BATCH, 1.0, _none),
+    "growing": (150.0, OFFICE, 0.4, _grows),
+    "shrinking": (250.0, EVENING, 0.9, _shrinks),
+    "jump": (200.0, OFFICE, 0.3, _jumps),
+    "rare": (0.8, EVENING, 1.0, _none),
+    "new": (80.0, OFFICE, 0.3, _new),
+    "outages": (200.0, OFFICE, 0.5, _none),
+    "floods": (100.0, EVENING, 1.0, _none),
+    "gaps": (150.0, OFFICE, 0.3, _none),
 }
 
 
@@ -101,15 +108,17 @@
     if kind == "outages":
         for _ in range(4):
             at, n = int(rng.integers(0, past - 30)), int(rng.integers(2, 20))
-            y[at:at + n] = rng.poisson(0.02 * mean[at:at + n])
+            y[at : at + n] = rng.poisson(0.02 * mean[at : at + n])
     elif kind == "floods":
         for _ in range(4):
             at, n = int(rng.integers(0, past - 30)), int(rng.integers(1, 12))
-            y[at:at + n] += rng.poisson(rng.uniform(4, 12) * mean[at:at + n].mean() + 30, min(n, hours - at))
+            y[at : at + n] += rng.poisson(
+                rng.uniform(4, 12) * mean[at : at + n].mean() + 30, min(n, hours - at)
+            )
     elif kind == "gaps":
         for _ in range(5):
             at, n = int(rng.integers(0, past - 30)), int(rng.integers(2, 30))
             share = rng.choice([0.0, 0.3, 0.7])
-            counted[at:at + n] = share
-            y[at:at + n] = np.floor(y[at:at + n] * share)
+            counted[at : at + n] = share
+            y[at : at + n] = np.floor(y[at : at + n] * share)
     return Drawn(kind, y, counted, Days(zone), first)
--- a/moorusher/lab/duties.py
+++ b/moorusher/lab/duties.py
@@ -84,18 +84,28 @@
     before, began = sim.history.messages, sim.now
     sim.run(sim.now + 5 * SECOND)
     rate = (sim.history.messages - before) / 5 / seats
-    for process in sim.processes[:seats // 5]:
+    for process in sim.processes[: seats // 5]:
         process.alive = False
     lost = sim.now
-    live = offices[seats // 5:]
-    wanted = sum(len([s for s in o.keepers(k) if int(s[1:]) >= seats // 5]) >= 2
-                 for o in offices[:1] for k in {k for one in offices for k in one.tending.posts})
+    live = offices[seats // 5 :]
+    wanted = sum(
+        len([s for s in o.keepers(k) if int(s[1:]) >= seats // 5]) >= 2
+        for o in offices[:1]
+        for k in {k for one in offices for k in one.tending.posts}
+    )
     while sum(len(o.tours) for o in live) < wanted and sim.now < lost + 30 * SECOND:
         sim.run(sim.now + SECOND // 10)
     after = [len(o.tours) for o in live]
-    return {"owned": sum(has), "largest over mean": max(has) / (duties / seats), "messages a member a second": rate,
-            "after the loss, owned": sum(after), "of": wanted, "until all s": (sim.now - lost) / SECOND,
-            "largest over mean after": max(after) / max(1e-9, sum(after) / len(after)), "looked at s": began / SECOND}
+    return {
+        "owned": sum(has),
+        "largest over mean": max(has) / (duties / seats),
+        "messages a member a second": rate,
+        "after the loss, owned": sum(after),
+        "of": wanted,
+        "until all s": (sim.now - lost) / SECOND,
+        "largest over mean after": max(after) / max(1e-9, sum(after) / len(after)),
+        "looked at s": began / SECOND,
+    }
 
 
 class Real(Together):
@@ -103,11 +113,23 @@
 
     def __init__(self, reactor: Any, receiver: Receiver) -> None:
         self.receiver = receiver
-        settings = settings_of([Kind("check", 1.0, 10.0, False, 2000, 6000)], ["t"], 2, below="off",
-                               classCalls=[False], worthWithout=[0])
-        super().__init__(reactor, RUNNERS, settings, lambda i: (
-            f'[duties]\non = true\nsteady_ms = 500\n[[duties.report]]\nname = "alive"\n'
-            f'to = "{HOST}:{receiver.port}"\nevery_ms = {EVERY_MS}\n'))
+        settings = settings_of(
+            [Kind("check", 1.0, 10.0, False, 2000, 6000)],
+            ["t"],
+            2,
+            below="off",
+            classCalls=[False],
+            worthWithout=[0],
+        )
+        super().__init__(
+            reactor,
+            RUNNERS,
+            settings,
+            lambda i: (
+                f'[duties]\non = true\nsteady_ms = 500\n[[duties.report]]\nname = "alive"\n'
+                f'to = "{HOST}:{receiver.port}"\nevery_ms = {EVERY_MS}\n'
+            ),
+        )
 
     async def play(self, times: int, say: Callable[[str], None]) -> list[float]:
         await self.begin()
@@ -138,11 +160,19 @@
             arm = "leases" if leases else "fences"
             sums[arm], sums[arm + ", all"] = sums[arm] + wrong, sums[arm + ", all"] + total
     result.figures["order"] = dict(sums)
-    say(f"out of order: {sums['fences']} of {sums['fences, all']} with fences, "
-        f"{sums['leases']} of {sums['leases, all']} with leases")
-    result.hold("effects out of order", f"{sums['fences']} of {sums['fences, all']}", "none", not sums["fences"])
-    result.hold("and with leases alone on the same seeds", f"{sums['leases']} of {sums['leases, all']}", "some",
-                sums["leases"] > 0)
+    say(
+        f"out of order: {sums['fences']} of {sums['fences, all']} with fences, "
+        f"{sums['leases']} of {sums['leases, all']} with leases"
+    )
+    result.hold(
+        "effects out of order", f"{sums['fences']} of {sums['fences, all']}", "none", not sums["fences"]
+    )
+    result.hold(
+        "and with leases alone on the same seeds",
+        f"{sums['leases']} of {sums['leases, all']}",
+        "some",
+        sums["leases"] > 0,
+    )
     with TemporaryDirectory() as folder:
         receiver = Receiver(reactor, Book(Path(folder) / "book"))
         real = Real(reactor, receiver)
@@ -152,8 +182,12 @@
             real.close()
             receiver.close()
     result.figures["owner lost to next effect, s"] = times
-    result.hold("owner killed to the next effect, median", f"{statistics.median(times):.2f} s", "under 1 s",
-                statistics.median(times) < 1)
+    result.hold(
+        "owner killed to the next effect, median",
+        f"{statistics.median(times):.2f} s",
+        "under 1 s",
+        statistics.median(times) < 1,
+    )
     slow = times[min(len(times) - 1, round(0.99 * len(times)))]
     result.hold("the same, 99 of 100", f"{slow:.2f} s", "under 2 s", slow < 2)
     rates: list[tuple[float, float]] = []
@@ -162,16 +196,33 @@
         result.figures[f"{seats} members"] = got
         say(f"{seats} members: " + "  ".join(f"{k} {v:.3g}" for k, v in got.items()))
         rates.append((seats, got["messages a member a second"]))
-        result.hold(f"{seats} members: duties without an owner", f"{2 * seats - got['owned']:.0f}", "none",
-                    got["owned"] == 2 * seats)
-        result.hold(f"{seats} members: largest over mean", f"{got['largest over mean']:.2f}", "at most 2",
-                    got["largest over mean"] <= 2)
-        result.hold(f"{seats} members, a fifth lost: owned again of those with a majority of keepers",
-                    f"{got['after the loss, owned']:.0f} of {got['of']:.0f} after {got['until all s']:.1f} s", "all",
-                    got["after the loss, owned"] >= got["of"])
-    result.hold("messages a member a second, largest over smallest fleet",
-                f"{rates[-1][1]:.1f} over {rates[0][1]:.1f}", "at most 1.25 times", rates[-1][1] <= 1.25 * rates[0][1])
-    result.plots.append(Plot("Messages a member a second, idle", "members", "messages/s", {"messages": rates}))
+        result.hold(
+            f"{seats} members: duties without an owner",
+            f"{2 * seats - got['owned']:.0f}",
+            "none",
+            got["owned"] == 2 * seats,
+        )
+        result.hold(
+            f"{seats} members: largest over mean",
+            f"{got['largest over mean']:.2f}",
+            "at most 2",
+            got["largest over mean"] <= 2,
+        )
+        result.hold(
+            f"{seats} members, a fifth lost: owned again of those with a majority of keepers",
+            f"{got['after the loss, owned']:.0f} of {got['of']:.0f} after {got['until all s']:.1f} s",
+            "all",
+            got["after the loss, owned"] >= got["of"],
+        )
+    result.hold(
+        "messages a member a second, largest over smallest fleet",
+        f"{rates[-1][1]:.1f} over {rates[0][1]:.1f}",
+        "at most 1.25 times",
+        rates[-1][1] <= 1.25 * rates[0][1],
+    )
+    result.plots.append(
+        Plot("Messages a member a second, idle", "members", "messages/s", {"messages": rates})
+    )
     return result
 
 
--- a/moorusher/lab/experiment.py
+++ b/moorusher/lab/experiment.py
@@ -21,7 +21,9 @@
     holds: bool
 
     def line(self) -> str:
-        return f"{'holds' if self.holds else 'falls short':<12} {self.name}: {self.figure} (bound: {self.bound})"
+        return (
+            f"{'holds' if self.holds else 'falls short':<12} {self.name}: {self.figure} (bound: {self.bound})"
+        )
 
 
 @dataclass(slots=True)
@@ -64,8 +66,14 @@
     from matplotlib import pyplot
 
     folder.mkdir(parents=True, exist_ok=True)
-    told = {"experiment": experiment.name, "seed": seed, "quick": quick, "holds": result.holds,
-            "criteria": [asdict(c) for c in result.criteria], "figures": result.figures}
+    told = {
+        "experiment": experiment.name,
+        "seed": seed,
+        "quick": quick,
+        "holds": result.holds,
+        "criteria": [asdict(c) for c in result.criteria],
+        "figures": result.figures,
+    }
     (folder / "report.json").write_text(json.dumps(told, indent=2, sort_keys=True) + "\n")
     images = []
     for number, plot in enumerate(result.plots):
@@ -80,13 +88,18 @@
         figure.savefig(folder / f"plot{number}.png", dpi=100)
         pyplot.close(figure)
         images.append(f'<p><img src="plot{number}.png" alt="{html.escape(plot.title)}"></p>')
-    rows = "".join(f"<tr><td>{'holds' if c.holds else '<b>falls short</b>'}</td><td>{html.escape(c.name)}</td>"
-                   f"<td>{html.escape(c.figure)}</td><td>{html.escape(c.bound)}</td></tr>" for c in result.criteria)
+    rows = "".join(
+        f"<tr><td>{'holds' if c.holds else '<b>falls short</b>'}</td><td>{html.escape(c.name)}</td>"
+        f"<td>{html.escape(c.figure)}</td><td>{html.escape(c.bound)}</td></tr>"
+        for c in result.criteria
+    )
     (folder / "report.html").write_text(
         f"<!doctype html><meta charset=utf-8><title>{experiment.name}</title><h1>{experiment.name}</h1>"
         f"<p>{html.escape(experiment.about)} Seed {seed}{', quick' if quick else ''}.</p>"
         f"<table border=1 cellpadding=4><tr><th>verdict<th>criterion<th>figure<th>bound</tr>{rows}</table>"
-        + "".join(images) + f"<pre>{html.escape(json.dumps(result.figures, indent=2, sort_keys=True))}</pre>\n")
+        + "".join(images)
+        + f"<pre>{html.escape(json.dumps(result.figures, indent=2, sort_keys=True))}</pre>\n"
+    )
 
 
 def known() -> dict[str, Experiment]:
--- a/moorusher/lab/fleet.py
+++ b/moorusher/lab/fleet.py
@@ -42,7 +42,9 @@
     policy = Policy(probe_ms=1000, reaction_ms=500 + KEPT_S * 1000, climb_s=10)
     window = 3_000_000
     guard = fleet.most_a_core / fleet.tip
-    trackers = [Tracker(Facts(cores, fleet.tip, window, 3_000_000, guard, float(p)), policy, 0) for p in rng.random(n)]
+    trackers = [
+        Tracker(Facts(cores, fleet.tip, window, 3_000_000, guard, float(p)), policy, 0) for p in rng.random(n)
+    ]
     told, made = np.full(n, 100), np.full(n, -1.0)
     read = np.full((fleet.balancers, n), 100.0)  # each balancer's last word of each runner
     inter = np.where(np.arange(fleet.balancers) % 2 == 0, fleet.inter_s, fleet.inter_s / 2)
@@ -77,7 +79,9 @@
                     read[asks[:, r], r] = told[r]
                     continue
                 made[r] = now_s
-                weight = tracker.report(Observation(now, True, 1.0, True, there, 0, 0, 0, there, True, False)).weight
+                weight = tracker.report(
+                    Observation(now, True, 1.0, True, there, 0, 0, 0, there, True, False)
+                ).weight
                 if weight != told[r]:
                     changes[r] += 1
                     late_changes[r] += 1 if now_s >= fleet.seconds - 10 else 0
@@ -86,7 +90,9 @@
             due = np.where(asks, due + inter[:, None], due)
         shares = read * alive
         total = shares.sum(axis=1, keepdims=True)
-        arrivals = rng.poisson((shares / np.maximum(total, 1e-9)).sum(axis=0) * rate / fleet.balancers * STEP_S)
+        arrivals = rng.poisson(
+            (shares / np.maximum(total, 1e-9)).sum(axis=0) * rate / fleet.balancers * STEP_S
+        )
         sent += rate * STEP_S
         lost += rate * STEP_S * float((total[:, 0] <= 0).mean())
         running += arrivals
@@ -119,12 +125,20 @@
     minutes = fleet.seconds / 60
     # All balancers see the recovery at once: how far the recovered runners' mean weight falls back on its way up.
     back = [w for at, w in weights if at >= fleet.slow_until + 2]
-    swing = max((max(back[:i + 1]) - w for i, w in enumerate(back)), default=0.0)
-    return {"fell": fell, "worst": float(worst.max()), "lost_share": lost / sent,
-            "changes_slowed": float(changes[slowed].mean() / minutes),
-            "changes_others": float(changes[~slowed].mean() / minutes),
-            "fell_slowed": int((slowed & ~alive).sum()), "swing": swing, "back_to": back[-1] if back else 0.0,
-            "changes_at_end": float(late_changes.mean() * 6), "lines": lines, "weights": weights}
+    swing = max((max(back[: i + 1]) - w for i, w in enumerate(back)), default=0.0)
+    return {
+        "fell": fell,
+        "worst": float(worst.max()),
+        "lost_share": lost / sent,
+        "changes_slowed": float(changes[slowed].mean() / minutes),
+        "changes_others": float(changes[~slowed].mean() / minutes),
+        "fell_slowed": int((slowed & ~alive).sum()),
+        "swing": swing,
+        "back_to": back[-1] if back else 0.0,
+        "changes_at_end": float(late_changes.mean() * 6),
+        "lines": lines,
+        "weights": weights,
+    }
 
 
 if __name__ == "__main__":  # a process of its own: the experiment on sockets needs its own loop's time
--- a/moorusher/lab/forecast.py
+++ b/moorusher/lab/forecast.py
@@ -52,8 +52,14 @@
     with warnings.catch_warnings():
         warnings.simplefilter("ignore")
         y = drawn.y[:PAST]
-        fitted = ExponentialSmoothing(y, trend="add", damped_trend=True, seasonal="add", seasonal_periods=WEEK,
-                                      initialization_method="heuristic").fit(optimized=True, use_brute=False)
+        fitted = ExponentialSmoothing(
+            y,
+            trend="add",
+            damped_trend=True,
+            seasonal="add",
+            seasonal_periods=WEEK,
+            initialization_method="heuristic",
+        ).fit(optimized=True, use_brute=False)
         return np.asarray(np.maximum(0.0, np.asarray(fitted.forecast(WEEK))))
 
 
@@ -89,15 +95,18 @@
 def plans(drawn: Drawn, levels: Floats, scaling: Scaling, core_s: float) -> dict[str, tuple[float, float]]:
     """(share of worth lost, runner-hours) by hints; and by what the last hour needed, and the same hour of last week,
     each with as much to spare as makes its runner-hours those of the hints."""
-    came = drawn.y[PAST - 1:PAST + WEEK]
+    came = drawn.y[PAST - 1 : PAST + WEEK]
     ahead = drawn.y[PAST:]
     by_hints = simulate(ahead, core_s, steps([float(v) * core_s / 3600 for v in levels[1]], scaling), scaling)
     made = {"hints": by_hints}
-    for name, rate in (("last hour", came[:WEEK]), ("same hour last week", drawn.y[PAST - WEEK:PAST])):
+    for name, rate in (("last hour", came[:WEEK]), ("same hour last week", drawn.y[PAST - WEEK : PAST])):
         low, high = 0.02, 2.0  # shares of the cores that are to be used
         for _ in range(14):
             fill = (low + high) / 2
-            plan = [min(scaling.most, max(scaling.least, ceil(r * core_s / 3600 / scaling.cores / fill))) for r in rate]
+            plan = [
+                min(scaling.most, max(scaling.least, ceil(r * core_s / 3600 / scaling.cores / fill)))
+                for r in rate
+            ]
             got = simulate(ahead, core_s, plan, scaling)
             low, high = (fill, high) if got[1] > by_hints[1] else (low, fill)
         made[name] = got
@@ -129,9 +138,18 @@
             for name, (share, spent) in plans(drawn, levels, scaling, core_s).items():
                 lost.setdefault(name, []).append(share)
                 hours.setdefault(name, []).append(spent)
-        say(f"{kind}: error over last week's {statistics.fmean(ratios[kind]):.3f}, under the 90 "
-            f"{statistics.fmean(under[kind]):.3f}")
-    return {"ratios": ratios, "against": against, "under": under, "highest": highest, "lost": lost, "hours": hours}
+        say(
+            f"{kind}: error over last week's {statistics.fmean(ratios[kind]):.3f}, under the 90 "
+            f"{statistics.fmean(under[kind]):.3f}"
+        )
+    return {
+        "ratios": ratios,
+        "against": against,
+        "under": under,
+        "highest": highest,
+        "lost": lost,
+        "hours": hours,
+    }
 
 
 SIZE = """
@@ -162,8 +180,13 @@
 
 def size(seed: int) -> tuple[float, float]:
     """s of one core, and MB more than the history takes, for a thousand routes; in a process of its own."""
-    got = subprocess.run([sys.executable, "-W", "ignore", "-c", SIZE.format(seed=seed)], capture_output=True, text=True,
-                         check=True, timeout=600)
+    got = subprocess.run(
+        [sys.executable, "-W", "ignore", "-c", SIZE.format(seed=seed)],
+        capture_output=True,
+        text=True,
+        check=True,
+        timeout=600,
+    )
     took, mb = json.loads(got.stdout)
     return float(took), float(mb)
 
@@ -171,8 +194,15 @@
 def the_same_bit_by_bit(seed: int) -> bool:
     """What another owner works out of the same state."""
     series, customers = thousand(seed, 60)
-    weeks = [week_ahead(dict(reversed(list(series.items())) if i else series), customers, FIRST + PAST,
-                        {"c0": Days("Europe/Copenhagen")}) for i in range(2)]
+    weeks = [
+        week_ahead(
+            dict(reversed(list(series.items())) if i else series),
+            customers,
+            FIRST + PAST,
+            {"c0": Days("Europe/Copenhagen")},
+        )
+        for i in range(2)
+    ]
     return weeks[0].names == weeks[1].names and weeks[0].levels.tobytes() == weeks[1].levels.tobytes()
 
 
@@ -183,15 +213,27 @@
     by_kind = {kind: statistics.fmean(found) for kind, found in got["ratios"].items()}
     overall = statistics.fmean(by_kind.values())
     result.figures["error over that of the same hour of last week"] = by_kind
-    result.hold("error over that of the same hour of last week, all kinds", f"{overall:.3f}", "at most 0.75",
-                overall <= 0.75)
+    result.hold(
+        "error over that of the same hour of last week, all kinds",
+        f"{overall:.3f}",
+        "at most 0.75",
+        overall <= 0.75,
+    )
     worst = max(by_kind, key=lambda kind: by_kind[kind])
-    result.hold(f"the same, of the worst kind ({worst})", f"{by_kind[worst]:.3f}", "at most 1.02",
-                by_kind[worst] <= 1.02)
+    result.hold(
+        f"the same, of the worst kind ({worst})",
+        f"{by_kind[worst]:.3f}",
+        "at most 1.02",
+        by_kind[worst] <= 1.02,
+    )
     if got["against"]:
         median = statistics.median(got["against"])
-        result.hold("error over that of exponential smoothing with a week's season, median", f"{median:.3f}",
-                    "under 1", median < 1)
+        result.hold(
+            "error over that of exponential smoothing with a week's season, median",
+            f"{median:.3f}",
+            "under 1",
+            median < 1,
+        )
     covered = 100 * statistics.fmean(v for found in got["under"].values() for v in found)
     result.hold("hours under the level of 90 of 100", f"{covered:.1f}", "87 to 93", 87 <= covered <= 93)
     result.figures["under the 90, by kind"] = {k: statistics.fmean(v) for k, v in got["under"].items()}
@@ -199,12 +241,19 @@
     lost = {name: statistics.fmean(found) for name, found in got["lost"].items()}
     hours = {name: statistics.fmean(found) for name, found in got["hours"].items()}
     result.figures["hints"] = {"worth lost": lost, "runner-hours": hours}
-    say("  ".join(f"{name}: lost {100 * lost[name]:.3f} of 100, {hours[name]:.0f} runner-hours" for name in lost))
+    say(
+        "  ".join(
+            f"{name}: lost {100 * lost[name]:.3f} of 100, {hours[name]:.0f} runner-hours" for name in lost
+        )
+    )
     for other in ("last hour", "same hour last week"):
-        result.hold(f"worth lost by hints, to that by the {other}",
-                    f"{100 * lost['hints']:.3f} to {100 * lost[other]:.3f} of 100, with {hours['hints']:.0f} to "
-                    f"{hours[other]:.0f} runner-hours", "less, at as many runner-hours",
-                    lost["hints"] < lost[other] and hours["hints"] <= 1.02 * hours[other])
+        result.hold(
+            f"worth lost by hints, to that by the {other}",
+            f"{100 * lost['hints']:.3f} to {100 * lost[other]:.3f} of 100, with {hours['hints']:.0f} to "
+            f"{hours[other]:.0f} runner-hours",
+            "less, at as many runner-hours",
+            lost["hints"] < lost[other] and hours["hints"] <= 1.02 * hours[other],
+        )
     took, mb = await deferToThread(size, seed)
     result.hold("1,000 routes", f"{took:.1f} s of one core", "under 20 s", took < 20)
     result.hold("the same, in memory", f"{mb:.0f} MB", "under 64 MB", mb < 64)
@@ -212,9 +261,19 @@
     result.hold("another owner's figures", "the same" if same else "others", "the same, bit by bit", same)
     drawn = draw(seed * 100, "jump")
     levels, plain, came = said(drawn)
-    result.plots.append(Plot("A week after a jump", "hour", "requests", {
-        "came": list(enumerate(came.tolist())), "50": list(enumerate(levels[0].tolist())),
-        "90": list(enumerate(levels[1].tolist())), "last week": list(enumerate(plain.tolist()))}))
+    result.plots.append(
+        Plot(
+            "A week after a jump",
+            "hour",
+            "requests",
+            {
+                "came": list(enumerate(came.tolist())),
+                "50": list(enumerate(levels[0].tolist())),
+                "90": list(enumerate(levels[1].tolist())),
+                "last week": list(enumerate(plain.tolist())),
+            },
+        )
+    )
     result.figures["took s"] = time.perf_counter() - began
     return result
 
--- a/moorusher/lab/load.py
+++ b/moorusher/lab/load.py
@@ -52,8 +52,15 @@
         split = rng.uniform(0.3, 0.7)
         parts = [work * split, work * (1 - split)] if kind.call else [work]
         body = "work " + " ".join(f"{p:.1f}" for p in parts)
-        drawn.append(Arrival(at, kind, rng.choice(tenants), body.encode(),
-                             f"{rng.getrandbits(64):016x}" if kind.keyed else None))
+        drawn.append(
+            Arrival(
+                at,
+                kind,
+                rng.choice(tenants),
+                body.encode(),
+                f"{rng.getrandbits(64):016x}" if kind.keyed else None,
+            )
+        )
     return drawn
 
 
@@ -106,12 +113,20 @@
     def send(self, arrival: Arrival, rid: str, done: Callable[[str], None]) -> None:
         number = next(self._ids)
         params: dict[str, object] = {
-            "rid": rid, "t0": int(time.time() * 1000), "peer": self.peer, "acct": arrival.tenant,
-            "budget": arrival.kind.deadline_ms, "mem": 20.0, "prio": 0.5,
-            "content": base64.b64encode(arrival.body).decode()}
+            "rid": rid,
+            "t0": int(time.time() * 1000),
+            "peer": self.peer,
+            "acct": arrival.tenant,
+            "budget": arrival.kind.deadline_ms,
+            "mem": 20.0,
+            "prio": 0.5,
+            "content": base64.b64encode(arrival.body).decode(),
+        }
         if arrival.token:
             params["token"] = arrival.token
-        line = json.dumps({"jsonrpc": "2.0", "id": number, "method": arrival.kind.name, "params": params}).encode()
+        line = json.dumps(
+            {"jsonrpc": "2.0", "id": number, "method": arrival.kind.name, "params": params}
+        ).encode()
         free = next((c for c in self.connections if len(c.waiting) < MOST_OPEN and not c.leaving), None)
         if free is None:
             self._queue.append((line, number, done))
@@ -138,7 +153,9 @@
 class Load:
     """Plays arrivals against whatever `pick` names. Counts by outcome, worth in time, and latencies of the served."""
 
-    def __init__(self, reactor: Any, arrivals: list[Arrival], pick: Callable[[Arrival], Any], name: str) -> None:
+    def __init__(
+        self, reactor: Any, arrivals: list[Arrival], pick: Callable[[Arrival], Any], name: str
+    ) -> None:
         self.reactor, self.name = reactor, name
         self._pick, self._arrivals, self._next = pick, arrivals, 0
         self.counts: Counter[str] = Counter()
--- a/moorusher/lab/many.py
+++ b/moorusher/lab/many.py
@@ -26,31 +26,46 @@
 from .stand_ins import HOST, Database, Kernel
 
 CORES, WORK_MS, AHEAD_S = 2, 150.0, 3600.0
-KINDS = [Kind("check", 0.6, WORK_MS, True, 2000, 6000), Kind("submit", 0.4, WORK_MS, True, 4000, 10000, keyed=True)]
+KINDS = [
+    Kind("check", 0.6, WORK_MS, True, 2000, 6000),
+    Kind("submit", 0.4, WORK_MS, True, 4000, 10000, keyed=True),
+]
 SILENT_S = 2.0
 CALL_S = 0.02
 WORK_S = 5.0  # of a machine, its way down included
 TENANTS = ("north", "south")
-RULES = {"default": "main", "routes": {"main": {"servers": {"north": 1}, "fall_back": "spare"},
-                                       "spare": {"pool": "shared"}},
-         "rules": {"closed": {"match": {"class": ["submit"], "rank": [[0.9, 1]]}, "refuse": "closed for the week"}}}
+RULES = {
+    "default": "main",
+    "routes": {"main": {"servers": {"north": 1}, "fall_back": "spare"}, "spare": {"pool": "shared"}},
+    "rules": {
+        "closed": {"match": {"class": ["submit"], "rank": [[0.9, 1]]}, "refuse": "closed for the week"}
+    },
+}
 
 
 def below_toml(below: dict[str, int], receiver: int) -> str:
     """Each tenant has a server of its own, both may use one, and one is for requests without rules."""
     tier = "".join(f'[[tier.server]]\nname = "{n}"\naddress = "{HOST}:{p}"\n' for n, p in below.items())
-    customers = "".join(f'[[namespaces.customer]]\nname = "{n}"\nservers = ["{n}"]\npools = {{ shared = 0.5 }}\n'
-                        for n in TENANTS)
-    return (f'{tier}[namespaces]\non = true\n{customers}[[namespaces.pool]]\nname = "shared"\nservers = ["shared"]\n'
-            f'[forecast]\non = true\nreport_ms = 2000\nroutes = 40\n[forecast.scaling]\nto = "{HOST}:{receiver}"\n')
+    customers = "".join(
+        f'[[namespaces.customer]]\nname = "{n}"\nservers = ["{n}"]\npools = {{ shared = 0.5 }}\n'
+        for n in TENANTS
+    )
+    return (
+        f'{tier}[namespaces]\non = true\n{customers}[[namespaces.pool]]\nname = "shared"\nservers = ["shared"]\n'
+        f'[forecast]\non = true\nreport_ms = 2000\nroutes = 40\n[forecast.scaling]\nto = "{HOST}:{receiver}"\n'
+    )
 
 
 def fleet_toml(name: str, ports: dict[str, int], receiver: int, mark: Path) -> str:
-    seats = "".join(f'[[fleet.seat]]\nname = "{n}"\naddress = "{HOST}:{p}"\nzone = "z{i % 3}"\n'
-                    for i, (n, p) in enumerate(ports.items()))
-    return f'[fleet]\nlisten = "{HOST}:{ports[name]}"\nname = "demo"\n{seats}[duties]\non = true\n' \
-           f'[[duties.report]]\nname = "alive"\nto = "{HOST}:{receiver}"\nevery_ms = 500\n' \
-           f'[outage]\non = true\nsettle_s = 1\npeak_s = 10\nfill = 1.0\nmachine_id = "{mark}"\n'
+    seats = "".join(
+        f'[[fleet.seat]]\nname = "{n}"\naddress = "{HOST}:{p}"\nzone = "z{i % 3}"\n'
+        for i, (n, p) in enumerate(ports.items())
+    )
+    return (
+        f'[fleet]\nlisten = "{HOST}:{ports[name]}"\nname = "demo"\n{seats}[duties]\non = true\n'
+        f'[[duties.report]]\nname = "alive"\nto = "{HOST}:{receiver}"\nevery_ms = 500\n'
+        f'[outage]\non = true\nsettle_s = 1\npeak_s = 10\nfill = 1.0\nmachine_id = "{mark}"\n'
+    )
 
 
 class _Words(LineOnlyReceiver):
@@ -83,8 +98,17 @@
         for n in ports:
             self._starts(n)
         self.working: set[str] = set()  # machines that are being worked on
-        self.runners = {n: Runner(reactor, self.kernels[n], settings, name=n, standing="probe_ms = 500.0", more=(
-            fleet_toml(n, ports, self.receiver.port, self._mark(n)) + below)) for n in ports}
+        self.runners = {
+            n: Runner(
+                reactor,
+                self.kernels[n],
+                settings,
+                name=n,
+                standing="probe_ms = 500.0",
+                more=(fleet_toml(n, ports, self.receiver.port, self._mark(n)) + below),
+            )
+            for n in ports
+        }
         rules = Path(self._folder.name) / "rules.json"
         rules.write_text(json.dumps(RULES, indent=2))
         self.targets = {n: Target(reactor, r.port, i) for i, (n, r) in enumerate(self.runners.items())}
@@ -99,7 +123,8 @@
             r.comes_back = True
             say(f"{n}  requests {HOST}:{r.port}  admin {HOST}:{r.admin}")
         last = self.runners[list(self.runners)[-1]]
-        say(f"try       moorusher fleet show --address {HOST}:{self.runners['n1'].admin}\n"
+        say(
+            f"try       moorusher fleet show --address {HOST}:{self.runners['n1'].admin}\n"
             f"          moorusher duty show alive --address {HOST}:{self.runners['n1'].admin}\n"
             f"          moorusher namespace publish north {rules} --wait --token lab --address "
             f"{HOST}:{last.admin}\n"
@@ -107,17 +132,25 @@
             f"          moorusher forecast show --address {HOST}:{self.runners['n1'].admin}\n"
             f"          moorusher outage ask --all --lasts 3s --token lab --address {HOST}:{self.runners['n1'].admin}\n"
             f"          moorusher outage show --watch --address {HOST}:{self.runners['n1'].admin}\n"
-            "type      kill NAME, stop NAME, go NAME")
+            "type      kill NAME, stop NAME, go NAME"
+        )
         reactor.callLater(1.0, self._begin)
 
     def _admin(self, name: str, path: str, method: str = "GET") -> Any:
         def ask() -> Any:
             try:
-                with urlopen(Request(f"http://{HOST}:{self.runners[name].admin}/{path}", method=method,
-                                     headers={"Authorization": "Bearer lab"}), timeout=1) as got:
+                with urlopen(
+                    Request(
+                        f"http://{HOST}:{self.runners[name].admin}/{path}",
+                        method=method,
+                        headers={"Authorization": "Bearer lab"},
+                    ),
+                    timeout=1,
+                ) as got:
                     return json.load(got)
             except (OSError, ValueError):
                 return None
+
         return deferToThread(ask)
 
     def _begin(self) -> None:
@@ -169,8 +202,9 @@
         if arrival is None or self.leaving:
             return
         self._try(arrival, self.rng.choice(list(self.runners)), 1)
-        self.reactor.callLater(self.rng.expovariate(1.0) * WORK_MS / 1000 / (len(self.runners) * CORES * 0.6),
-                               self._next)
+        self.reactor.callLater(
+            self.rng.expovariate(1.0) * WORK_MS / 1000 / (len(self.runners) * CORES * 0.6), self._next
+        )
 
     def _try(self, arrival: Arrival, name: str, tries: int) -> None:
         self._number += 1
@@ -221,8 +255,13 @@
         for told in self.told.values():
             fleet.update(told)
         shown = ("covered", "joined", "taken over", "buried", "uncovered")
-        self.say("  ".join(f"{k} {new[k]:>3}" for k in ("served", "refused", "failed", "no answer")) + "  |  "
-                 + "  ".join(f"{k} {fleet['fleet: ' + k]}" for k in shown) + "  |  " + self._report())
+        self.say(
+            "  ".join(f"{k} {new[k]:>3}" for k in ("served", "refused", "failed", "no answer"))
+            + "  |  "
+            + "  ".join(f"{k} {fleet['fleet: ' + k]}" for k in shown)
+            + "  |  "
+            + self._report()
+        )
 
     def _report(self) -> str:
         last = next((t for t in reversed(self.receiver.took) if t.duty == "alive"), None)
--- a/moorusher/lab/namespaces.py
+++ b/moorusher/lab/namespaces.py
@@ -39,8 +39,10 @@
     """A team's first; of those that match, the one whose parts are the smallest, looked at one after the other."""
     best: Rule | None = None
     for rule in rules:
-        if not all(getattr(asked, name) in getattr(rule.match, name)
-                   for name in ("key", "subject", "caller", "klass", "rank")):
+        if not all(
+            getattr(asked, name) in getattr(rule.match, name)
+            for name in ("key", "subject", "caller", "klass", "rank")
+        ):
             continue
         if best is None or bool(rule.team) > bool(best.team):
             best = rule
@@ -54,6 +56,7 @@
 
 def drawn(rng: random.Random) -> bytes:
     """A draft of some rules that meet and hold each other, as they come."""
+
     def match() -> dict[str, Any]:
         made: dict[str, Any] = {}
         if rng.random() < 0.7:
@@ -87,8 +90,13 @@
             refused += 1
             continue
         for _ in range(200):
-            asked = Asked(rng.choice(("check", "submit", "seek")), rng.randint(-1, 10), rng.randint(-1, 10),
-                          rng.choice((0.0, 0.25, 0.3, 0.9)), rng.choice(KEYS) + rng.choice(("", "z", "-1")))
+            asked = Asked(
+                rng.choice(("check", "submit", "seek")),
+                rng.randint(-1, 10),
+                rng.randint(-1, 10),
+                rng.choice((0.0, 0.25, 0.3, 0.9)),
+                rng.choice(KEYS) + rng.choice(("", "z", "-1")),
+            )
             found = table.find(asked)
             wrong += (None if found is None else found.label) != plain(table.rules, asked)
             done += 1
@@ -96,9 +104,12 @@
 
 
 def ruled(count: int, to: str = "main", server: str = "s") -> bytes:
-    rules = {f"{i:x}": {"match": {"key": [f"{i:05x}*"], "caller": [[i % 50, 60]]}, "to": to} for i in range(count)}
-    return json.dumps({"default": to, "routes": {to: {"servers": {server: 1}}}, "rules": rules},
-                      separators=(",", ":")).encode()
+    rules = {
+        f"{i:x}": {"match": {"key": [f"{i:05x}*"], "caller": [[i % 50, 60]]}, "to": to} for i in range(count)
+    }
+    return json.dumps(
+        {"default": to, "routes": {to: {"servers": {server: 1}}}, "rules": rules}, separators=(",", ":")
+    ).encode()
 
 
 def look_up_us(customers: Customers, name: str, rules: int) -> float:
@@ -132,14 +143,23 @@
         self.below = {name: Database(reactor, 200, delay=SLOW_S) for name in ("free", *TENANTS)}
         for server in self.below.values():
             server.listen()
-        tier = "".join(f'[[tier.server]]\nname = "{n}"\naddress = "{HOST}:{s.port}"\n' for n, s in self.below.items())
+        tier = "".join(
+            f'[[tier.server]]\nname = "{n}"\naddress = "{HOST}:{s.port}"\n' for n, s in self.below.items()
+        )
         own = "".join(f'[[namespaces.customer]]\nname = "{n}"\nservers = ["{n}"]\n' for n in TENANTS)
         budget = "bytes = 780000\nrules = 20000\nwords = 200000\nsteps = 50000000\ntable_bytes = 67108864\n"
         settings = settings_of([KIND], TENANTS, CORES) | {"overShareWorth": 0.1}
-        super().__init__(reactor, RUNNERS, settings, lambda i: (
-            f"{tier}[duties]\non = true\nsteady_ms = 500\nstate_bytes = 2097152\n"
-            f"[namespaces]\non = true\nan_hour = 1000\nmemory_mb = 512\n{budget}{own}"), machine=Machine(CORES),
-            gauges=GAUGES)
+        super().__init__(
+            reactor,
+            RUNNERS,
+            settings,
+            lambda i: (
+                f"{tier}[duties]\non = true\nsteady_ms = 500\nstate_bytes = 2097152\n"
+                f"[namespaces]\non = true\nan_hour = 1000\nmemory_mb = 512\n{budget}{own}"
+            ),
+            machine=Machine(CORES),
+            gauges=GAUGES,
+        )
 
     async def publish(self, i: int, customer: str, draft: bytes) -> dict[str, Any]:
         got: dict[str, Any] = await self.asked(i, f"namespaces/{customer}?wait=1", "PUT", draft)
@@ -176,11 +196,18 @@
     took = await deferToThread(look_ups, others, each)
     result.figures["look-ups"] = took | {"others": others, "rules of each": each}
     say(f"look-up {took['alone us']:.1f} us alone, {took['beside others us']:.1f} us beside {others} others")
-    result.hold("look-up among 1,000 rules", f"{took['beside others us']:.1f} us", "under 15 us",
-                took["beside others us"] < 15)
-    result.hold(f"the same beside {others} other customers of {each} rules, over alone",
-                f"{took['beside others us'] / took['alone us']:.2f}", "at most 1.3",
-                took["beside others us"] <= 1.3 * took["alone us"])
+    result.hold(
+        "look-up among 1,000 rules",
+        f"{took['beside others us']:.1f} us",
+        "under 15 us",
+        took["beside others us"] < 15,
+    )
+    result.hold(
+        f"the same beside {others} other customers of {each} rules, over alone",
+        f"{took['beside others us'] / took['alone us']:.2f}",
+        "at most 1.3",
+        took["beside others us"] <= 1.3 * took["alone us"],
+    )
     real = Routed(reactor)
     try:
         await real.begin()
@@ -207,8 +234,12 @@
     result.figures["submitted to everywhere, ms"] = sorted(whole)
     say(f"published to everywhere: {statistics.median(after):.0f} ms in the median, {after[-1]:.0f} at most")
     result.hold("revisions that did not come to all runners", f"{lacking} of {times}", "none", not lacking)
-    result.hold("published to everywhere at 6 runners, median", f"{statistics.median(after):.0f} ms", "under 100 ms",
-                statistics.median(after) < 100)
+    result.hold(
+        "published to everywhere at 6 runners, median",
+        f"{statistics.median(after):.0f} ms",
+        "under 100 ms",
+        statistics.median(after) < 100,
+    )
 
 
 async def beside(real: Routed, seed: int, seeds: range, result: Result, say: Callable[[str], None]) -> None:
@@ -222,7 +253,7 @@
         await real.publish(0, tenant, ruled(10, "main", tenant))
     lines: dict[str, list[tuple[float, float]]] = {name: [] for name in arms}
     for one in seeds:
-        for arm in (*list(arms)[one % 4:], *list(arms)[:one % 4]):  # each follows each of the others
+        for arm in (*list(arms)[one % 4 :], *list(arms)[: one % 4]):  # each follows each of the others
             rates = quiet | {"large": (3 if arm in ("beside", "flood") else 1) * share}
             stop = [False]
             await real.publish(0, "large", ruled(10, "main", "large"))
@@ -247,12 +278,21 @@
     means = {arm: statistics.fmean(found) for arm, found in arms.items()}
     noise = statistics.fmean(abs(a - b) for a, b in zip(arms["alone"], arms["again"], strict=True))
     result.figures["quiet customers' worth in time"] = means | {"noise": noise}
-    result.hold("quiet customers beside one at three times its share with 10,000 rules, less than beside it without",
-                f"{100 * (means['flood'] - means['beside']):.2f} points (noise {100 * noise:.2f})",
-                "at most 1 point, or the noise", means["flood"] - means["beside"] <= max(0.01, noise))
-    result.hold("and less than beside it at its share", f"{100 * (means['alone'] - means['beside']):.2f} points",
-                "at most 1 point", means["alone"] - means["beside"] <= 0.01)
+    result.hold(
+        "quiet customers beside one at three times its share with 10,000 rules, less than beside it without",
+        f"{100 * (means['flood'] - means['beside']):.2f} points (noise {100 * noise:.2f})",
+        "at most 1 point, or the noise",
+        means["flood"] - means["beside"] <= max(0.01, noise),
+    )
+    result.hold(
+        "and less than beside it at its share",
+        f"{100 * (means['alone'] - means['beside']):.2f} points",
+        "at most 1 point",
+        means["alone"] - means["beside"] <= 0.01,
+    )
     result.plots.append(Plot("Worth in time of the quiet customers", "seed", "share", lines))
 
 
-NAMESPACES = Experiment("namespaces", "Customers' rules: right, quick, everywhere soon, and nobody's burden.", play)
+NAMESPACES = Experiment(
+    "namespaces", "Customers' rules: right, quick, everywhere soon, and nobody's burden.", play
+)
--- a/moorusher/lab/outage.py
+++ b/moorusher/lab/outage.py
@@ -38,7 +38,10 @@
 from .stand_ins import HOST, Kernel, now_us
 
 RUNNERS, CORES, WORK_MS, LOAD = 8, 2, 60.0, 0.7
-KINDS = [Kind("check", 0.7, WORK_MS, False, 1500, 4000), Kind("submit", 0.3, WORK_MS, False, 3000, 8000, keyed=True)]
+KINDS = [
+    Kind("check", 0.7, WORK_MS, False, 1500, 4000),
+    Kind("submit", 0.3, WORK_MS, False, 3000, 8000, keyed=True),
+]
 LASTS_S, COLD_S, COLD = 3.0, 2.0, 0.5
 FIXED_S, STOP_S = 7.0, 4.2
 MOST_S, NOBODY_S = 150.0, 45.0
@@ -54,20 +57,34 @@
         self.settled, self.nobody = way in ("settled", "lost", "cut"), way.startswith("nobody")
         self.kernels = [self._kernel(False) for _ in range(RUNNERS)]
         self.ports = [free_port() for _ in range(RUNNERS)]
-        self.relays = {(i, j): Relay(reactor, self.ports[j]) for i in range(RUNNERS) for j in range(RUNNERS) if i != j}
-        settings = settings_of(KINDS, ["north", "south"], CORES, below="off", classCalls=[False, False],
-                               worthWithout=[0, 0])
+        self.relays = {
+            (i, j): Relay(reactor, self.ports[j]) for i in range(RUNNERS) for j in range(RUNNERS) if i != j
+        }
+        settings = settings_of(
+            KINDS, ["north", "south"], CORES, below="off", classCalls=[False, False], worthWithout=[0, 0]
+        )
         settings["invariants"] |= {"coldShare": COLD, "warmAfterMs": COLD_S * 1000}
         for i in range(RUNNERS):
             self._mark(i, 1)
-        self.runners = [Runner(reactor, self.kernels[i], settings, name=f"r{i}", more=self._toml(i),
-                               standing="probe_ms = 500.0\nreaction_ms = 250.0\nclimb_s = 2.0") for i in range(RUNNERS)]
+        self.runners = [
+            Runner(
+                reactor,
+                self.kernels[i],
+                settings,
+                name=f"r{i}",
+                more=self._toml(i),
+                standing="probe_ms = 500.0\nreaction_ms = 250.0\nclimb_s = 2.0",
+            )
+            for i in range(RUNNERS)
+        ]
         for runner in self.runners:
             runner.comes_back = True
         self.targets = [Target(reactor, r.port, i) for i, r in enumerate(self.runners)]
         self.servers = [Server(r.name) for r in self.runners]
-        self.probers = [Prober(reactor, s, r.agent, "agent", 0.5, i / RUNNERS) for i, (s, r) in
-                        enumerate(zip(self.servers, self.runners, strict=True))]
+        self.probers = [
+            Prober(reactor, s, r.agent, "agent", 0.5, i / RUNNERS)
+            for i, (s, r) in enumerate(zip(self.servers, self.runners, strict=True))
+        ]
         self.choice = Choice(self.servers)
         self.out: set[int] = set()  # that may be worked on, or are not yet back
         self.most = 0
@@ -79,8 +96,13 @@
 
     def _kernel(self, cold: bool) -> Kernel:
         machine = Machine(CORES, cold_speed=COLD, warm_us=round(COLD_S * 1e6))
-        made = Kernel(self.reactor, machine=machine, gauges=GAUGES, state="EMPTY" if cold else "LOADED",
-                      age_ms=0 if cold else 5000)
+        made = Kernel(
+            self.reactor,
+            machine=machine,
+            gauges=GAUGES,
+            state="EMPTY" if cold else "LOADED",
+            age_ms=0 if cold else 5000,
+        )
         made.listen()
         return made
 
@@ -88,12 +110,19 @@
         (Path(self.dir.name) / f"m{i}").write_text(f"start {start}")
 
     def _toml(self, i: int) -> str:
-        seats = "".join(f'[[fleet.seat]]\nname = "r{j}"\nzone = "z{j % 2}"\naddress = '
-                        f'"{HOST}:{self.relays[i, j].port if i != j else self.ports[i]}"\n' for j in range(RUNNERS))
+        seats = "".join(
+            f'[[fleet.seat]]\nname = "r{j}"\nzone = "z{j % 2}"\naddress = '
+            f'"{HOST}:{self.relays[i, j].port if i != j else self.ports[i]}"\n'
+            for j in range(RUNNERS)
+        )
         # A machine that starts anew has its disk.
         fleet = f'[fleet]\nlisten = "{HOST}:{self.ports[i]}"\nname = "lab"\njournal = "{self.dir.name}/j{i}"\n{seats}'
-        return fleet + (f'[outage]\non = true\nsettle_s = 0.3\nfill = 1.0\npeak_s = 5.0\nmachine_id = '
-                        f'"{self.dir.name}/m{i}"\n' if self.settled else "")
+        return fleet + (
+            f"[outage]\non = true\nsettle_s = 0.3\nfill = 1.0\npeak_s = 5.0\nmachine_id = "
+            f'"{self.dir.name}/m{i}"\n'
+            if self.settled
+            else ""
+        )
 
     @property
     def now(self) -> float:
@@ -102,15 +131,24 @@
     async def _pause(self, s: float) -> None:
         await deferLater(self.reactor, max(0.0, s), lambda: None)
 
-    async def _asks(self, i: int, path: str, sent: Any = None, method: str = "POST", timeout: float = 6) -> Any:
+    async def _asks(
+        self, i: int, path: str, sent: Any = None, method: str = "POST", timeout: float = 6
+    ) -> Any:
         def ask() -> Any:
             try:
-                with urlopen(Request(f"http://{HOST}:{self.runners[i].admin}/{path}", method=method,
-                                     data=None if sent is None else json.dumps(sent).encode(),
-                                     headers={"Authorization": "Bearer lab"}), timeout=timeout) as got:
+                with urlopen(
+                    Request(
+                        f"http://{HOST}:{self.runners[i].admin}/{path}",
+                        method=method,
+                        data=None if sent is None else json.dumps(sent).encode(),
+                        headers={"Authorization": "Bearer lab"},
+                    ),
+                    timeout=timeout,
+                ) as got:
                     return json.load(got)
             except (OSError, ValueError):
                 return {}
+
         return await deferToThread(ask)
 
     # ---- machines ----
@@ -159,7 +197,9 @@
         await self.reboot(i)
 
     async def _settled(self) -> None:
-        while not await self._asks(0, "outage/ask", {"id": "all", "all": True, "reason": "patch", "lasts_s": LASTS_S}):
+        while not await self._asks(
+            0, "outage/ask", {"id": "all", "all": True, "reason": "patch", "lasts_s": LASTS_S}
+        ):
             await self._pause(0.2)
         await gatherResults([Deferred.fromCoroutine(self._script(i)) for i in range(RUNNERS)])
 
@@ -228,8 +268,18 @@
             await self._pause(0.2)
         await self._pause(1.0)
         seconds = NOBODY_S if self.nobody else MOST_S
-        load = Load(self.reactor, draw(self.rng.randrange(1 << 30), KINDS, ["north", "south"],
-                                       LOAD * RUNNERS * CORES / (WORK_MS / 1000), seconds), self._pick, "o")
+        load = Load(
+            self.reactor,
+            draw(
+                self.rng.randrange(1 << 30),
+                KINDS,
+                ["north", "south"],
+                LOAD * RUNNERS * CORES / (WORK_MS / 1000),
+                seconds,
+            ),
+            self._pick,
+            "o",
+        )
         self._began = now_us()
         load.start()
         self._trace(load)
@@ -239,17 +289,28 @@
             await self._pause(seconds - 6.0)
             self.done_at = self.now
         else:
-            await DeferredList([Deferred.fromCoroutine(self._play()), deferLater(self.reactor, MOST_S, lambda: None)],
-                               fireOnOneCallback=True)
+            await DeferredList(
+                [Deferred.fromCoroutine(self._play()), deferLater(self.reactor, MOST_S, lambda: None)],
+                fireOnOneCallback=True,
+            )
         load._next = len(load._arrivals)  # no more
         await self._pause(4.0)
         runs = Counter(rid for k in self.kernels for rid, klass, _ in k.runs if klass == "submit")
         asked = sum(load.counts.values())
-        return {"served": load.served / load.asked, "asked": asked, "counts": dict(load.counts),
-                "lost": load.counts["lost"] + load.counts["failed"] + load.counts["unreached"],
-                "twice": sum(n > 1 for n in runs.values()), "most": self.most, "went": len(self.outs),
-                "seconds": self.done_at - 5.0, "cycles": self.cycles, "lines": self.lines,
-                "events": load.events, "outs": self.outs}
+        return {
+            "served": load.served / load.asked,
+            "asked": asked,
+            "counts": dict(load.counts),
+            "lost": load.counts["lost"] + load.counts["failed"] + load.counts["unreached"],
+            "twice": sum(n > 1 for n in runs.values()),
+            "most": self.most,
+            "went": len(self.outs),
+            "seconds": self.done_at - 5.0,
+            "cycles": self.cycles,
+            "lines": self.lines,
+            "events": load.events,
+            "outs": self.outs,
+        }
 
     def _pick(self, arrival: Arrival) -> Any:
         chosen = self.choice.pick(now_us(), self.rng)
@@ -293,8 +354,19 @@
         return unpack(change(pack(roster)) or pack(roster))
 
     while (roster.asks or roster.turns) and now < 50_000:
-        views = [View(n, f"z{i % 4}", f"g{i % 20}", lost.get(n, 1e9) > now or now > lost[n] + 600, 4.0, 100,
-                      load * 4, load * 4) for i, n in enumerate(names)]
+        views = [
+            View(
+                n,
+                f"z{i % 4}",
+                f"g{i % 20}",
+                lost.get(n, 1e9) > now or now > lost[n] + 600,
+                4.0,
+                100,
+                load * 4,
+                load * 4,
+            )
+            for i, n in enumerate(names)
+        ]
         began = perf_counter()
         step = plan(roster, views, names[:7], policy, now)
         steps.append(1000 * (perf_counter() - began))
@@ -319,8 +391,15 @@
                 assert back is not None
                 roster = changed(Warm(back, 2, now, policy.most_kept))
     bound = sum(took.values()) / min(most, int(machines * (1 - load / 0.95)) or 1)
-    return {"seconds": now, "over the bound": now / bound, "worst free": free, "most out": worst_out,
-            "step ms": mean(steps), "longest step ms": max(steps), "roster bytes": max(sizes)}
+    return {
+        "seconds": now,
+        "over the bound": now / bound,
+        "worst free": free,
+        "most out": worst_out,
+        "step ms": mean(steps),
+        "longest step ms": max(steps),
+        "roster bytes": max(sizes),
+    }
 
 
 def messages(seats: int) -> float:
@@ -346,7 +425,8 @@
     with tempfile.TemporaryDirectory() as name:
         path = Path(name) / "told.json"
         await getProcessValue(  # type: ignore[no-untyped-call]
-            sys.executable, ["-m", "moorusher.lab.outage", str(seed), way, str(path)], env=dict(os.environ))
+            sys.executable, ["-m", "moorusher.lab.outage", str(seed), way, str(path)], env=dict(os.environ)
+        )
         return json.loads(path.read_text()) if path.exists() else {}
 
 
@@ -361,10 +441,15 @@
             got = await _arm(one, way)
             if got:
                 told.setdefault(way, []).append(got)
-            say(f"{way:<9} seed {one}: " + (
-                f"served {got['served']:.3f}  lost or failed {got['lost']}  twice {got['twice']}"
-                f"  most out {got['most']}  went {got['went']}  in {got['seconds']:.0f} s  {got['counts']}"
-                if got else "did not come to an end"))
+            say(
+                f"{way:<9} seed {one}: "
+                + (
+                    f"served {got['served']:.3f}  lost or failed {got['lost']}  twice {got['twice']}"
+                    f"  most out {got['most']}  went {got['went']}  in {got['seconds']:.0f} s  {got['counts']}"
+                    if got
+                    else "did not come to an end"
+                )
+            )
 
     await gatherResults([Deferred.fromCoroutine(work()) for _ in range(2)])
     for load in (0.6, 0.85):
@@ -383,36 +468,71 @@
         return float(mean((1 - t["served"]) * t["asked"] for t in told[way]))
 
     for way, every in told.items():
-        result.figures[way] = {k: mean(t[k] for t in every)
-                               for k in ("served", "lost", "twice", "most", "went", "seconds")}
+        result.figures[way] = {
+            k: mean(t[k] for t in every) for k in ("served", "lost", "twice", "most", "went", "seconds")
+        }
         if way not in ("settled", "lost", "cut"):
             continue
         alone = "nobody" if way == "settled" else f"nobody {way}"
         more = (costs(way) - costs(alone)) / mean(t["asked"] for t in every)
-        result.hold(f"{way}: service lost", f"{100 * more:.2f} points more", f"at most 1 more than with {alone}",
-                    more <= 0.01)
+        result.hold(
+            f"{way}: service lost",
+            f"{100 * more:.2f} points more",
+            f"at most 1 more than with {alone}",
+            more <= 0.01,
+        )
         failed, there = mean(t["lost"] for t in every), mean(t["lost"] for t in told[alone])
-        result.hold(f"{way}: requests lost or failed by the work", f"{failed:.0f}, {there:.0f} with {alone}",
-                    "a fifth more at most, as courses differ", failed <= 1.2 * there)
-        result.hold(f"{way}: keyed work begun twice", str(sum(t["twice"] for t in every)), "none",
-                    not any(t["twice"] for t in every))
-        result.hold(f"{way}: most out at a time", str(max(t["most"] for t in every)), "1",
-                    all(t["most"] <= 1 for t in every))
-        result.hold(f"{way}: all went", str(min(t["went"] for t in every)), str(RUNNERS),
-                    all(t["went"] == RUNNERS for t in every))
+        result.hold(
+            f"{way}: requests lost or failed by the work",
+            f"{failed:.0f}, {there:.0f} with {alone}",
+            "a fifth more at most, as courses differ",
+            failed <= 1.2 * there,
+        )
+        result.hold(
+            f"{way}: keyed work begun twice",
+            str(sum(t["twice"] for t in every)),
+            "none",
+            not any(t["twice"] for t in every),
+        )
+        result.hold(
+            f"{way}: most out at a time",
+            str(max(t["most"] for t in every)),
+            "1",
+            all(t["most"] <= 1 for t in every),
+        )
+        result.hold(
+            f"{way}: all went",
+            str(min(t["went"] for t in every)),
+            str(RUNNERS),
+            all(t["went"] == RUNNERS for t in every),
+        )
     ratio = mean(t["seconds"] / sum(t["cycles"]) for t in told["settled"] if t["cycles"])
-    result.hold("settled: time for all over the shortest that the limit allows", f"{ratio:.2f}",
-                "at most 1.3 times the sum of the turns", ratio <= 1.3)
-    result.hold("messages a member a second", ", ".join(f"{v:.1f} at {n}" for n, v in counts.items()),
-                "no more in a larger fleet", max(counts.values()) <= 1.3 * counts[min(counts)])
+    result.hold(
+        "settled: time for all over the shortest that the limit allows",
+        f"{ratio:.2f}",
+        "at most 1.3 times the sum of the turns",
+        ratio <= 1.3,
+    )
+    result.hold(
+        "messages a member a second",
+        ", ".join(f"{v:.1f} at {n}" for n, v in counts.items()),
+        "no more in a larger fleet",
+        max(counts.values()) <= 1.3 * counts[min(counts)],
+    )
     for way in ("settled", "at once", "health"):
         if way in told:
             lines = {k: [(a, b) for a, b in v] for k, v in told[way][0]["lines"].items()}
-            result.plots.append(Plot(f"{way}: machines out, and requests in flight a core", "s", "", lines, 1.0))
+            result.plots.append(
+                Plot(f"{way}: machines out, and requests in flight a core", "s", "", lines, 1.0)
+            )
 
 
-OUTAGE = Experiment("outage", "Eight runners under load that are all to be worked on, by an order that they settle "
-                    "among themselves and by three others; a thousand in virtual time.", play)
+OUTAGE = Experiment(
+    "outage",
+    "Eight runners under load that are all to be worked on, by an order that they settle "
+    "among themselves and by three others; a thousand in virtual time.",
+    play,
+)
 
 
 def main(seed: int, way: str, path: str) -> None:
--- a/moorusher/lab/receiver.py
+++ b/moorusher/lab/receiver.py
@@ -27,9 +27,12 @@
     def __init__(self, path: Path) -> None:
         self._db = sqlite3.connect(path, isolation_level=None, check_same_thread=False)
         self._db.execute("PRAGMA synchronous = FULL")
-        self._db.execute("CREATE TABLE IF NOT EXISTS fences (duty TEXT PRIMARY KEY, born INT, term INT, number INT)")
-        self._db.execute("CREATE TABLE IF NOT EXISTS jobs (duty TEXT, number INT, done INT, "
-                         "PRIMARY KEY (duty, number))")
+        self._db.execute(
+            "CREATE TABLE IF NOT EXISTS fences (duty TEXT PRIMARY KEY, born INT, term INT, number INT)"
+        )
+        self._db.execute(
+            "CREATE TABLE IF NOT EXISTS jobs (duty TEXT, number INT, done INT, PRIMARY KEY (duty, number))"
+        )
 
     def fenced(self, duty: str, fence: Fence) -> tuple[Verdict, Fence | None]:
         self._db.execute("BEGIN IMMEDIATE")
@@ -37,14 +40,18 @@
         highest = None if row is None else Fence(*row)
         verdict = judge(highest, fence)
         if verdict is Verdict.NEW:
-            self._db.execute("REPLACE INTO fences VALUES (?, ?, ?, ?)", (duty, fence.born, fence.term, fence.number))
+            self._db.execute(
+                "REPLACE INTO fences VALUES (?, ?, ?, ?)", (duty, fence.born, fence.term, fence.number)
+            )
         self._db.execute("COMMIT")
         return verdict, highest
 
     def intent(self, duty: str, number: int) -> tuple[bool, bool]:
         """Whether it is done now, and whether that is for the first time."""
         self._db.execute("BEGIN IMMEDIATE")
-        row = self._db.execute("SELECT done FROM jobs WHERE duty = ? AND number = ?", (duty, number)).fetchone()
+        row = self._db.execute(
+            "SELECT done FROM jobs WHERE duty = ? AND number = ?", (duty, number)
+        ).fetchone()
         if row is None:
             self._db.execute("INSERT INTO jobs VALUES (?, ?, 1)", (duty, number))
         self._db.execute("COMMIT")
@@ -54,7 +61,9 @@
         """Whether it was done; where it was not, it never will be."""
         self._db.execute("BEGIN IMMEDIATE")
         self._db.execute("INSERT OR IGNORE INTO jobs VALUES (?, ?, 0)", (duty, number))
-        row = self._db.execute("SELECT done FROM jobs WHERE duty = ? AND number = ?", (duty, number)).fetchone()
+        row = self._db.execute(
+            "SELECT done FROM jobs WHERE duty = ? AND number = ?", (duty, number)
+        ).fetchone()
         self._db.execute("COMMIT")
         return bool(row[0])
 
--- a/moorusher/lab/stand_ins.py
+++ b/moorusher/lab/stand_ins.py
@@ -17,7 +17,9 @@
 
 HOST = "127.0.0.1"
 LOOK = 50_000  # us; cores are looked at so often while something runs: speeds change under it
-SCALE = "work "  # a body that begins so says what its run takes: 'work 20 30' is 20 ms, a call, and 30 ms more
+SCALE = (
+    "work "  # a body that begins so says what its run takes: 'work 20 30' is 20 ms, a call, and 30 ms more
+)
 
 
 def now_us() -> int:
@@ -89,9 +91,19 @@
 
     protocol = _KernelLink
 
-    def __init__(self, reactor: Any, cores: int = 2, work: float = 0.02, hang: bool = False, calls: bool = False,
-                 late: float = 0.0, state: str = "LOADED", machine: Machine | None = None,
-                 gauges: tuple[str, ...] = ("cpu_busy",), age_ms: int = 5000) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        cores: int = 2,
+        work: float = 0.02,
+        hang: bool = False,
+        calls: bool = False,
+        late: float = 0.0,
+        state: str = "LOADED",
+        machine: Machine | None = None,
+        gauges: tuple[str, ...] = ("cpu_busy",),
+        age_ms: int = 5000,
+    ) -> None:
         super().__init__(reactor)
         machine = machine or Machine(cores, knee=1e9, tip_per_core=1e9)
         self.cores = Cores(machine, now_us(), cold=state == "EMPTY")
@@ -147,7 +159,11 @@
         self.heard[kind] += 1
         if kind == "OPEN":
             if self.up_at > now_us():
-                self._waits = (link, m["no"], self.reactor.callLater((self.up_at - now_us()) / 1e6, self.come_up))
+                self._waits = (
+                    link,
+                    m["no"],
+                    self.reactor.callLater((self.up_at - now_us()) / 1e6, self.come_up),
+                )
             else:
                 self._opened(link, m["no"])
         elif kind in self.refuse:
@@ -189,7 +205,7 @@
     def _plan(self, body: bytes) -> list[float]:
         """Stretches of work in us; a call lies between two."""
         if body.startswith(SCALE.encode()):
-            return [float(ms) * 1000 for ms in body[len(SCALE):].split()]
+            return [float(ms) * 1000 for ms in body[len(SCALE) :].split()]
         work = 1e12 if self.hang else self.work * 1e6
         return [work / 2, work / 2] if self.calls else [work]
 
@@ -209,7 +225,12 @@
         spent = (self.cores.busy_us - before) / max(1, now - since) / self.cores.machine.cores
         if now - since > 250_000:
             self._busy = (now, self.cores.busy_us)
-        told = {"cpu_busy": min(1.0, spent), "runnable": float(len(self.cores)), "mem_used": 0.1, "sockets": 1.0}
+        told = {
+            "cpu_busy": min(1.0, spent),
+            "runnable": float(len(self.cores)),
+            "mem_used": 0.1,
+            "sockets": 1.0,
+        }
         return [told[name] for name in self.gauges]
 
     def _look(self) -> None:
@@ -253,7 +274,7 @@
     def rawDataReceived(self, data: bytes) -> None:
         self._body += data
         if len(self._body) >= self._length:
-            body, rest, first = self._body[:self._length], self._body[self._length:], self._first
+            body, rest, first = self._body[: self._length], self._body[self._length :], self._first
             self._first = b""
             self.server.asked(self, first, body)
             self.setLineMode(rest)  # type: ignore[no-untyped-call]
@@ -299,8 +320,8 @@
         if len(self._data) >= HEAD.size:
             size = HEAD.unpack_from(self._data)[1]
             if len(self._data) >= HEAD.size + size:
-                variables = parse_vars(self._data[HEAD.size:HEAD.size + size])
-                body = self._data[HEAD.size + size:]
+                variables = parse_vars(self._data[HEAD.size : HEAD.size + size])
+                body = self._data[HEAD.size + size :]
                 if len(body) >= int(variables["CONTENT_LENGTH"]):
                     self._data = b""
                     self.server.tokens.append(variables.get(VARS["token"]))
--- a/moorusher/lab/takeover.py
+++ b/moorusher/lab/takeover.py
@@ -21,7 +21,10 @@
 from .stand_ins import HOST, Kernel, now_us
 
 RUNNERS, CORES, WORK_MS = 6, 2, 60.0
-KINDS = [Kind("check", 0.7, WORK_MS, False, 1500, 4000), Kind("submit", 0.3, WORK_MS, False, 3000, 8000, keyed=True)]
+KINDS = [
+    Kind("check", 0.7, WORK_MS, False, 1500, 4000),
+    Kind("submit", 0.3, WORK_MS, False, 3000, 8000, keyed=True),
+]
 TENANTS = ["north", "south"]
 SECONDS, LOST_AT, SILENT_S = 9.0, 3.0, 2.0
 BURST = 10
@@ -50,11 +53,18 @@
         for kernel in self.kernels:
             kernel.listen()
         ports = [free_port() for _ in range(RUNNERS)]
-        self.relays = {(i, j): Relay(reactor, ports[j]) for i in range(RUNNERS) for j in range(RUNNERS) if i != j} \
-            if on else {}
-        settings = settings_of(KINDS, TENANTS, CORES, below="off", classCalls=[False, False], worthWithout=[0, 0])
-        self.runners = [Runner(reactor, self.kernels[i], settings, name=f"r{i}",
-                               more=self._toml(i, ports) if on else "") for i in range(RUNNERS)]
+        self.relays = (
+            {(i, j): Relay(reactor, ports[j]) for i in range(RUNNERS) for j in range(RUNNERS) if i != j}
+            if on
+            else {}
+        )
+        settings = settings_of(
+            KINDS, TENANTS, CORES, below="off", classCalls=[False, False], worthWithout=[0, 0]
+        )
+        self.runners = [
+            Runner(reactor, self.kernels[i], settings, name=f"r{i}", more=self._toml(i, ports) if on else "")
+            for i in range(RUNNERS)
+        ]
         self.targets = [Target(reactor, r.port, i) for i, r in enumerate(self.runners)]
         self.arrivals = draw(seed, KINDS, TENANTS, load * RUNNERS * CORES / (WORK_MS / 1000), SECONDS)
         self.asked: list[Asked] = []
@@ -66,8 +76,11 @@
         self._began = 0
 
     def _toml(self, i: int, ports: list[int]) -> str:
-        seats = "".join(f'[[fleet.seat]]\nname = "r{j}"\nzone = "z{j % 3}"\naddress = '
-                        f'"{HOST}:{self.relays[i, j].port if i != j else ports[i]}"\n' for j in range(RUNNERS))
+        seats = "".join(
+            f'[[fleet.seat]]\nname = "r{j}"\nzone = "z{j % 3}"\naddress = '
+            f'"{HOST}:{self.relays[i, j].port if i != j else ports[i]}"\n'
+            for j in range(RUNNERS)
+        )
         return f'[fleet]\nlisten = "{HOST}:{ports[i]}"\nname = "lab"\n{seats}'
 
     @property
@@ -80,11 +93,18 @@
     def _admin(self, i: int, path: str, method: str = "GET") -> Any:
         def ask() -> bytes | None:
             try:
-                with urlopen(Request(f"http://{HOST}:{self.runners[i].admin}/{path}", method=method,
-                                     headers={"Authorization": "Bearer lab"}), timeout=2) as got:
+                with urlopen(
+                    Request(
+                        f"http://{HOST}:{self.runners[i].admin}/{path}",
+                        method=method,
+                        headers={"Authorization": "Bearer lab"},
+                    ),
+                    timeout=2,
+                ) as got:
                     return bytes(got.read())
             except OSError:
                 return None
+
         return deferToThread(ask)
 
     async def play(self) -> dict[str, float]:
@@ -153,8 +173,12 @@
     def _lose(self) -> None:
         self.lost = [1, 4] if self.fault == "two" else [1]
         self.in_hand = [a for a in self.asked if a.token and not a.outcome and a.at and a.at[-1] in self.lost]
-        self.begun_there = {self.by_rid[rid].token for i in self.lost for rid, _, _ in self.kernels[i].runs
-                            if rid in self.by_rid}
+        self.begun_there = {
+            self.by_rid[rid].token
+            for i in self.lost
+            for rid, _, _ in self.kernels[i].runs
+            if rid in self.by_rid
+        }
         for i in self.lost:
             if self.fault in ("one", "two"):
                 self.runners[i].signal("KILL")
@@ -196,14 +220,18 @@
         def good(a: Asked) -> bool:
             return a.outcome == "served" and a.ended - a.sent <= a.arrival.kind.deadline_ms / 1000
 
-        return {"tokens": len(keyed), "begun twice": sum(n > 1 for n in runs.values()),
-                "in hand": len(self.in_hand), "held": len(held),
-                "held served": sum(map(good, held)) / max(1, len(held)),
-                "no ending": sum(not a.outcome for a in self.in_hand),
-                "runs for one served": sum(runs.values()) / max(1, sum(map(good, keyed))),
-                "served": sum(map(good, keyed)) / max(1, len(keyed)),
-                "rest": sum(map(good, rest)) / max(1, len(rest)),
-                "takeover s": -1.0 if self.taken_at is None else self.taken_at - LOST_AT}
+        return {
+            "tokens": len(keyed),
+            "begun twice": sum(n > 1 for n in runs.values()),
+            "in hand": len(self.in_hand),
+            "held": len(held),
+            "held served": sum(map(good, held)) / max(1, len(held)),
+            "no ending": sum(not a.outcome for a in self.in_hand),
+            "runs for one served": sum(runs.values()) / max(1, sum(map(good, keyed))),
+            "served": sum(map(good, keyed)) / max(1, len(keyed)),
+            "rest": sum(map(good, rest)) / max(1, len(rest)),
+            "takeover s": -1.0 if self.taken_at is None else self.taken_at - LOST_AT,
+        }
 
     def close(self) -> None:
         for r in self.runners:
@@ -218,39 +246,64 @@
     result = Result()
     seeds = range(seed, seed + (1 if quick else 10))
     sums: dict[tuple[str, bool], list[dict[str, float]]] = {}
-    for load in ((0.9,) if quick else (0.6, 0.9)):
+    for load in (0.9,) if quick else (0.6, 0.9):
         for fault in FAULTS:
             for one in seeds:
-                for on in ((True,) if fault == "cut" else (False, True)):
+                for on in (True,) if fault == "cut" else (False, True):
                     got = await Arm(reactor, one, load, on, fault).play()
                     sums.setdefault((f"{fault} at {load:.0%}", on), []).append(got)
-                    say(f"{fault:<8} {load:.0%} seed {one} fleet {'on ' if on else 'off'} "
-                        + "  ".join(f"{k} {v:.3g}" for k, v in got.items()))
+                    say(
+                        f"{fault:<8} {load:.0%} seed {one} fleet {'on ' if on else 'off'} "
+                        + "  ".join(f"{k} {v:.3g}" for k, v in got.items())
+                    )
     for (name, on), all_of in sums.items():
         total = {k: sum(g[k] for g in all_of) for k in all_of[0]}
-        result.figures[f"{name}, fleet {'on' if on else 'off'}"] = {k: v / len(all_of) for k, v in total.items()}
+        result.figures[f"{name}, fleet {'on' if on else 'off'}"] = {
+            k: v / len(all_of) for k, v in total.items()
+        }
         if not on:
             continue
-        result.hold(f"{name}: begun twice", f"{total['begun twice']:.0f} of {total['tokens']:.0f}", "none",
-                    total["begun twice"] == 0)
+        result.hold(
+            f"{name}: begun twice",
+            f"{total['begun twice']:.0f} of {total['tokens']:.0f}",
+            "none",
+            total["begun twice"] == 0,
+        )
         held = sum(g["held served"] * g["held"] for g in all_of)
         if total["held"] and not name.startswith("cut"):
-            result.hold(f"{name}: held at the loss, served in time", f"{held:.0f} of {total['held']:.0f}", "0.9",
-                        held >= 0.9 * total["held"])
-        result.hold(f"{name}: without an ending", f"{total['no ending']:.0f} of {total['in hand']:.0f}", "none",
-                    total["no ending"] == 0)
-        result.hold(f"{name}: runs for one served", f"{total['runs for one served'] / len(all_of):.2f}", "at most 1.1",
-                    total["runs for one served"] / len(all_of) <= 1.1)
+            result.hold(
+                f"{name}: held at the loss, served in time",
+                f"{held:.0f} of {total['held']:.0f}",
+                "0.9",
+                held >= 0.9 * total["held"],
+            )
+        result.hold(
+            f"{name}: without an ending",
+            f"{total['no ending']:.0f} of {total['in hand']:.0f}",
+            "none",
+            total["no ending"] == 0,
+        )
+        result.hold(
+            f"{name}: runs for one served",
+            f"{total['runs for one served'] / len(all_of):.2f}",
+            "at most 1.1",
+            total["runs for one served"] / len(all_of) <= 1.1,
+        )
         times = sorted(g["takeover s"] for g in all_of if g["takeover s"] >= 0)
         if times:
             middle = times[len(times) // 2]
             result.hold(f"{name}: time to the first takeover", f"{middle:.2f} s", "under 1 s", middle < 1.0)
         if (name, False) in sums:
             rest, off = (sum(g["rest"] for g in sums[name, o]) / len(all_of) for o in (True, False))
-            result.hold(f"{name}: what survivors serve of the rest", f"{rest:.3f} with, {off:.3f} without",
-                        "within 0.01 of it", rest >= off - 0.01)
+            result.hold(
+                f"{name}: what survivors serve of the rest",
+                f"{rest:.3f} with, {off:.3f} without",
+                "within 0.01 of it",
+                rest >= off - 0.01,
+            )
     return result
 
 
-TAKEOVER = Experiment("takeover", "Six runners under load, some of which are lost, with the fleet and without it.",
-                      play)
+TAKEOVER = Experiment(
+    "takeover", "Six runners under load, some of which are lost, with the fleet and without it.", play
+)
--- a/moorusher/lab/tier.py
+++ b/moorusher/lab/tier.py
@@ -27,7 +27,7 @@
 
 def _since(told: Told) -> float:
     """Share answered in time of the calls that came after the faults."""
-    counted = told.seconds[int(SINCE):int(SECONDS)]
+    counted = told.seconds[int(SINCE) : int(SECONDS)]
     return sum(ok for _, ok in counted) / max(1, sum(n for n, _ in counted))
 
 
@@ -64,43 +64,96 @@
     for way in ("tier", "again", "plain", "round"):
         say(f"{way}: {len(seeds)} seeds, {SECONDS:.0f} s of {RATE:.0f} calls a second in virtual time")
         # 'again' has the same calls and servers, and other chances of its own: what two runs of one way differ by.
-        told[way] = [World(_servers(), "tier" if way == "again" else way, s, RATE, SECONDS,
-                           chance=s + (1000 if way == "again" else 1)).play() for s in seeds]
+        told[way] = [
+            World(
+                _servers(),
+                "tier" if way == "again" else way,
+                s,
+                RATE,
+                SECONDS,
+                chance=s + (1000 if way == "again" else 1),
+            ).play()
+            for s in seeds
+        ]
     share = {way: [_since(t) for t in every] for way, every in told.items()}
     mean = {way: sum(s) / len(s) for way, s in share.items()}
     noise = max(abs(a - b) for a, b in zip(share["tier"], share["again"], strict=True))
-    result.figures = {way: {"in_time": share[way], "p99_ms": [t.quantile(0.99) for t in every],
-                            "attempts_a_call": [t.attempts / t.calls for t in every],
-                            "ends": [dict(t.ends) for t in every]} for way, every in told.items()}
-    result.hold("answered in time since the faults", f"{mean['tier']:.3f}; {mean['plain']:.3f} by a plain pool, "
-                f"{mean['round']:.3f} in turns; noise {noise:.3f}",
-                "0.97, and more than both by 0.1 and twice the noise",
-                mean["tier"] >= 0.97 and mean["tier"] - max(mean["plain"], mean["round"]) >= max(0.1, 2 * noise))
+    result.figures = {
+        way: {
+            "in_time": share[way],
+            "p99_ms": [t.quantile(0.99) for t in every],
+            "attempts_a_call": [t.attempts / t.calls for t in every],
+            "ends": [dict(t.ends) for t in every],
+        }
+        for way, every in told.items()
+    }
+    result.hold(
+        "answered in time since the faults",
+        f"{mean['tier']:.3f}; {mean['plain']:.3f} by a plain pool, "
+        f"{mean['round']:.3f} in turns; noise {noise:.3f}",
+        "0.97, and more than both by 0.1 and twice the noise",
+        mean["tier"] >= 0.97 and mean["tier"] - max(mean["plain"], mean["round"]) >= max(0.1, 2 * noise),
+    )
     most = max(t.attempts / t.calls for t in told["tier"])
     result.hold("attempts for each call", f"{most:.3f}", "1.1", most <= 1.1)
     shift = max(t.shifted({name}, SINCE, 1 / SERVERS) for t in told["tier"] for name in ("s0", "s1", "s2"))
-    result.hold("until each faulty server has less than half of an even share", f"{shift:.2f} s", "3 s", shift <= 3)
+    result.hold(
+        "until each faulty server has less than half of an even share", f"{shift:.2f} s", "3 s", shift <= 3
+    )
     p99 = {way: sorted(t.quantile(0.99) for t in every)[len(every) // 2] for way, every in told.items()}
-    result.hold("p99 of the answered, median of the seeds", f"{p99['tier']:.0f} ms, {p99['round']:.0f} ms in turns",
-                "no more than in turns", p99["tier"] <= p99["round"])
+    result.hold(
+        "p99 of the answered, median of the seeds",
+        f"{p99['tier']:.0f} ms, {p99['round']:.0f} ms in turns",
+        "no more than in turns",
+        p99["tier"] <= p99["round"],
+    )
     twice = sum(t.twice for t in told["tier"])
     result.hold("keyed calls that a server began twice", f"{twice}", "0", twice == 0)
     spread, connections, _ = _spread()
-    result.hold(f"{RUNNERS} runners on {SUBSET} of {MANY} servers each: largest load over the mean",
-                f"{spread:.2f}; at most {connections} connections a server in place of {RUNNERS}", "1.5", spread <= 1.5)
+    result.hold(
+        f"{RUNNERS} runners on {SUBSET} of {MANY} servers each: largest load over the mean",
+        f"{spread:.2f}; at most {connections} connections a server in place of {RUNNERS}",
+        "1.5",
+        spread <= 1.5,
+    )
     costs = {count: _cost(count) for count in (10, 100, 1000)}
     result.figures["us_a_choice"] = costs
-    result.hold("us a choice at 10, 100 and 1,000 servers", ", ".join(f"{c:.1f}" for c in costs.values()),
-                "under 20 at 100", costs[100] < 20)
-    result.plots.append(Plot("answered in time", "s", "share", {
-        way: [(float(i), ok / n) for i, (n, ok) in enumerate(told[way][0].seconds) if n] for way in
-        ("tier", "plain", "round")}))
+    result.hold(
+        "us a choice at 10, 100 and 1,000 servers",
+        ", ".join(f"{c:.1f}" for c in costs.values()),
+        "under 20 at 100",
+        costs[100] < 20,
+    )
+    result.plots.append(
+        Plot(
+            "answered in time",
+            "s",
+            "share",
+            {
+                way: [(float(i), ok / n) for i, (n, ok) in enumerate(told[way][0].seconds) if n]
+                for way in ("tier", "plain", "round")
+            },
+        )
+    )
     for way in ("tier", "round"):
         sent = told[way][0].sent
-        result.plots.append(Plot(f"calls a second, {way}", "s", "calls", {
-            name: [(float(s), float(sum(w == name and s <= at < s + 1 for at, w in sent))) for s in range(int(SECONDS))]
-            for name in ("s0", "s1", "s2", "s3")}))
+        result.plots.append(
+            Plot(
+                f"calls a second, {way}",
+                "s",
+                "calls",
+                {
+                    name: [
+                        (float(s), float(sum(w == name and s <= at < s + 1 for at, w in sent)))
+                        for s in range(int(SECONDS))
+                    ]
+                    for name in ("s0", "s1", "s2", "s3")
+                },
+            )
+        )
     return result
 
 
-TIER = Experiment("tier", "Eight servers below: one hangs, one becomes five times as slow, one fails at once.", _play)
+TIER = Experiment(
+    "tier", "Eight servers below: one hangs, one becomes five times as slow, one fails at once.", _play
+)
--- a/moorusher/lab/up.py
+++ b/moorusher/lab/up.py
@@ -14,8 +14,11 @@
 from .stand_ins import HOST, Database, Kernel, now_us
 
 CORES, WORK_MS = 4, 100.0
-KINDS = [Kind("check-syntax", 0.4, WORK_MS, True, 2000, 6000), Kind("run-tests", 0.45, WORK_MS, True, 3000, 8000),
-         Kind("submit", 0.15, WORK_MS, True, 4000, 10000, keyed=True, worth=3.0)]
+KINDS = [
+    Kind("check-syntax", 0.4, WORK_MS, True, 2000, 6000),
+    Kind("run-tests", 0.45, WORK_MS, True, 3000, 8000),
+    Kind("submit", 0.15, WORK_MS, True, 4000, 10000, keyed=True, worth=3.0),
+]
 TENANTS = ["north", "south"]
 AHEAD_S = 60.0  # arrivals are drawn so far ahead, and again
 
@@ -27,8 +30,13 @@
     reactor = loop.install()
     below = Database(reactor, 200, delay=0.03)
     below.listen()
-    kernel = Kernel(reactor, machine=Machine(CORES, cold_speed=0.3, warm_us=10_000_000), gauges=GAUGES, state="EMPTY",
-                    age_ms=0)
+    kernel = Kernel(
+        reactor,
+        machine=Machine(CORES, cold_speed=0.3, warm_us=10_000_000),
+        gauges=GAUGES,
+        state="EMPTY",
+        age_ms=0,
+    )
     kernel.listen()
     settings = settings_of(KINDS, TENANTS, CORES)
     settings["invariants"] |= {"coldShare": 0.3, "warmAfterMs": 10_000}
@@ -47,7 +55,9 @@
 
     def more() -> None:
         rate = load * CORES / (WORK_MS / 1000)
-        loads.append(Load(reactor, draw(len(loads) + 1, KINDS, TENANTS, rate, AHEAD_S), pick, f"up{len(loads)}-"))
+        loads.append(
+            Load(reactor, draw(len(loads) + 1, KINDS, TENANTS, rate, AHEAD_S), pick, f"up{len(loads)}-")
+        )
         del loads[:-2]  # the one before may still have requests out
         loads[-1].start()
         reactor.callLater(AHEAD_S, more)
@@ -60,9 +70,16 @@
         before.update(new)
         said = server.told[-1][1] if server.told else "no word yet"
         latency = loads[-1].latency if loads else None
-        times = "" if latency is None or not latency.get_total_count() else (
-            f"  p50 {latency.get_value_at_percentile(50)} ms  p99 {latency.get_value_at_percentile(99)} ms")
-        say(f"served {new['served']:>4}  refused {new['refused']:>3}  failed {new['failed']:>3}  [{said}]{times}")
+        times = (
+            ""
+            if latency is None or not latency.get_total_count()
+            else (
+                f"  p50 {latency.get_value_at_percentile(50)} ms  p99 {latency.get_value_at_percentile(99)} ms"
+            )
+        )
+        say(
+            f"served {new['served']:>4}  refused {new['refused']:>3}  failed {new['failed']:>3}  [{said}]{times}"
+        )
         reactor.callLater(1.0, tell)
 
     def leave(*_: object) -> None:
@@ -86,9 +103,11 @@
     for number in (signal.SIGINT, signal.SIGTERM):
         signal.signal(number, lambda *_: reactor.callFromThread(leave))
     reap_children(reactor)
-    say(f"requests  {HOST}:{runner.port} (JSON-RPC, a message a line)\nagent     {HOST}:{runner.agent}\n"
+    say(
+        f"requests  {HOST}:{runner.port} (JSON-RPC, a message a line)\nagent     {HOST}:{runner.agent}\n"
         f"health    http://{HOST}:{runner.health}/health\nadmin     http://{HOST}:{runner.admin}/standing\n"
-        f"try       moorusher standing --address {HOST}:{runner.admin}")
+        f"try       moorusher standing --address {HOST}:{runner.admin}"
+    )
     reactor.callLater(1.0, more)
     reactor.callLater(1.0, tell)
     if seconds:
--- a/moorusher/lab/warm.py
+++ b/moorusher/lab/warm.py
@@ -24,7 +24,10 @@
 
 
 def _servers(faulty: dict[int, str]) -> list[Below]:
-    return [Below(f"s{i}", SLOTS, mood=Mood(faulty[i], factor=15.0) if i in faulty else None) for i in range(SERVERS)]
+    return [
+        Below(f"s{i}", SLOTS, mood=Mood(faulty[i], factor=15.0) if i in faulty else None)
+        for i in range(SERVERS)
+    ]
 
 
 def _donor(seed: int, seconds: float = DONOR_S, faulty: dict[int, str] | None = None) -> Knowledge:
@@ -36,16 +39,24 @@
 
 def _slow(knowledge: Knowledge) -> Knowledge:
     """The donor's own loop was slow: all that it measured took four times as long."""
-    facts = tuple(msgspec.structs.replace(f, short_us=4 * f.short_us, long_us=4 * f.long_us)
-                  for f in knowledge.servers)
+    facts = tuple(
+        msgspec.structs.replace(f, short_us=4 * f.short_us, long_us=4 * f.long_us) for f in knowledge.servers
+    )
     return msgspec.structs.replace(knowledge, condition=Condition.SLOW, servers=facts)
 
 
 def _lies(knowledge: Knowledge) -> Knowledge:
     """Well is told as out, out as well, slow as fast: by a donor that is named well."""
-    facts = tuple(msgspec.structs.replace(f, out=not f.out and i % 2 == 0, short_us=4e9 / max(1e3, f.short_us),
-                                          answered=1.0 if f.out else 0.3, samples=max(50, f.samples))
-                  for i, f in enumerate(knowledge.servers))
+    facts = tuple(
+        msgspec.structs.replace(
+            f,
+            out=not f.out and i % 2 == 0,
+            short_us=4e9 / max(1e3, f.short_us),
+            answered=1.0 if f.out else 0.3,
+            samples=max(50, f.samples),
+        )
+        for i, f in enumerate(knowledge.servers)
+    )
     return msgspec.structs.replace(knowledge, donor="liar", servers=facts)
 
 
@@ -57,8 +68,12 @@
     if way == "young donor":  # in a rolling deploy donors are new themselves
         return [_donor(seed, 5.0)]
     honest = _donor(seed)
-    return {"warm": [honest], "slow donor": [_slow(honest)], "lying": [_lies(honest)],
-            "two that contradict": [honest, _lies(honest)]}[way]
+    return {
+        "warm": [honest],
+        "slow donor": [_slow(honest)],
+        "lying": [_lies(honest)],
+        "two that contradict": [honest, _lies(honest)],
+    }[way]
 
 
 def _begin(way: str, seed: int) -> World:
@@ -68,8 +83,16 @@
         priors = merge(told, router.members)
         router.learn(0, priors, Trial(priors, router.unlearn))
 
-    return World(_servers(FAULTY), "tier", seed, RATE, SECONDS, prepare=prepare if told else lambda r: None,
-                 chance=seed + (1000 if way == "again" else 1), bins=BIN)
+    return World(
+        _servers(FAULTY),
+        "tier",
+        seed,
+        RATE,
+        SECONDS,
+        prepare=prepare if told else lambda r: None,
+        chance=seed + (1000 if way == "again" else 1),
+        bins=BIN,
+    )
 
 
 def shares(told: Told) -> list[float]:
@@ -80,11 +103,11 @@
     """Seconds until the share answered in time, over a second from then on, stays within WITHIN of the steady level:
     that of the last third."""
     counted = told.seconds[: int(SECONDS / BIN)]
-    late = counted[len(counted) * 2 // 3:]
+    late = counted[len(counted) * 2 // 3 :]
     level = sum(ok for _, ok in late) / max(1, sum(n for n, _ in late))
     width, steady = round(1 / BIN), 0.0
     for i in range(len(counted) - width):
-        lately = counted[i:i + width]
+        lately = counted[i : i + width]
         if sum(ok for _, ok in lately) / max(1, sum(n for n, _ in lately)) < level - WITHIN:
             steady = (i + 1) * BIN
     return steady
@@ -108,25 +131,49 @@
         told[way] = [_begin(way, s).play() for s in seeds]
     steady = {way: [steady_after(t) for t in every] for way, every in told.items()}
     missed = {way: [lost(t) for t in every] for way, every in told.items()}
-    result.figures = {way: {"steady_after_s": steady[way], "lost_in_5_s": missed[way],
-                            "attempts_a_call": [t.attempts / t.calls for t in told[way]]} for way in WAYS}
+    result.figures = {
+        way: {
+            "steady_after_s": steady[way],
+            "lost_in_5_s": missed[way],
+            "attempts_a_call": [t.attempts / t.calls for t in told[way]],
+        }
+        for way in WAYS
+    }
     cold, warm = median(steady["cold"]), median(steady["warm"])
-    result.hold("until service is steady, median", f"{warm:.2f} s warm, {cold:.2f} s cold", "at least 50% shorter",
-                cold > 0 and warm <= cold / 2)
+    result.hold(
+        "until service is steady, median",
+        f"{warm:.2f} s warm, {cold:.2f} s cold",
+        "at least 50% shorter",
+        cold > 0 and warm <= cold / 2,
+    )
     noise = max(abs(a - b) for a, b in zip(missed["cold"], missed["again"], strict=True))
     for way in WAYS[2:]:
         worst = max(w - c for w, c in zip(missed[way], missed["cold"], strict=True))
-        result.hold(f"{way}: calls lost in the first 5 s beyond cold, the worst seed", f"{worst} (median "
-                    f"{median([float(m) for m in missed[way]]):.0f}, cold "
-                    f"{median([float(m) for m in missed['cold']]):.0f})",
-                    f"{noise}, the noise of cold against cold", worst <= noise)
+        result.hold(
+            f"{way}: calls lost in the first 5 s beyond cold, the worst seed",
+            f"{worst} (median "
+            f"{median([float(m) for m in missed[way]]):.0f}, cold "
+            f"{median([float(m) for m in missed['cold']]):.0f})",
+            f"{noise}, the noise of cold against cold",
+            worst <= noise,
+        )
     again = sum(t.twice for every in told.values() for t in every)
     result.hold("keyed calls that a server began twice", f"{again}", "0", again == 0)
-    result.plots.append(Plot("answered in time after the start, mean of the seeds", "s", "share", {
-        way: [(i * BIN, sum(s[i] for s in every) / len(every)) for i in range(round(8 / BIN))]
-        for way in ("cold", "warm", "lying", "stale") for every in [[shares(t) for t in told[way]]]}))
+    result.plots.append(
+        Plot(
+            "answered in time after the start, mean of the seeds",
+            "s",
+            "share",
+            {
+                way: [(i * BIN, sum(s[i] for s in every) / len(every)) for i in range(round(8 / BIN))]
+                for way in ("cold", "warm", "lying", "stale")
+                for every in [[shares(t) for t in told[way]]]
+            },
+        )
+    )
     return result
 
 
-WARM = Experiment("warm-start", "A new instance over twelve servers, four of them faulty: cold, and with knowledge.",
-                  _play)
+WARM = Experiment(
+    "warm-start", "A new instance over twelve servers, four of them faulty: cold, and with knowledge.", _play
+)
--- a/moorusher/links/announce.py
+++ b/moorusher/links/announce.py
@@ -33,8 +33,10 @@
         body = b'{"accepting":"%s"}' % (b"true" if accepting else b"false")
         self.waiting = True
         self.asked()
-        self.transport.write(b"PUT /announce/%s HTTP/1.1\r\nHost: announce\r\nContent-Type: application/json\r\n"
-                             b"Content-Length: %d\r\n\r\n%s" % (name.encode(), len(body), body))
+        self.transport.write(
+            b"PUT /announce/%s HTTP/1.1\r\nHost: announce\r\nContent-Type: application/json\r\n"
+            b"Content-Length: %d\r\n\r\n%s" % (name.encode(), len(body), body)
+        )
 
     def replied(self, status: int, headers: dict[bytes, bytes], body: bytes, keep: bool) -> None:
         self.waiting = False
--- a/moorusher/links/database.py
+++ b/moorusher/links/database.py
@@ -54,7 +54,9 @@
         self.asked()
         self.transport.write(
             b"POST /v1/exec HTTP/1.1\r\nHost: db\r\nRequest-Ref: %s\r\nStatement-Timeout-Ms: %d\r\n"
-            b"Content-Length: %d\r\n\r\n%s" % (asked.rid.encode(), asked.timeout_ms, len(asked.body), asked.body))
+            b"Content-Length: %d\r\n\r\n%s"
+            % (asked.rid.encode(), asked.timeout_ms, len(asked.body), asked.body)
+        )
 
     def replied(self, status: int, headers: dict[bytes, bytes], body: bytes, keep: bool) -> None:
         self.pool.core.touch()
--- a/moorusher/links/disk.py
+++ b/moorusher/links/disk.py
@@ -77,7 +77,7 @@
         if image is not None:
             inc = max(inc, image.incs.get(self.whose.seat, 0) + 1)
         self.name = f"{inc}.log"
-        self.rewrite(pack([self.whose]) if image is None else data[:image.good])
+        self.rewrite(pack([self.whose]) if image is None else data[: image.good])
         for life in lives:  # only now: until here the last one is what counts
             if self._is_free(self.path / f"{life}.log"):
                 self._files.remove(self.path / f"{life}.log")
@@ -113,7 +113,7 @@
     def _write(self, fd: int, data: bytes) -> None:
         left = memoryview(data)
         while left:
-            left = left[self._files.write(fd, bytes(left[:1 << 20])):]
+            left = left[self._files.write(fd, bytes(left[: 1 << 20])) :]
         self._files.sync(fd)
 
     def append(self, data: bytes) -> None:
@@ -148,8 +148,14 @@
 class Disk:
     """Between the keeper and its folder: what waits for the disk, in the order in which it came."""
 
-    def __init__(self, reactor: Any, folder: Folder, keeper: Keeper, clock: Callable[[], int],
-                 count: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        folder: Folder,
+        keeper: Keeper,
+        clock: Callable[[], int],
+        count: Callable[[str], None],
+    ) -> None:
         self._reactor, self._folder, self._keeper = reactor, folder, keeper
         self._clock, self._count = clock, count
         self._waiting: list[Callable[[], None]] = []
@@ -178,8 +184,9 @@
             return self._run(waiting)
         data = pack([folder.whose, *records] if anew else records)
         self._busy = True
-        done = deferToThreadPool(self._reactor, self._reactor.getThreadPool(),
-                                 folder.rewrite if anew else folder.append, data)
+        done = deferToThreadPool(
+            self._reactor, self._reactor.getThreadPool(), folder.rewrite if anew else folder.append, data
+        )
         done.addCallbacks(lambda _: self._saved(waiting), self._failed)
         done.addErrback(lambda failure: log.error("fleet: %s", failure.getTraceback()))
         return None
--- a/moorusher/links/duties.py
+++ b/moorusher/links/duties.py
@@ -41,14 +41,18 @@
         folder, why = None, ""
         if fleet.config.journal:
             folder, inc, self._image, why = opened(
-                Path(fleet.config.journal) / "duties", Whose(1, fleet.config.name, fleet.digest, fleet.name),
-                fleet.node.owner.inc)
+                Path(fleet.config.journal) / "duties",
+                Whose(1, fleet.config.name, fleet.digest, fleet.name),
+                fleet.node.owner.inc,
+            )
             if inc > fleet.node.owner.inc:
                 fleet.node.raised(inc)
         self.office = Office(fleet.node, self, policy)
         if folder is not None:
             self.office.shelf.notes = True
-            disk = fleet.disks[LASTING] = Disk(fleet.reactor, folder, self.office.keeper, fleet.now, fleet.count)
+            disk = fleet.disks[LASTING] = Disk(
+                fleet.reactor, folder, self.office.keeper, fleet.now, fleet.count
+            )
             if not folder.size:
                 disk.fails(why)
         for report in policy.reports:
@@ -90,8 +94,12 @@
 
     def _members(self) -> dict[str, Any]:
         members = self.fleet.node.members.by_seat.values()
-        return {"fleet": self.fleet.config.name, "by": self.fleet.name, "up": sum(m.up for m in members),
-                "seats": len(members)}
+        return {
+            "fleet": self.fleet.config.name,
+            "by": self.fleet.name,
+            "up": sum(m.up for m in members),
+            "seats": len(members),
+        }
 
     # ---- for operators ----
 
@@ -106,17 +114,38 @@
         tour = self.office.tours.get(key_of(post.name))
         mine = tour is not None and tour.post.at == post.at
         return {
-            "name": post.name, "kind": post.kind, "life": Life(post.life).name.lower(), "born": post.born,
-            "term": post.term, "number": post.number, "owner": None if post.owner is None else post.owner.seat,
-            "lost": post.lost, "why": post.why, "versions": [[v.number, v.size] for v in post.versions],
-            "intents": [{"number": i.number, "term": i.term, "to": i.to, "what": i.what.decode("utf-8", "replace"),
-                         "settle": Settle(i.settle).name.lower()} for i in post.intents],
-            "here": None if tour is None or not mine else {
-                "stage": tour.stage.value, "for_ms": (self.core.clock.now - tour.since) / MS,
-                "trouble": None if tour.told is None else str(tour.told)}}
+            "name": post.name,
+            "kind": post.kind,
+            "life": Life(post.life).name.lower(),
+            "born": post.born,
+            "term": post.term,
+            "number": post.number,
+            "owner": None if post.owner is None else post.owner.seat,
+            "lost": post.lost,
+            "why": post.why,
+            "versions": [[v.number, v.size] for v in post.versions],
+            "intents": [
+                {
+                    "number": i.number,
+                    "term": i.term,
+                    "to": i.to,
+                    "what": i.what.decode("utf-8", "replace"),
+                    "settle": Settle(i.settle).name.lower(),
+                }
+                for i in post.intents
+            ],
+            "here": None
+            if tour is None or not mine
+            else {
+                "stage": tour.stage.value,
+                "for_ms": (self.core.clock.now - tour.since) / MS,
+                "trouble": None if tour.told is None else str(tour.told),
+            },
+        }
 
     def read(self, name: str, then: Callable[[dict[str, Any] | DutyError], None]) -> None:
         """Through the register."""
+
         def got(reading: Reading | DutyError) -> None:
             if isinstance(reading, DutyError):
                 return then(reading)
@@ -130,8 +159,12 @@
         self.core.touch()
         self.office.resume(name, lambda got: then(got if isinstance(got, DutyError) else self._told(got)))
 
-    def settle(self, name: str, number: int, how: str, then: Callable[[dict[str, Any] | DutyError], None]) -> None:
+    def settle(
+        self, name: str, number: int, how: str, then: Callable[[dict[str, Any] | DutyError], None]
+    ) -> None:
         """`how`: what the operator has found; the intent is closed either way."""
         self.core.touch()
         log.warning("duties: an operator says of %d of %s that it is %s", number, name, how)
-        self.office.settle(name, number, lambda got: then(got if isinstance(got, DutyError) else self._told(got)))
+        self.office.settle(
+            name, number, lambda got: then(got if isinstance(got, DutyError) else self._told(got))
+        )
--- a/moorusher/links/fleet.py
+++ b/moorusher/links/fleet.py
@@ -34,8 +34,15 @@
 class FleetLink(HeldWork):
     """Carries out one node's part: `fleet.node.Host` towards the fleet, `core.care.Care` towards the core."""
 
-    def __init__(self, reactor: Any, core: Decider, config: FleetConfig, name: str, fit: Callable[[], bool],
-                 random: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        core: Decider,
+        config: FleetConfig,
+        name: str,
+        fit: Callable[[], bool],
+        random: Callable[[], float],
+    ) -> None:
         super().__init__(core, config.policy.alone)
         self.reactor, self.config, self.name = reactor, config, name
         self._fit, self._random = fit, random
@@ -50,14 +57,20 @@
         self.outage: Any = None  # machines' outages, where they are settled among the runners
         if config.journal:
             folder, inc, self._image, why = opened(
-                Path(config.journal), Whose(JOURNAL, config.name, self.digest, name), inc)
-            log.info("fleet: journal: %s", why if self._image is None else f"{len(self._image.slots)} keys recalled")
+                Path(config.journal), Whose(JOURNAL, config.name, self.digest, name), inc
+            )
+            log.info(
+                "fleet: journal: %s",
+                why if self._image is None else f"{len(self._image.slots)} keys recalled",
+            )
         self.node = Node(name, inc, seats, self, config.policy, self.longest())
         if config.journal:
             disk = self.disks[WORK] = Disk(reactor, folder, self.node.keeper, self.now, self.count)
             if not folder.size:
                 disk.fails(why)
-        self._dials = {seat.name: Dial(self, seat.name, seat.address) for seat in config.seats if seat.name != name}
+        self._dials = {
+            seat.name: Dial(self, seat.name, seat.address) for seat in config.seats if seat.name != name
+        }
         self.open: set[Peer] = set()  # connections that others made
         self._hearing: Peer | None = None
         self._flush: list[Peer] = []
@@ -114,7 +127,9 @@
             return f"{m.seat!r} answers where {peer.seat!r} should"
         peer.seat, peer.inc = m.seat, m.inc
         there = self._dials[m.seat].peer
-        if there is not None and 0 < there.inc < m.inc:  # another process has the seat: what we say is for that one
+        if (
+            there is not None and 0 < there.inc < m.inc
+        ):  # another process has the seat: what we say is for that one
             there.transport.loseConnection()
         self.node.members.heard(m.seat, m.inc)
         return None
@@ -228,25 +243,49 @@
     def told(self) -> dict[str, object]:
         self.core.touch()
         node, now = self.node, self.core.clock.now
-        members = [{"seat": m.seat, "zone": node.seats.by_name[m.seat].zone, "state": m.state.name.lower(),
-                    "since_ms": (now - m.since) / MS, "fit": m.fit, "inc": m.inc,
-                    "heard_ms": None if m.heard < 0 else (now - m.heard) / MS}
-                   for m in node.members.by_seat.values()]
-        return {"name": self.config.name, "seat": self.name, "members": members,
-                "remembers": all(space.keeper.remembers for space in node.spaces.values()),
-                "journal": "; ".join(filter(None, (d.failing for d in self.disks.values()))) or "written"
-                if self.disks else None,
-                "health": node.members.health, "keeps": len(node.keeper.slots), "in_hand": len(node.tenures),
-                "counters": {k: v for k, v in self.core.counters.total.items() if k.startswith("fleet")}}
+        members = [
+            {
+                "seat": m.seat,
+                "zone": node.seats.by_name[m.seat].zone,
+                "state": m.state.name.lower(),
+                "since_ms": (now - m.since) / MS,
+                "fit": m.fit,
+                "inc": m.inc,
+                "heard_ms": None if m.heard < 0 else (now - m.heard) / MS,
+            }
+            for m in node.members.by_seat.values()
+        ]
+        return {
+            "name": self.config.name,
+            "seat": self.name,
+            "members": members,
+            "remembers": all(space.keeper.remembers for space in node.spaces.values()),
+            "journal": "; ".join(filter(None, (d.failing for d in self.disks.values()))) or "written"
+            if self.disks
+            else None,
+            "health": node.members.health,
+            "keeps": len(node.keeper.slots),
+            "in_hand": len(node.tenures),
+            "counters": {k: v for k, v in self.core.counters.total.items() if k.startswith("fleet")},
+        }
 
     def work(self) -> dict[str, object]:
         """Keys that this runner has in hand or waits for, without their bodies and tokens."""
         self.core.touch()
         now = self.core.clock.now
-        return {"work": [{"key": t.key.hex()[:12], "class": None if t.order is None else t.order.klass,
-                          "stage": t.stage.value, "owner": None if t.owner is None else t.owner.seat,
-                          "attempt": t.attempt, "left_ms": (t.until - now) / MS}
-                         for t in list(self.node.tenures.values())[:1000]]}
+        return {
+            "work": [
+                {
+                    "key": t.key.hex()[:12],
+                    "class": None if t.order is None else t.order.klass,
+                    "stage": t.stage.value,
+                    "owner": None if t.owner is None else t.owner.seat,
+                    "attempt": t.attempt,
+                    "left_ms": (t.until - now) / MS,
+                }
+                for t in list(self.node.tenures.values())[:1000]
+            ]
+        }
 
     @property
     def busy(self) -> bool:
--- a/moorusher/links/forecast.py
+++ b/moorusher/links/forecast.py
@@ -125,8 +125,13 @@
 
         deferToThreadPool(self._reactor, self._pool, run).addCallbacks(done, failed)
 
-    def work_out(self, series: Mapping[str, Series], customers: Mapping[str, str], last: int,
-                 then: Callable[[Any], None]) -> None:
+    def work_out(
+        self,
+        series: Mapping[str, Series],
+        customers: Mapping[str, str],
+        last: int,
+        then: Callable[[Any], None],
+    ) -> None:
         def work() -> Any:
             from ..forecast.week import week_ahead
 
@@ -156,6 +161,12 @@
         """Of this runner's own part."""
         owner = self.member.forecaster
         lately = {} if owner is None else {label(name): n for name, n in owner.ledger.lately().items()}
-        return {"owner": owner is not None, "lately": lately, "untold_buckets": len(self.member.tally),
-                "dropped": self.member.tally.dropped, "every_ms": self.policy.report_ms,
-                "clock_ms": self.unix_ms(), "turn_ms": SWITCH_S * MS}
+        return {
+            "owner": owner is not None,
+            "lately": lately,
+            "untold_buckets": len(self.member.tally),
+            "dropped": self.member.tally.dropped,
+            "every_ms": self.policy.report_ms,
+            "clock_ms": self.unix_ms(),
+            "turn_ms": SWITCH_S * MS,
+        }
--- a/moorusher/links/http.py
+++ b/moorusher/links/http.py
@@ -73,8 +73,12 @@
             return self._end("a head without an end")
         if not self._status:
             parts = line.split(None, 2)
-            if len(parts) < 2 or not parts[0].startswith(b"HTTP/1.") or not parts[1].isdigit() \
-                    or not 100 <= int(parts[1]) < 600:
+            if (
+                len(parts) < 2
+                or not parts[0].startswith(b"HTTP/1.")
+                or not parts[1].isdigit()
+                or not 100 <= int(parts[1]) < 600
+            ):
                 return self._end("no status line")
             self._status = int(parts[1])
             self._keep = parts[0] == b"HTTP/1.1"
@@ -110,7 +114,7 @@
         if self._over:
             return
         self._parts.append(data[: self._left])
-        rest = data[self._left:]
+        rest = data[self._left :]
         self._left -= len(self._parts[-1])
         if not self._left:
             self._done()
--- a/moorusher/links/kernel.py
+++ b/moorusher/links/kernel.py
@@ -195,7 +195,9 @@
         waits_for_start = self._state is LinkState.OPENING and not (self._was_up or self._passed_over)
         doubtful = quiet >= QUIET and not waits_for_start
         if doubtful and self._doubted and self._dialling is None:
-            log.warning("the link to the kernel has been quiet for %.1f s: a new one is dialled", quiet / SECOND)
+            log.warning(
+                "the link to the kernel has been quiet for %.1f s: a new one is dialled", quiet / SECOND
+            )
             self.core.counters.add("kernel link: " + Ending.SILENT.value)
             self._redial()  # the quiet one serves until the new one is up
         elif quiet >= ASK_EVERY:
--- a/moorusher/links/kernel_messages.py
+++ b/moorusher/links/kernel_messages.py
@@ -10,8 +10,12 @@
 
 from ..core.endings import Ending
 
-RUN_ENDS = {"PASS": Ending.RUN_PASSED, "FAIL": Ending.RUN_FAILED, "KILLED": Ending.RUN_KILLED,
-            "NOOP": Ending.RUN_NEVER_BEGAN}
+RUN_ENDS = {
+    "PASS": Ending.RUN_PASSED,
+    "FAIL": Ending.RUN_FAILED,
+    "KILLED": Ending.RUN_KILLED,
+    "NOOP": Ending.RUN_NEVER_BEGAN,
+}
 COLD = "EMPTY"
 
 
--- a/moorusher/links/knowledge.py
+++ b/moorusher/links/knowledge.py
@@ -61,7 +61,9 @@
 class Keeper:
     """Has the tier learn from the file, and writes what it knows. `condition`: how this runner is."""
 
-    def __init__(self, core: Decider, tier: TierCalls, path: Path, condition: Callable[[], Condition]) -> None:
+    def __init__(
+        self, core: Decider, tier: TierCalls, path: Path, condition: Callable[[], Condition]
+    ) -> None:
         self.core, self.tier, self.path = core, tier, path
         self._condition = condition
         self._alarm: Alarm | None = None
--- a/moorusher/links/namespaces.py
+++ b/moorusher/links/namespaces.py
@@ -36,7 +36,9 @@
 
 log = logging.getLogger("moorusher")
 
-SWITCH_S = 0.0005  # a turn waits so long for a thread that reads a draft: with the usual 5 ms each turn is 6 ms late
+SWITCH_S = (
+    0.0005  # a turn waits so long for a thread that reads a draft: with the usual 5 ms each turn is 6 ms late
+)
 LARGE = 32 << 10  # bytes of a draft
 Told = Callable[[dict[str, Any] | Error], None]
 
@@ -45,8 +47,14 @@
     """Splits of a request without a key go by its caller's subject, else by its own name: its tries then may differ."""
     key = arrival.token or ""
     subject = -1 if arrival.subject is None else arrival.subject
-    return Asked(arrival.klass, arrival.caller, subject, arrival.rank, key,
-                 f"{subject}" if arrival.subject is not None else arrival.rid)
+    return Asked(
+        arrival.klass,
+        arrival.caller,
+        subject,
+        arrival.rank,
+        key,
+        f"{subject}" if arrival.subject is not None else arrival.rid,
+    )
 
 
 class _Daemon(Thread):
@@ -70,8 +78,11 @@
         self.desk = Desk(duties.office, self, config.most)
         self.ready = True  # until it asks others: nothing is served before that
         journal = duties.fleet.config.journal
-        self.store = Store(reactor, Path(journal) / "namespaces.db", self._pool, self.core.counters.add) \
-            if journal else None
+        self.store = (
+            Store(reactor, Path(journal) / "namespaces.db", self._pool, self.core.counters.add)
+            if journal
+            else None
+        )
         duties.namespaces = self
         duties.fleet.rules = self
         self.core.routes = self
@@ -110,8 +121,11 @@
         customer = arrival.tenant
         if at is None or customer is None:
             return then(None)
-        return self.desk.revision(customer, at, lambda found: then(
-            rule(found, asked_of(arrival)) if isinstance(found, Revision) else found))
+        return self.desk.revision(
+            customer,
+            at,
+            lambda found: then(rule(found, asked_of(arrival)) if isinstance(found, Revision) else found),
+        )
 
     # ---- for the desk ----
 
@@ -123,9 +137,11 @@
         found = self.config.customers.get(customer)
         return Bounds() if found is None else found.bounds
 
-    def _read(self, draft: bytes, granted: Granted | None,
-              then: Callable[[Namespace | NamespaceError], None]) -> None:
+    def _read(
+        self, draft: bytes, granted: Granted | None, then: Callable[[Namespace | NamespaceError], None]
+    ) -> None:
         """In a thread: a large draft takes a second, and requests must not wait for it."""
+
         def work() -> Namespace | NamespaceError:
             # Half a million new objects: a collection in their midst, or the next one, would stop the loop for 80 ms.
             gc.disable()
@@ -143,7 +159,8 @@
             then(got)
 
         deferToThreadPool(self._reactor, self._pool, work).addCallback(done).addErrback(
-            lambda failure: log.error("namespaces: a draft could not be read: %s", failure))
+            lambda failure: log.error("namespaces: a draft could not be read: %s", failure)
+        )
 
     def check(self, draft: bytes, granted: Granted, then: Callable[[NamespaceError | None], None]) -> None:
         self._read(draft, granted, lambda got: then(got if isinstance(got, NamespaceError) else None))
@@ -162,8 +179,10 @@
         self.ready = True
         log.info("namespaces: %d customers' rules are known here", len(self.desk.customers))
         if not self.desk.others() and len(self.duties.fleet.node.seats.names) > 1:
-            log.warning("namespaces: no other runner was heard of: who is not known here gets the platform's default, "
-                        "and rules may be older than elsewhere, until one is")
+            log.warning(
+                "namespaces: no other runner was heard of: who is not known here gets the platform's default, "
+                "and rules may be older than elsewhere, until one is"
+            )
 
     def changed(self, customer: str) -> None:
         log.info("namespaces: %s is at %s here", customer, self.desk.customers.at(customer))
@@ -178,15 +197,24 @@
         desk = self.desk
         node = desk.office.node
         up = sum(m.up for m in node.members.by_seat.values())
-        return {"ready": self.ready, "seats": len(node.seats.names), "seats_up": up,
-                "cut_off": up * 2 <= len(node.seats.names),
-                "store": None if self.store is None else self.store.failing or "written",
-                "namespaces": [self._told(name) for name in sorted(self.config.customers)]}
+        return {
+            "ready": self.ready,
+            "seats": len(node.seats.names),
+            "seats_up": up,
+            "cut_off": up * 2 <= len(node.seats.names),
+            "store": None if self.store is None else self.store.failing or "written",
+            "namespaces": [self._told(name) for name in sorted(self.config.customers)],
+        }
 
     def _told(self, customer: str) -> dict[str, Any]:
         at, gone = self.desk.has(customer)
-        return {"customer": customer, "born": at[0], "revision": 0 if gone else at[1], "deleted": gone,
-                "published": at[0] > 0 and not gone}
+        return {
+            "customer": customer,
+            "born": at[0],
+            "revision": 0 if gone else at[1],
+            "deleted": gone,
+            "published": at[0] > 0 and not gone,
+        }
 
     def _known(self, customer: str, then: Told) -> bool:
         self.core.touch()
@@ -197,17 +225,35 @@
 
     def show(self, customer: str, then: Told) -> None:
         """Through the register: what is current for the whole fleet, and which earlier ones are kept."""
+
         def got(found: tuple[int, Book] | DutyError) -> None:
             if isinstance(found, DutyError):
                 return then(found)
             born, book = found
             now = book.current
-            then(self._told(customer) | {
-                "current": True, "born": born, "number": book.number, "here": self.desk.customers.at(customer)[1],
-                "draft": None if now is None else now.draft.decode(),
-                "revisions": [{"number": e.number, "at_ms": e.at_ms, "by": e.by, "of": e.of,
-                               "changes": list(difference(before.draft, e.draft)) if before is not None else None}
-                              for e in book.entries for before in (book.find(e.number - 1),)]})
+            then(
+                self._told(customer)
+                | {
+                    "current": True,
+                    "born": born,
+                    "number": book.number,
+                    "here": self.desk.customers.at(customer)[1],
+                    "draft": None if now is None else now.draft.decode(),
+                    "revisions": [
+                        {
+                            "number": e.number,
+                            "at_ms": e.at_ms,
+                            "by": e.by,
+                            "of": e.of,
+                            "changes": list(difference(before.draft, e.draft))
+                            if before is not None
+                            else None,
+                        }
+                        for e in book.entries
+                        for before in (book.find(e.number - 1),)
+                    ],
+                }
+            )
 
         if self._known(customer, then):
             self.desk.book(customer, got)
@@ -232,8 +278,12 @@
 
     def _tell(self, customer: str, at: At, wait: bool, then: Told) -> None:
         deleted = at[1] == GONE
-        told: dict[str, Any] = {"customer": customer, "born": at[0], "revision": 0 if deleted else at[1],
-                                "deleted": deleted}
+        told: dict[str, Any] = {
+            "customer": customer,
+            "born": at[0],
+            "revision": 0 if deleted else at[1],
+            "deleted": deleted,
+        }
         if not wait:
             return then(told)
         began = self.core.clock.now
@@ -243,7 +293,10 @@
             cut. A revision is everywhere when all that live have it."""
             down = {s: why for s, why in lacking.items() if why in ("down", "never heard of")}
             here = lacking if deleted else {s: why for s, why in lacking.items() if s not in down}
-            then(told | {"complete": not here, "lacking": lacking, "took_ms": (self.core.clock.now - began) / MS})
+            then(
+                told
+                | {"complete": not here, "lacking": lacking, "took_ms": (self.core.clock.now - began) / MS}
+            )
 
         return self.desk.everywhere(customer, at, everywhere)
 
@@ -256,9 +309,28 @@
             return then({"customer": customer, "revision": 0, "decides": "the platform's default"})
         ruling = rule(revision, asked)
         matching = [r.label for r in revision.namespace.table.rules if asked in r.match]
-        hops = [] if ruling.way is None else [
-            {"route": h.route, "servers": dict(h.servers), "pool": h.pool, "limit": h.limit, "tries": h.tries}
-            for h in ruling.way.hops]
-        then({"customer": customer, "born": revision.at[0], "revision": revision.at[1],
-              "decides": ruling.rule or "the customer's default route", "refused": ruling.refusal or None,
-              "way": hops, "also_match": [label for label in matching if label != ruling.rule]})
+        hops = (
+            []
+            if ruling.way is None
+            else [
+                {
+                    "route": h.route,
+                    "servers": dict(h.servers),
+                    "pool": h.pool,
+                    "limit": h.limit,
+                    "tries": h.tries,
+                }
+                for h in ruling.way.hops
+            ]
+        )
+        then(
+            {
+                "customer": customer,
+                "born": revision.at[0],
+                "revision": revision.at[1],
+                "decides": ruling.rule or "the customer's default route",
+                "refused": ruling.refusal or None,
+                "way": hops,
+                "also_match": [label for label in matching if label != ruling.rule],
+            }
+        )
--- a/moorusher/links/outage.py
+++ b/moorusher/links/outage.py
@@ -40,7 +40,9 @@
     try:
         return Path(path).read_text().strip()[:64]
     except OSError as exc:
-        log.error("outage.machine_id: %s: a machine that was out counts as back by an operator's word alone", exc)
+        log.error(
+            "outage.machine_id: %s: a machine that was out counts as back by an operator's word alone", exc
+        )
         return ""
 
 
@@ -60,8 +62,10 @@
         folder, why = None, ""
         if fleet.config.journal:
             folder, inc, self._image, why = opened(
-                Path(fleet.config.journal) / "outage", Whose(1, fleet.config.name, fleet.digest, fleet.name),
-                fleet.node.owner.inc)
+                Path(fleet.config.journal) / "outage",
+                Whose(1, fleet.config.name, fleet.digest, fleet.name),
+                fleet.node.owner.inc,
+            )
             if inc > fleet.node.owner.inc:
                 fleet.node.raised(inc)
         self.desk = Desk(fleet.node, self, policy)
@@ -99,8 +103,16 @@
     def own(self) -> Own:
         made = self.reporter.report()
         spaces = self.fleet.node.spaces.values()
-        return Own("", 0, not self.fleet.elder, self.mark, self._digest(), self.away and self._drained(),
-                   warm=made.standing in WARM, whole=all(s.keeper.remembers for s in spaces))
+        return Own(
+            "",
+            0,
+            not self.fleet.elder,
+            self.mark,
+            self._digest(),
+            self.away and self._drained(),
+            warm=made.standing in WARM,
+            whole=all(s.keeper.remembers for s in spaces),
+        )
 
     def _digest(self) -> str:
         """Worked out anew only where the settings are others: it is asked for all the time."""
@@ -112,7 +124,9 @@
     def _drained(self) -> bool:
         """Nothing is open or runs, nothing of it is the fleet's, and whoever sends had the time to hear of it."""
         core, horizon = self.core, self.reporter.tracker.horizon(self.core.clock.now)
-        return not (core.owed or len(core.runs) or self.fleet.busy) and core.clock.now - self._since >= horizon
+        return (
+            not (core.owed or len(core.runs) or self.fleet.busy) and core.clock.now - self._since >= horizon
+        )
 
     def do(self, doing: Doing, why: str) -> None:
         away = doing in (Doing.DRAINS, Doing.GONE)
@@ -141,8 +155,12 @@
     def _seats(self, sent: dict[str, Any]) -> tuple[str, ...]:
         seats = self.fleet.node.seats.by_name
         if sent.get("all") or sent.get("zone") or sent.get("group"):
-            return tuple(name for name, s in seats.items() if (not sent.get("zone") or s.zone == sent["zone"])
-                         and (not sent.get("group") or s.group == sent["group"]))
+            return tuple(
+                name
+                for name, s in seats.items()
+                if (not sent.get("zone") or s.zone == sent["zone"])
+                and (not sent.get("group") or s.group == sent["group"])
+            )
         return tuple(dict.fromkeys(sent.get("seats") or (self.fleet.name,)))
 
     def ask(self, sent: dict[str, Any], then: Told) -> None:
@@ -154,9 +172,20 @@
         if bound and seats != (self.fleet.name,):
             return then(NotHere(f"{', '.join(seats[:3])}: this is {self.fleet.name}"))
         ends = Ends[sent.get("ends", "boot").upper()]
-        ask = Ask(sent["id"], sent["reason"], sent["by"], sent["lasts_s"], self.unix_s(), sent["not_before_s"],
-                  sent["due_s"], sent["priority"], sent["together"], ends.value, seats,
-                  bound=self.mark if bound else "")
+        ask = Ask(
+            sent["id"],
+            sent["reason"],
+            sent["by"],
+            sent["lasts_s"],
+            self.unix_s(),
+            sent["not_before_s"],
+            sent["due_s"],
+            sent["priority"],
+            sent["together"],
+            ends.value,
+            seats,
+            bound=self.mark if bound else "",
+        )
         return self.desk.ask(ask, self._then(then))
 
     def cancel(self, id: str, seats: Sequence[str], by: str, then: Told) -> None:
@@ -197,19 +226,51 @@
         step, seats = desk.shown(), self.fleet.node.seats.by_name
         when = foretold(roster, step.order, {n: s.zone for n, s in seats.items()}, self.policy, now_s)
         return {
-            "seat": self.fleet.name, "number": roster.number, "hold": roster.hold, "current": current,
+            "seat": self.fleet.name,
+            "number": roster.number,
+            "hold": roster.hold,
+            "current": current,
             "age_ms": None if desk.known < 0 else (self.core.clock.now - desk.known) / MS,
-            "limits": {"most": self.policy.most, "most_zone": self.policy.most_zone,
-                       "most_group": self.policy.most_group},
-            "asks": [{"id": a.id, "reason": a.reason, "by": a.by, "lasts_s": a.lasts_s, "due_s": a.due_s,
-                      "priority": a.priority, "waiting": len(a.waiting), "done": a.done,
-                      "ends": Ends(a.ends).name.lower(),
-                      "held": [{"seat": s, "why": why} for s, why in a.held]} for a in roster.asks],
+            "limits": {
+                "most": self.policy.most,
+                "most_zone": self.policy.most_zone,
+                "most_group": self.policy.most_group,
+            },
+            "asks": [
+                {
+                    "id": a.id,
+                    "reason": a.reason,
+                    "by": a.by,
+                    "lasts_s": a.lasts_s,
+                    "due_s": a.due_s,
+                    "priority": a.priority,
+                    "waiting": len(a.waiting),
+                    "done": a.done,
+                    "ends": Ends(a.ends).name.lower(),
+                    "held": [{"seat": s, "why": why} for s, why in a.held],
+                }
+                for a in roster.asks
+            ],
             "turns": [self._turn(t, roster, now_s) for t in roster.turns],
-            "order": [{"seat": seat, "ask": ask.id, "why": step.why.get((ask.id, seat), ""),
-                       "in_s": when.get((ask.id, seat))} for ask, seat in step.order],
-            "ended": [{"ask": e.ask, "seat": e.seat, "how": How(e.how).name.lower().replace("_", " "),
-                       "ago_s": now_s - e.at_s, "note": e.note} for e in roster.ended[-16:]],
+            "order": [
+                {
+                    "seat": seat,
+                    "ask": ask.id,
+                    "why": step.why.get((ask.id, seat), ""),
+                    "in_s": when.get((ask.id, seat)),
+                }
+                for ask, seat in step.order
+            ],
+            "ended": [
+                {
+                    "ask": e.ask,
+                    "seat": e.seat,
+                    "how": How(e.how).name.lower().replace("_", " "),
+                    "ago_s": now_s - e.at_s,
+                    "note": e.note,
+                }
+                for e in roster.ended[-16:]
+            ],
         }
 
     def _turn(self, turn: Turn, roster: Roster, now_s: float) -> dict[str, Any]:
@@ -222,5 +283,13 @@
             stage = "cold" if up else "back, and gone again"
         elif not up:
             stage += ", and not heard of"
-        return {"seat": turn.seat, "ask": turn.ask, "number": turn.number, "stage": stage,
-                "reason": "" if ask is None else ask.reason, "for_s": for_s, "lasts_s": turn.lasts_s, "note": turn.note}
+        return {
+            "seat": turn.seat,
+            "ask": turn.ask,
+            "number": turn.number,
+            "stage": stage,
+            "reason": "" if ask is None else ask.reason,
+            "for_s": for_s,
+            "lasts_s": turn.lasts_s,
+            "note": turn.note,
+        }
--- a/moorusher/links/peers.py
+++ b/moorusher/links/peers.py
@@ -93,8 +93,10 @@
 
     def flush(self) -> None:
         out, self.out = self.out, []
-        if len(getattr(self.transport, "dataBuffer", b"")) + sum(map(len, self.transport._tempDataBuffer)) \
-                > MOST_UNSENT:
+        if (
+            len(getattr(self.transport, "dataBuffer", b"")) + sum(map(len, self.transport._tempDataBuffer))
+            > MOST_UNSENT
+        ):
             self.link.count("fleet links: " + Ending.READS_TOO_SLOWLY.value)
             return
         self.put(out)
--- a/moorusher/links/receivers.py
+++ b/moorusher/links/receivers.py
@@ -48,9 +48,11 @@
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
         self.asked()
-        self.transport.write(b"POST %s HTTP/1.1\r\nHost: receiver\r\nContent-Type: application/json\r\n"
-                             b"Connection: close\r\nContent-Length: %d\r\n\r\n%s"
-                             % (self._post.path, len(self._post.body), self._post.body))
+        self.transport.write(
+            b"POST %s HTTP/1.1\r\nHost: receiver\r\nContent-Type: application/json\r\n"
+            b"Connection: close\r\nContent-Length: %d\r\n\r\n%s"
+            % (self._post.path, len(self._post.body), self._post.body)
+        )
 
     def replied(self, status: int, headers: dict[bytes, bytes], body: bytes, keep: bool) -> None:
         self.transport.loseConnection()
@@ -118,15 +120,20 @@
             core.alarms.at(core.clock.now, lambda: then(Told(False)))
             return
         self.open += 1
-        self.reactor.connectTCP(*parse_address(to, "receiver"), Post(self, path, msgspec.json.encode(body), then),
-                                timeout=1)
+        self.reactor.connectTCP(
+            *parse_address(to, "receiver"), Post(self, path, msgspec.json.encode(body), then), timeout=1
+        )
 
     def perform(self, to: str, duty: str, fence: Fence, body: bytes, then: Callable[[Told], None]) -> None:
         self._send(to, b"/fenced", {"duty": duty, "fence": fence, "body": body}, then)
 
     def intend(self, to: str, duty: str, intent: Intent, then: Callable[[Told], None]) -> None:
-        self._send(to, b"/intent", {"duty": duty, "number": intent.number, "term": intent.term, "what": intent.what},
-                   then)
+        self._send(
+            to,
+            b"/intent",
+            {"duty": duty, "number": intent.number, "term": intent.term, "what": intent.what},
+            then,
+        )
 
     def asked(self, to: str, duty: str, intent: Intent, then: Callable[[Told], None]) -> None:
         self._send(to, b"/asked", {"duty": duty, "number": intent.number}, then)
--- a/moorusher/links/revisions.py
+++ b/moorusher/links/revisions.py
@@ -20,10 +20,14 @@
 
 log = logging.getLogger("moorusher")
 
-SCHEMA = "create table if not exists had (customer text primary key, born integer, number integer, draft blob)"
+SCHEMA = (
+    "create table if not exists had (customer text primary key, born integer, number integer, draft blob)"
+)
 # The process that this one replaces writes to the same file: what it has may be older.
-PUT = ("insert into had values (?, ?, ?, ?) on conflict (customer) do update set born = excluded.born, number = "
-       "excluded.number, draft = excluded.draft where (excluded.born, excluded.number) > (born, number)")
+PUT = (
+    "insert into had values (?, ?, ?, ?) on conflict (customer) do update set born = excluded.born, number = "
+    "excluded.number, draft = excluded.draft where (excluded.born, excluded.number) > (born, number)"
+)
 Stored = tuple[str, At, bytes | None]
 
 
--- a/moorusher/links/succession.py
+++ b/moorusher/links/succession.py
@@ -44,7 +44,9 @@
 class Owner(Protocol):
     """The service that this process is."""
 
-    def usable(self, handed: dict[str, int]) -> dict[str, int]: ...  # of sockets, by label, those at its addresses
+    def usable(
+        self, handed: dict[str, int]
+    ) -> dict[str, int]: ...  # of sockets, by label, those at its addresses
     def accept(self, handed: dict[str, int]) -> None: ...  # on these, and on others of its own
     def listeners(self) -> dict[str, int]: ...
     def pause(self, shared: set[str]) -> None: ...
@@ -153,8 +155,15 @@
                 self._entries = None
                 self.transport.unregisterProducer()
                 return self.say("SYNCED")
-            self.say("KEY", entry.result or b"", k=entry.key, b=entry.body, u=entry.until, o=entry.over,
-                     r=entry.result is not None)
+            self.say(
+                "KEY",
+                entry.result or b"",
+                k=entry.key,
+                b=entry.body,
+                u=entry.until,
+                o=entry.over,
+                r=entry.result is not None,
+            )
         self.link.soon(self._pump)
 
     # ---- claims ----
@@ -270,7 +279,9 @@
             self._alarm = None
         if (wait := WAITS_MS.get(self.life.state)) is not None:
             self.core.touch()
-            self._alarm = self.core.alarms.at(self.core.clock.now + round(wait * MS), lambda: self.hear(Event.LATE))
+            self._alarm = self.core.alarms.at(
+                self.core.clock.now + round(wait * MS), lambda: self.hear(Event.LATE)
+            )
 
     def _unanswered(self) -> bool:
         """A claim: before GO this process may go on without the new one, afterwards it may not."""
@@ -339,7 +350,9 @@
         kind, claims = m["t"], self.core.claims
         if kind == "HELLO":
             if m["v"] != VERSION or m["name"] != self._name:
-                return log.warning("a further process speaks version %r for %r: passed over", m["v"], m["name"])
+                return log.warning(
+                    "a further process speaks version %r for %r: passed over", m["v"], m["name"]
+                )
             log.info("a further process of this runner has come: %s", m["pid"])
             free = self.life.state is State.SOLE
             if free:
@@ -386,8 +399,9 @@
         elif kind == "SETTLED":
             claims.peer_settled(key_of(m), m["b"], m["u"], blob if m["r"] else None)
         elif kind == "LOAD":
-            self._owner.beside(Load(int(m["on_cores"]), int(m["running"]), float(m["memory_kb"]),
-                                    int(m["connections"])))
+            self._owner.beside(
+                Load(int(m["on_cores"]), int(m["running"]), float(m["memory_kb"]), int(m["connections"]))
+            )
         elif kind == "OUT":
             self._owner.take_out(m["out"])
         elif kind == "READY":
@@ -420,8 +434,15 @@
             listeners = self._owner.listeners()
             for fd in listeners.values():
                 peer.transport.sendFileDescriptor(fd)
-            peer.say("WELCOME", v=VERSION, labels=list(listeners), out=self._owner.taken_out(),
-                     bytes=core.keys.size, unsure=core.keys.unsure_until, fleet=self._owner.incarnation())
+            peer.say(
+                "WELCOME",
+                v=VERSION,
+                labels=list(listeners),
+                out=self._owner.taken_out(),
+                bytes=core.keys.size,
+                unsure=core.keys.unsure_until,
+                fleet=self._owner.incarnation(),
+            )
             peer.hand_keys(claims.snapshot())
             self._told = Load()
             self._tell()
@@ -470,7 +491,9 @@
             self._doors.stopListening()
         try:
             Path(own).unlink(missing_ok=True)
-            with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC) as made:
+            with socket.socket(
+                socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC
+            ) as made:
                 made.bind(own)
                 made.listen(8)
                 self._doors = _Port.of(self._reactor, made, _Doors(self))
--- a/moorusher/links/tier.py
+++ b/moorusher/links/tier.py
@@ -53,8 +53,15 @@
 class TierCalls:
     """Stands behind the `Calls` protocol of `core/call.py`."""
 
-    def __init__(self, reactor: Any, servers: Iterable[Server], policy: Policy, runner: str,
-                 draw: Callable[[], float], grants: Grants | None = None) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        servers: Iterable[Server],
+        policy: Policy,
+        runner: str,
+        draw: Callable[[], float],
+        grants: Grants | None = None,
+    ) -> None:
         self.core: Decider  # set by the owner
         self._reactor, self._policy, self._runner, self._draw = reactor, policy, runner, draw
         self._servers, self._grants = list(servers), grants or Grants()
@@ -84,8 +91,11 @@
             link.close()  # it speaks otherwise now; what is under way there ends as it does
             link = None
         if link is None:
-            link = (UwsgiCalls(self._reactor, server.address) if server.speaks is Speaks.UWSGI
-                    else DatabasePool(self._reactor, server.address, MOST_IDLE))
+            link = (
+                UwsgiCalls(self._reactor, server.address)
+                if server.speaks is Speaks.UWSGI
+                else DatabasePool(self._reactor, server.address, MOST_IDLE)
+            )
             side: Any = _Side(self)
             link.core = side
             self._links[server.name] = link
--- a/moorusher/links/uwsgi.py
+++ b/moorusher/links/uwsgi.py
@@ -19,8 +19,12 @@
     """A call below, as a uwsgi request."""
     # The peer gives the call a rid of its own: a second call for this request is a new try there.
     variables = {
-        "REQUEST_METHOD": "POST", "REQUEST_URI": "/", "CONTENT_LENGTH": str(len(asked.body)),
-        VARS["class"]: asked.klass, VARS["budget"]: str(asked.timeout_ms), "MOORUSHER_REF": asked.rid,
+        "REQUEST_METHOD": "POST",
+        "REQUEST_URI": "/",
+        "CONTENT_LENGTH": str(len(asked.body)),
+        VARS["class"]: asked.klass,
+        VARS["budget"]: str(asked.timeout_ms),
+        "MOORUSHER_REF": asked.rid,
     }
     if asked.tenant is not None:
         variables[VARS["tenant"]] = asked.tenant
--- a/moorusher/links/work.py
+++ b/moorusher/links/work.py
@@ -49,10 +49,25 @@
             return False  # not keyed, or a repeat of what is known here
         a, key = request.arrival, key_of(*entry.key)
         self._names[key] = entry.key
-        self.node.claim(key, entry.body, Order(
-            a.rid, request.cls.name, request.tenant, entry.key[1], request.body,
-            self.core.clock.to_unix_ms(request.came), a.budget_ms, a.caller, a.memory_kb, a.rank, a.subject,
-            None if request.ruling is None else request.ruling.at), entry.until)
+        self.node.claim(
+            key,
+            entry.body,
+            Order(
+                a.rid,
+                request.cls.name,
+                request.tenant,
+                entry.key[1],
+                request.body,
+                self.core.clock.to_unix_ms(request.came),
+                a.budget_ms,
+                a.caller,
+                a.memory_kb,
+                a.rank,
+                a.subject,
+                None if request.ruling is None else request.ruling.at,
+            ),
+            entry.until,
+        )
         return True
 
     def begins(self, request: Request) -> bool:
@@ -123,10 +138,25 @@
 
     def take_up(self, key: Key, body: int, order: Order, until: int) -> bool:
         self._names[key] = (order.tenant, order.token)
-        rid = order.rid if order.rid not in self.core.table.by_rid else f"{order.rid[:56]}.{len(self.core.table)}"
+        rid = (
+            order.rid
+            if order.rid not in self.core.table.by_rid
+            else f"{order.rid[:56]}.{len(self.core.table)}"
+        )
         arrival = Arrival(
-            rid, order.klass, order.content, order.t0_unix_ms, None, order.budget_ms, order.tenant, order.caller,
-            order.memory_kb, order.rank, order.token, order.subject)
+            rid,
+            order.klass,
+            order.content,
+            order.t0_unix_ms,
+            None,
+            order.budget_ms,
+            order.tenant,
+            order.caller,
+            order.memory_kb,
+            order.rank,
+            order.token,
+            order.subject,
+        )
         if order.ruled is None:
             return self._take_up(arrival, None)
         if self.rules is None:
--- a/moorusher/loop.py
+++ b/moorusher/loop.py
@@ -78,7 +78,9 @@
     _ends = False  # nothing more is accepted than what waits already
 
     @classmethod
-    def of(cls, reactor: Any, made: socket.socket, factory: Any, most: int, count: Callable[[str], None]) -> Door:
+    def of(
+        cls, reactor: Any, made: socket.socket, factory: Any, most: int, count: Callable[[str], None]
+    ) -> Door:
         door: Door = cls._fromListeningDescriptor(reactor, made.fileno(), made.family, factory)
 
         def told(event: dict[str, Any]) -> None:
