--- a/moorusher/namespaces/document.py
+++ b/moorusher/namespaces/document.py
@@ -74,8 +74,10 @@
     except (msgspec.MsgspecError, RecursionError) as exc:
         raise Malformed(f"not JSON: {exc}") from exc
     root = _object(raw, "draft", {"default", "routes", "rules", "teams"})
-    routes = {name: _route(checked(name, "routes"), one, None if published else granted)
-              for name, one in _named(root.get("routes"), "routes").items()}
+    routes = {
+        name: _route(checked(name, "routes"), one, None if published else granted)
+        for name, one in _named(root.get("routes"), "routes").items()
+    }
     _count("routes", len(routes), budget.routes)
     _count("servers", sum(len(r.servers) for r in routes.values()), budget.route_servers)
     default = _text(root.get("default", ""), "default")
@@ -132,8 +134,12 @@
 def _route(name: str, raw: Any, granted: Granted | None) -> Route:
     path = f"routes.{name}"
     said = _object(raw, path, {"servers", "pool", "limit", "tries", "fall_back"})
-    servers = tuple(sorted((s, _whole(w, f"{path}.servers.{s}", 0, MOST_WEIGHT))
-                           for s, w in _named(said.get("servers"), f"{path}.servers").items()))
+    servers = tuple(
+        sorted(
+            (s, _whole(w, f"{path}.servers.{s}", 0, MOST_WEIGHT))
+            for s, w in _named(said.get("servers"), f"{path}.servers").items()
+        )
+    )
     pool = _text(said.get("pool", ""), f"{path}.pool")
     if bool(servers) == bool(pool):
         raise Malformed(f"{path}: expected servers or a pool, one of them")
@@ -144,8 +150,14 @@
         if pool and pool not in granted.pools:
             raise Foreign(f"{path}.pool: not granted to you: {pool!r}")
     fall_back = _text(said.get("fall_back", ""), f"{path}.fall_back")
-    return Route(name, servers, pool, _whole(said.get("limit", 0), f"{path}.limit", 0, 1_000_000),
-                 _whole(said.get("tries", 1), f"{path}.tries", 1, 5), fall_back)
+    return Route(
+        name,
+        servers,
+        pool,
+        _whole(said.get("limit", 0), f"{path}.limit", 0, 1_000_000),
+        _whole(said.get("tries", 1), f"{path}.tries", 1, 5),
+        fall_back,
+    )
 
 
 def _no_circle(routes: Mapping[str, Route]) -> None:
@@ -176,7 +188,9 @@
         if not isinstance(value, str) or not 0 < len(value) <= MOST_REASON:
             raise Malformed(f"{path}.refuse: expected a reason of 1 to {MOST_REASON} characters")
         return Refuse(value)
-    weights = {value: 1} if kinds[0] == "to" and isinstance(value, str) else _named(value, f"{path}.{kinds[0]}")
+    weights = (
+        {value: 1} if kinds[0] == "to" and isinstance(value, str) else _named(value, f"{path}.{kinds[0]}")
+    )
     for name, weight in weights.items():
         if name not in routes:
             raise Foreign(f"{path}.{kinds[0]}: no such route of yours: {name!r}")
@@ -192,9 +206,13 @@
 
 def _match(raw: Any, path: str) -> Match:
     said = _object(raw, path, {"key", "class", "caller", "subject", "rank"})
-    return Match(_strings(said, "key", path), _numbers(said, "subject", path, -1, MOST_NUMBER, EVERY_NUMBER),
-                 _numbers(said, "caller", path, -1, MOST_NUMBER, EVERY_NUMBER), _strings(said, "class", path),
-                 _numbers(said, "rank", path, 0, 1, EVERY_RANK))
+    return Match(
+        _strings(said, "key", path),
+        _numbers(said, "subject", path, -1, MOST_NUMBER, EVERY_NUMBER),
+        _numbers(said, "caller", path, -1, MOST_NUMBER, EVERY_NUMBER),
+        _strings(said, "class", path),
+        _numbers(said, "rank", path, 0, 1, EVERY_RANK),
+    )
 
 
 def _strings(said: Mapping[str, Any], name: str, path: str) -> Words:
@@ -202,17 +220,24 @@
         return EVERY_WORD
     listed = said[name]
     if not isinstance(listed, list) or not all(isinstance(w, str) and len(w) <= 256 for w in listed):
-        raise Malformed(f"{path}.{name}: expected a list of strings of at most 256 characters; a last * is a prefix")
+        raise Malformed(
+            f"{path}.{name}: expected a list of strings of at most 256 characters; a last * is a prefix"
+        )
     return Words.of([w for w in listed if not w.endswith("*")], [w[:-1] for w in listed if w.endswith("*")])
 
 
-def _numbers(said: Mapping[str, Any], name: str, path: str, least: float, most: float, every: Ranges) -> Ranges:
+def _numbers(
+    said: Mapping[str, Any], name: str, path: str, least: float, most: float, every: Ranges
+) -> Ranges:
     if name not in said:
         return every
     parts = said[name]
     if not isinstance(parts, list) or not all(
-            isinstance(p, list) and len(p) == 2 and all(isinstance(n, (int, float)) and not isinstance(n, bool)
-                                                        and least <= n <= most for n in p) for p in parts):
+        isinstance(p, list)
+        and len(p) == 2
+        and all(isinstance(n, (int, float)) and not isinstance(n, bool) and least <= n <= most for n in p)
+        for p in parts
+    ):
         raise Malformed(f"{path}.{name}: expected a list of [from, to], from {least:g} to {most:g}")
     return Ranges.of([(float(a), float(b)) for a, b in parts])
 
@@ -220,9 +245,16 @@
 def _meet(a: Match, b: Match) -> Match:
     if b is EVERYTHING:
         return a
-    return Match(a.key.meet(b.key), a.subject.meet(b.subject), a.caller.meet(b.caller), a.klass.meet(b.klass),
-                 a.rank.meet(b.rank))
+    return Match(
+        a.key.meet(b.key),
+        a.subject.meet(b.subject),
+        a.caller.meet(b.caller),
+        a.klass.meet(b.klass),
+        a.rank.meet(b.rank),
+    )
 
 
 def _words(match: Match) -> int:
-    return sum(len(p.prefixes) + len(p.words) if isinstance(p, Words) else len(p.parts) for p in match.parts())
+    return sum(
+        len(p.prefixes) + len(p.words) if isinstance(p, Words) else len(p.parts) for p in match.parts()
+    )
--- a/moorusher/namespaces/errors.py
+++ b/moorusher/namespaces/errors.py
@@ -33,7 +33,9 @@
     remedy = "Take it out, or narrow what covers it."
 
     def __init__(self, rule: str, by: tuple[str, ...]) -> None:
-        super().__init__(f"{rule} can never match: covered by {', '.join(by)}" if by else f"{rule} can never match")
+        super().__init__(
+            f"{rule} can never match: covered by {', '.join(by)}" if by else f"{rule} can never match"
+        )
         self.rule, self.by = rule, by
 
 
@@ -60,11 +62,15 @@
 class Conflict(NamespaceError):
     """Another revision came first."""
 
-    remedy = "Read what is there now (`moorusher namespace show`), make the change on top of it, and publish that."
+    remedy = (
+        "Read what is there now (`moorusher namespace show`), make the change on top of it, and publish that."
+    )
 
     def __init__(self, expected: int, found: int, changes: tuple[str, ...]) -> None:
         what = "; ".join(changes) or "nothing that can be told any more"
-        super().__init__(f"made on top of revision {expected}, and {found} is there; changed since then: {what}")
+        super().__init__(
+            f"made on top of revision {expected}, and {found} is there; changed since then: {what}"
+        )
         self.expected, self.found, self.changes = expected, found, changes
 
 
@@ -82,5 +88,14 @@
     remedy = "`moorusher namespace list` has those that there are; the platform adds one with [[namespaces.customer]]."
 
 
-ERRORS: tuple[type[NamespaceError], ...] = (Malformed, Ambiguous, Unreachable, Foreign, OverBudget, Circular, Conflict,
-                                            Retired, NoSuchCustomer)
+ERRORS: tuple[type[NamespaceError], ...] = (
+    Malformed,
+    Ambiguous,
+    Unreachable,
+    Foreign,
+    OverBudget,
+    Circular,
+    Conflict,
+    Retired,
+    NoSuchCustomer,
+)
--- a/moorusher/namespaces/names.py
+++ b/moorusher/namespaces/names.py
@@ -17,13 +17,18 @@
 
 def is_normal(name: str) -> bool:
     """Written the one way in which names are compared."""
-    return 0 < len(name) <= MOST and unicodedata.is_normalized("NFC", name) \
+    return (
+        0 < len(name) <= MOST
+        and unicodedata.is_normalized("NFC", name)
         and not any(unicodedata.category(c) in _BAD for c in name)
+    )
 
 
 def checked(name: object, path: str) -> str:
     """Raises Malformed."""
     if not isinstance(name, str) or not is_normal(name):
-        raise Malformed(f"{path}: expected a name of 1 to {MOST} characters in Unicode's form NFC, without spaces and "
-                        f"control characters, got {name!r}")
+        raise Malformed(
+            f"{path}: expected a name of 1 to {MOST} characters in Unicode's form NFC, without spaces and "
+            f"control characters, got {name!r}"
+        )
     return name
--- a/moorusher/namespaces/revisions.py
+++ b/moorusher/namespaces/revisions.py
@@ -89,8 +89,11 @@
     """What is to be checked and published. Raises Conflict, Retired."""
     if s.expects >= 0 and s.expects != book.number:
         before, now = book.find(s.expects), book.current
-        raise Conflict(s.expects, book.number, difference(b"" if before is None else before.draft,
-                                                          b"" if now is None else now.draft))
+        raise Conflict(
+            s.expects,
+            book.number,
+            difference(b"" if before is None else before.draft, b"" if now is None else now.draft),
+        )
     if not s.back_to:
         return s.draft
     if (entry := book.find(s.back_to)) is None:
@@ -109,7 +112,7 @@
         raise OverBudget(f"a draft of {len(draft)} bytes; {bounds.bytes - SMALL} can be kept")
     entries = [Entry(book.number + 1, s.id, now_ms, s.by[:MOST_BY], draft, s.back_to)]
     size = len(draft) + SMALL
-    for entry in book.entries[:bounds.keep - 1]:
+    for entry in book.entries[: bounds.keep - 1]:
         size += len(entry.draft)
         if size > bounds.bytes:
             break
@@ -120,9 +123,14 @@
 def difference(old: bytes, new: bytes) -> tuple[str, ...]:
     """In words, by the names of what is there; neither need be in order."""
     a, b = _names(old), _names(new)
-    told = [f"{'+' if name not in a else '-' if name not in b else '~'} {name}"
-            for name in sorted(a.keys() | b.keys()) if a.get(name) != b.get(name)]
-    return tuple(told[:MOST_CHANGES]) + ((f"and {len(told) - MOST_CHANGES} more",) if len(told) > MOST_CHANGES else ())
+    told = [
+        f"{'+' if name not in a else '-' if name not in b else '~'} {name}"
+        for name in sorted(a.keys() | b.keys())
+        if a.get(name) != b.get(name)
+    ]
+    return tuple(told[:MOST_CHANGES]) + (
+        (f"and {len(told) - MOST_CHANGES} more",) if len(told) > MOST_CHANGES else ()
+    )
 
 
 def _names(draft: bytes) -> dict[str, Any]:
--- a/moorusher/namespaces/rules.py
+++ b/moorusher/namespaces/rules.py
@@ -34,7 +34,9 @@
         return self.key, self.subject, self.caller, self.klass, self.rank
 
     def __contains__(self, asked: object) -> bool:
-        return isinstance(asked, Asked) and all(getattr(asked, name) in getattr(self, name) for name in DIMENSIONS)
+        return isinstance(asked, Asked) and all(
+            getattr(asked, name) in getattr(self, name) for name in DIMENSIONS
+        )
 
     def sizes(self) -> tuple[Size, ...]:
         """Compared as a whole: the smaller, the more specific. One match that strictly holds another is larger, as none
--- a/moorusher/namespaces/sets.py
+++ b/moorusher/namespaces/sets.py
@@ -27,15 +27,23 @@
         for p in sorted(prefixes, key=len):
             if not any(p[:n] in outer for n in range(len(p) + 1)):
                 outer.add(p)
-        return cls(frozenset(outer), frozenset(w for w in words if not any(w[:n] in outer for n in range(len(w) + 1))))
+        return cls(
+            frozenset(outer),
+            frozenset(w for w in words if not any(w[:n] in outer for n in range(len(w) + 1))),
+        )
 
     def __contains__(self, word: object) -> bool:
-        return isinstance(word, str) and (word in self.words or any(word.startswith(p) for p in self.prefixes))
+        return isinstance(word, str) and (
+            word in self.words or any(word.startswith(p) for p in self.prefixes)
+        )
 
     def meet(self, other: Words) -> Words:
-        prefixes = {p for p in self.prefixes if any(p.startswith(o) for o in other.prefixes)} \
-            | {o for o in other.prefixes if any(o.startswith(p) for p in self.prefixes)}
-        return Words.of({w for w in self.words if w in other} | {w for w in other.words if w in self}, prefixes)
+        prefixes = {p for p in self.prefixes if any(p.startswith(o) for o in other.prefixes)} | {
+            o for o in other.prefixes if any(o.startswith(p) for p in self.prefixes)
+        }
+        return Words.of(
+            {w for w in self.words if w in other} | {w for w in other.words if w in self}, prefixes
+        )
 
     def size(self) -> Size:
         """(share of all strings that the prefixes hold, single words)."""
--- a/moorusher/namespaces/table.py
+++ b/moorusher/namespaces/table.py
@@ -34,8 +34,14 @@
     """Raises Ambiguous, Unreachable, OverBudget. `most_steps`: of working out what is reachable; `most_bytes`: of what
     look-ups need."""
 
-    def __init__(self, rules: Sequence[Rule], default: str, most_steps: int = 2_000_000,
-                 most_bytes: int = 32 << 20, checked: bool = False) -> None:
+    def __init__(
+        self,
+        rules: Sequence[Rule],
+        default: str,
+        most_steps: int = 2_000_000,
+        most_bytes: int = 32 << 20,
+        checked: bool = False,
+    ) -> None:
         """`checked`: it was found in order before, and is only made ready."""
         ranked = sorted(((r.order(), r.label, r) for r in rules), key=lambda one: one[:2])
         self._ranks, self.rules = [one[0] for one in ranked], [one[2] for one in ranked]
@@ -122,17 +128,23 @@
     def example(self, box: Box) -> str:
         """A request in it, in words."""
         atoms = [(bits & -bits).bit_length() - 1 for bits in box]
-        return ", ".join(f"{'class' if name == 'klass' else name} {a.example(atom)!r}"
-                         for name, a, atom in zip(DIMENSIONS, self.atoms, atoms, strict=True))
+        return ", ".join(
+            f"{'class' if name == 'klass' else name} {a.example(atom)!r}"
+            for name, a, atom in zip(DIMENSIONS, self.atoms, atoms, strict=True)
+        )
 
     # ---- look-ups ----
 
     def find(self, asked: Asked) -> Rule | None:
         key, subject, caller, klass, rank = self.atoms
         masks = self._masks
-        found = (masks[0][key.of(asked.key)] & masks[1][subject.of(asked.subject)]  # type: ignore[arg-type]
-                 & masks[2][caller.of(asked.caller)] & masks[3][klass.of(asked.klass)]  # type: ignore[arg-type]
-                 & masks[4][rank.of(asked.rank)])  # type: ignore[arg-type]
+        found = (
+            masks[0][key.of(asked.key)]  # type: ignore[arg-type]
+            & masks[1][subject.of(asked.subject)]  # type: ignore[arg-type]
+            & masks[2][caller.of(asked.caller)]  # type: ignore[arg-type]
+            & masks[3][klass.of(asked.klass)]  # type: ignore[arg-type]
+            & masks[4][rank.of(asked.rank)]  # type: ignore[arg-type]
+        )
         return self.rules[(found & -found).bit_length() - 1] if found else None
 
     def decide(self, asked: Asked) -> Decision:
@@ -171,6 +183,6 @@
     for i, bits in enumerate(b):
         rest = inside[i] & ~bits
         if rest:
-            made.append((*inside[:i], rest, *a[i + 1:]))
+            made.append((*inside[:i], rest, *a[i + 1 :]))
         inside[i] &= bits
     return made
--- a/moorusher/outage/changes.py
+++ b/moorusher/outage/changes.py
@@ -57,10 +57,17 @@
     gone = {a.id for a in over}
     at = ended[-1].at_s if ended else 0.0
     how = How.DONE if any(e.how == How.DONE.value for e in ended) else How.WITHDRAWN
-    ends = [*old.ended, *ended, *(Ended(a.id, "", (How.DONE if a.done else how).value, at, f"{a.done} done")
-                                  for a in over)]
-    return _new(old, asks=tuple(a for a in old.asks if a.id not in gone), ended=tuple(ends[-keep:]),
-                tried=tuple(t for t in old.tried if t[0] not in gone))
+    ends = [
+        *old.ended,
+        *ended,
+        *(Ended(a.id, "", (How.DONE if a.done else how).value, at, f"{a.done} done") for a in over),
+    ]
+    return _new(
+        old,
+        asks=tuple(a for a in old.asks if a.id not in gone),
+        ended=tuple(ends[-keep:]),
+        tried=tuple(t for t in old.tried if t[0] not in gone),
+    )
 
 
 def _waits_again(old: Roster, turn: Turn, note: str, counts: bool) -> Roster:
@@ -89,7 +96,9 @@
         there = old.ask(self.ask.id)
         if there is not None:
             if not there.same(self.ask):
-                self.error = OtherAsk(f"{self.ask.id}: another ask has that id: {there.reason}, by {there.by}")
+                self.error = OtherAsk(
+                    f"{self.ask.id}: another ask has that id: {there.reason}, by {there.by}"
+                )
             return None
         if old.is_over(self.ask.id):
             return None
@@ -121,14 +130,19 @@
         turns = [t for t in old.turns if t.ask == self.id and named(t.seat)]
         self.late = [t.seat for t in turns if t.at is not Stage.DRAINING]
         if self.late:
-            self.error = TooLate(f"{', '.join(self.late)}: told to go already; the rest of {self.id} is withdrawn")
+            self.error = TooLate(
+                f"{', '.join(self.late)}: told to go already; the rest of {self.id} is withdrawn"
+            )
         gone = {t.seat for t in turns} - set(self.late)
         out = [s for s in ask.waiting if named(s)] + [s for s, _ in ask.held if named(s)] + sorted(gone)
         if not out:
             return None
         self._touched = sorted(gone)
-        ask = _new(ask, waiting=tuple(s for s in ask.waiting if not named(s)),
-                   held=tuple(h for h in ask.held if not named(h[0])))
+        ask = _new(
+            ask,
+            waiting=tuple(s for s in ask.waiting if not named(s)),
+            held=tuple(h for h in ask.held if not named(h[0])),
+        )
         made = _new(_for(old, ask), turns=tuple(t for t in old.turns if t.seat not in gone))
         named_ends = [Ended(self.id, s, How.WITHDRAWN.value, self.at_s, f"by {self.by}") for s in out[:8]]
         return _tidy(made, self.keep, *named_ends)
@@ -171,12 +185,19 @@
         for ask in old.asks:
             if any(s == self.seat for s, _ in ask.held):
                 found = True
-                made = _for(made, _new(ask, waiting=(*ask.waiting, self.seat),
-                                       held=tuple(h for h in ask.held if h[0] != self.seat)))
+                made = _for(
+                    made,
+                    _new(
+                        ask,
+                        waiting=(*ask.waiting, self.seat),
+                        held=tuple(h for h in ask.held if h[0] != self.seat),
+                    ),
+                )
         if not found:
             turn = old.turn(self.seat)
-            self.error = NotOut(f"{self.seat}: not held back" + (
-                "" if turn is None else f"; it is {turn.at.name.lower()}"))
+            self.error = NotOut(
+                f"{self.seat}: not held back" + ("" if turn is None else f"; it is {turn.at.name.lower()}")
+            )
             return None
         return made
 
@@ -223,10 +244,19 @@
             ask = made.ask(id)
             if ask is None or seat not in ask.waiting or made.turn(seat) is not None:
                 return None
-            turn = Turn(seat, id, old.number + 1, since_s=self.at_s, lasts_s=ask.lasts_s, ends=ask.ends,
-                        tries=old.tries(id, seat))
-            made = _new(_for(made, _new(ask, waiting=tuple(s for s in ask.waiting if s != seat))),
-                        turns=(*made.turns, turn))
+            turn = Turn(
+                seat,
+                id,
+                old.number + 1,
+                since_s=self.at_s,
+                lasts_s=ask.lasts_s,
+                ends=ask.ends,
+                tries=old.tries(id, seat),
+            )
+            made = _new(
+                _for(made, _new(ask, waiting=tuple(s for s in ask.waiting if s != seat))),
+                turns=(*made.turns, turn),
+            )
         self.made = True
         return made
 
@@ -271,7 +301,9 @@
         turn = self.mine(old)
         if turn is None or turn.inc != self.inc or old.hold or len(old.turns) > self.most:
             return None
-        return _with(old, _new(turn, stage=Stage.OUT.value, since_s=self.at_s, mark=self.mark, settings=self.settings))
+        return _with(
+            old, _new(turn, stage=Stage.OUT.value, since_s=self.at_s, mark=self.mark, settings=self.settings)
+        )
 
 
 class GiveBack(_Own):
@@ -302,11 +334,15 @@
         if turn is None or turn.inc == self.inc:
             return None
         falls = turn.falls + (turn.at is Stage.BACK)
-        note = "came back with other settings" if turn.settings and turn.settings != self.settings else turn.note
+        note = (
+            "came back with other settings" if turn.settings and turn.settings != self.settings else turn.note
+        )
         stage = Stage.BACK
         if falls >= MOST_FALLS:
             stage, note = Stage.ASIDE, f"came back, and ended again {falls} times"
-        return _with(old, _new(turn, stage=stage.value, inc=self.inc, since_s=self.at_s, falls=falls, note=note))
+        return _with(
+            old, _new(turn, stage=stage.value, inc=self.inc, since_s=self.at_s, falls=falls, note=note)
+        )
 
 
 class Warm(_Own):
--- a/moorusher/outage/desk.py
+++ b/moorusher/outage/desk.py
@@ -27,7 +27,9 @@
 from .roster import EMPTY, KEY, Ask, Ended, Ends, How, Roster, Stage, Turn, unpack
 
 TICK = 200 * MS
-MINE = 1_000 * MS  # with a turn of its own, or with somebody who waits here, the roster is looked at so often,
+MINE = (
+    1_000 * MS
+)  # with a turn of its own, or with somebody who waits here, the roster is looked at so often,
 KEEPS = 3_000 * MS  # by a keeper so often,
 WAITS = 5_000 * MS  # and by a machine that waits: it is told of its grant,
 IDLE = 30_000 * MS  # as is any other;
@@ -68,19 +70,31 @@
 
 
 class Desk:
-    def __init__(self, node: Node, host: Host, policy: Policy, remembers: bool = False,
-                 keeper: type[Keeper] = Keeper) -> None:
+    def __init__(
+        self, node: Node, host: Host, policy: Policy, remembers: bool = False, keeper: type[Keeper] = Keeper
+    ) -> None:
         self.node, self._host, self.policy = node, host, policy
         seats = node.seats
         self.keepers = seats.keepers(KEY)
-        self.keeper = keeper(node.me, node.owner.inc, seats.keepers, frozenset(seats.names) - {node.me}, remembers,
-                             KEPT, told=self._kept, lasting=True, part=seats.part, of=seats.of)
+        self.keeper = keeper(
+            node.me,
+            node.owner.inc,
+            seats.keepers,
+            frozenset(seats.names) - {node.me},
+            remembers,
+            KEPT,
+            told=self._kept,
+            lasting=True,
+            part=seats.part,
+            of=seats.of,
+        )
         self.keeper.mine = [seats.part(KEY)] if node.me in self.keepers else []
         self.registers = Registers(SHARED, self.keeper, node, None)
         node.add(self.registers)
         node.parts[messages.PART] = self._heard
-        self.planner = Planner(node.me, seats, node.members, self.keepers, policy) \
-            if node.me in self.keepers else None
+        self.planner = (
+            Planner(node.me, seats, node.members, self.keepers, policy) if node.me in self.keepers else None
+        )
         self._shows = self.planner or Planner(node.me, seats, node.members, self.keepers, policy)
         self.roster, self.known = EMPTY, -1  # as last read, and when, in us
         self.doing = Doing.SERVES
@@ -196,15 +210,21 @@
             if then is not None:
                 then(self.roster if change.error is None else change.error)
 
-        self.registers.change(KEY, change, self.node.clock() + FOREVER,
-                              wait or round(self.node.policy.claim_ms * MS), written)
+        self.registers.change(
+            KEY, change, self.node.clock() + FOREVER, wait or round(self.node.policy.claim_ms * MS), written
+        )
 
     # ---- this machine's own turn ----
 
     def _own(self, now: int) -> Own:
-        return replace(self._host.own(), seat=self.me, inc=self.node.owner.inc, out=len(self.roster.turns),
-                       draining_us=now - self._since.get(Doing.DRAINS, now),
-                       back_us=now - self._since.get(Doing.RETURNS, now))
+        return replace(
+            self._host.own(),
+            seat=self.me,
+            inc=self.node.owner.inc,
+            out=len(self.roster.turns),
+            draining_us=now - self._since.get(Doing.DRAINS, now),
+            back_us=now - self._since.get(Doing.RETURNS, now),
+        )
 
     def _step(self, now: int) -> None:
         if self.known < 0:
@@ -218,9 +238,18 @@
             return
         if gone:
             self.node.count("outage: withdrawn, as who waited has gone")
-            self._write(Cancel(gone[0], [self.me], self._host.unix_s(), "nobody: who waited has gone",
-                               self.policy.most_kept))
-        elif do.change is not None and not (isinstance(do.change, Go) and turn is not None and turn.ask in alone):
+            self._write(
+                Cancel(
+                    gone[0],
+                    [self.me],
+                    self._host.unix_s(),
+                    "nobody: who waited has gone",
+                    self.policy.most_kept,
+                )
+            )
+        elif do.change is not None and not (
+            isinstance(do.change, Go) and turn is not None and turn.ask in alone
+        ):
             self._write(do.change)
 
     def _callers(self, now: int, mark: str) -> tuple[list[str], list[str]]:
@@ -230,10 +259,15 @@
         turn = self.roster.turn(self.me)
         draining = turn.ask if turn is not None and turn.at is Stage.DRAINING else ""
         there = {w.id for w in self._waiters}
-        alone = {a.id: a.bound for a in self.roster.asks if a.bound and a.id not in there
-                 and (self.me in a.waiting or a.id == draining)}
+        alone = {
+            a.id: a.bound
+            for a in self.roster.asks
+            if a.bound and a.id not in there and (self.me in a.waiting or a.id == draining)
+        }
         self._alone = {id: self._alone.get(id, now) for id in alone}
-        gone = [id for id, bound in alone.items() if (mark and bound != mark) or now - self._alone[id] >= GRACE]
+        gone = [
+            id for id, bound in alone.items() if (mark and bound != mark) or now - self._alone[id] >= GRACE
+        ]
         return gone, list(alone)
 
     def _do(self, do: Do, turn: Turn | None, now: int) -> None:
@@ -317,5 +351,9 @@
             return Waited("held back", why)
         end: Ended | None = roster.last(waiter.id, waiter.seat)
         if end is None:
-            return None if ask is None and self.known < 0 else Waited("withdrawn", "nothing is known of it any more")
+            return (
+                None
+                if ask is None and self.known < 0
+                else Waited("withdrawn", "nothing is known of it any more")
+            )
         return Waited("withdrawn" if end.how == How.WITHDRAWN.value else "over", end.note)
--- a/moorusher/outage/errors.py
+++ b/moorusher/outage/errors.py
@@ -11,9 +11,11 @@
 
 class NoMajority(OutageError):
     status = 503
-    remedy = ("Nobody new goes out meanwhile; machines that are out can come back and serve. See "
-              "`moorusher fleet show` on several runners: bring back seats that are down or cut off. What was sent may "
-              "yet come about: ask again with the same id.")
+    remedy = (
+        "Nobody new goes out meanwhile; machines that are out can come back and serve. See "
+        "`moorusher fleet show` on several runners: bring back seats that are down or cut off. What was sent may "
+        "yet come about: ask again with the same id."
+    )
 
 
 class NoSuchSeat(OutageError):
@@ -36,17 +38,32 @@
 
 
 class TooLate(OutageError):
-    remedy = ("It was told that it may go, so it counts as out whatever becomes of it. Once it is back, or where it is "
-              "not going after all: `moorusher outage done SEAT`.")
+    remedy = (
+        "It was told that it may go, so it counts as out whatever becomes of it. Once it is back, or where it is "
+        "not going after all: `moorusher outage done SEAT`."
+    )
 
 
 class NotHere(OutageError):
-    remedy = ("Wait on the machine itself, at its own runner: its next start ends the turn, and whoever waits there "
-              "with it. From elsewhere, ask with --ends done, and say `moorusher outage done SEAT` once it is.")
+    remedy = (
+        "Wait on the machine itself, at its own runner: its next start ends the turn, and whoever waits there "
+        "with it. From elsewhere, ask with --ends done, and say `moorusher outage done SEAT` once it is."
+    )
 
 
 class NotOut(OutageError):
-    remedy = "`moorusher outage show` has what each machine is at. One that only waits is withdrawn with `cancel`."
-
-
-ERRORS: tuple[type[OutageError], ...] = (NoMajority, NoSuchSeat, NoSuchAsk, OtherAsk, TooMany, TooLate, NotHere, NotOut)
+    remedy = (
+        "`moorusher outage show` has what each machine is at. One that only waits is withdrawn with `cancel`."
+    )
+
+
+ERRORS: tuple[type[OutageError], ...] = (
+    NoMajority,
+    NoSuchSeat,
+    NoSuchAsk,
+    OtherAsk,
+    TooMany,
+    TooLate,
+    NotHere,
+    NotOut,
+)
--- a/moorusher/outage/machine.py
+++ b/moorusher/outage/machine.py
@@ -60,8 +60,10 @@
             return Do(Doing.RETURNS, Return(turn, own.inc, now_s, own.settings))
         late = ""
         if now_s - turn.since_s > policy.go_s:
-            late = f"told to go {now_s - turn.since_s:.0f} s ago, and up, on the same start: it counts as out until " \
-                   "it has gone and is back, or `moorusher outage done` is said of it"
+            late = (
+                f"told to go {now_s - turn.since_s:.0f} s ago, and up, on the same start: it counts as out until "
+                "it has gone and is back, or `moorusher outage done` is said of it"
+            )
         return Do(Doing.GONE, None, late)
     if turn.at is Stage.ASIDE:
         return Do(Doing.RETURNS, None, turn.note)
@@ -69,9 +71,15 @@
 
 
 def _drains(turn: Turn, own: Own, policy: Policy, now_s: float) -> Do:
-    if own.out > policy.most:  # whoever granted it goes by a file that says more; that is no fault of this machine
-        return Do(Doing.SERVES, GiveBack(turn, own.inc, f"{own.out} are out, and {policy.most} may be by its own file",
-                                         counts=False))
+    if (
+        own.out > policy.most
+    ):  # whoever granted it goes by a file that says more; that is no fault of this machine
+        return Do(
+            Doing.SERVES,
+            GiveBack(
+                turn, own.inc, f"{own.out} are out, and {policy.most} may be by its own file", counts=False
+            ),
+        )
     if turn.inc != own.inc:
         if turn.inc and own.fresh:
             return Do(Doing.SERVES, GiveBack(turn, own.inc, "its process ended while it drained"))
--- a/moorusher/outage/order.py
+++ b/moorusher/outage/order.py
@@ -18,8 +18,15 @@
     pressing = bool(ask.due_s) and now_s >= ask.due_s - PRESSING * ask.lasts_s
     weight = ask.priority + max(0.0, now_s - ask.asked_s) / policy.ages_s
     # A step of age counts as whole, or no two asks would ever be alike and what follows would never decide.
-    return (not pressing, -float(int(weight)), not (view is not None and view.sick), ask.due_s or float("inf"),
-            0 if view is None else spare.zones[view.zone], ask.asked_s, seat)
+    return (
+        not pressing,
+        -float(int(weight)),
+        not (view is not None and view.sick),
+        ask.due_s or float("inf"),
+        0 if view is None else spare.zones[view.zone],
+        ask.asked_s,
+        seat,
+    )
 
 
 def waiting(roster: Roster, spare: Spare, policy: Policy, now_s: float) -> list[tuple[Ask, str]]:
--- a/moorusher/outage/plan.py
+++ b/moorusher/outage/plan.py
@@ -41,8 +41,15 @@
         return max(0.0, self.settle_s - (now_s - self.since_s))
 
 
-def plan(roster: Roster, views: Iterable[View], keepers: Sequence[str], policy: Policy, now_s: float,
-         calm_in_s: float = 0.0, explain: bool = False) -> Step:
+def plan(
+    roster: Roster,
+    views: Iterable[View],
+    keepers: Sequence[str],
+    policy: Policy,
+    now_s: float,
+    calm_in_s: float = 0.0,
+    explain: bool = False,
+) -> Step:
     """`now_s`: Unix time. `explain`: with the reason of each that stays, and the order."""
     step = Step()
     if not roster.asks:
@@ -70,8 +77,9 @@
     return step
 
 
-def foretold(roster: Roster, order: Sequence[tuple[Ask, str]], zones: dict[str, str], policy: Policy,
-             now_s: float) -> dict[tuple[str, str], float]:
+def foretold(
+    roster: Roster, order: Sequence[tuple[Ask, str]], zones: dict[str, str], policy: Policy, now_s: float
+) -> dict[tuple[str, str], float]:
     """When each that waits is likely to go, in seconds from now, were everything as wished and as long as was said."""
     ends: list[tuple[float, str]] = []  # (when, zone) of those that are out
     for turn in roster.turns:
--- a/moorusher/outage/planner.py
+++ b/moorusher/outage/planner.py
@@ -24,14 +24,34 @@
     for name in seats.names:
         seat, member = seats.by_name[name], members.by_seat[name]
         word = member.told
-        made.append(View(name, seat.zone, seat.group, member.up, word.cores, word.weight, word.load / 100,
-                         word.peak / 100, word.whole, word.lasting))
+        made.append(
+            View(
+                name,
+                seat.zone,
+                seat.group,
+                member.up,
+                word.cores,
+                word.weight,
+                word.load / 100,
+                word.peak / 100,
+                word.whole,
+                word.lasting,
+            )
+        )
     return made
 
 
 class Planner:
-    def __init__(self, me: str, seats: Seats, members: Members, keepers: Sequence[str], policy: Policy) -> None:
-        self.me, self.seats, self.members, self.keepers, self.policy = me, seats, members, tuple(keepers), policy
+    def __init__(
+        self, me: str, seats: Seats, members: Members, keepers: Sequence[str], policy: Policy
+    ) -> None:
+        self.me, self.seats, self.members, self.keepers, self.policy = (
+            me,
+            seats,
+            members,
+            tuple(keepers),
+            policy,
+        )
         self.calm = Calm(policy.settle_s)
         self._number, self._since = -1, 0
         self._told = 0
--- a/moorusher/outage/roster.py
+++ b/moorusher/outage/roster.py
@@ -62,8 +62,23 @@
 
     def same(self, other: Ask) -> bool:
         """What was asked for, whatever has become of it."""
-        return (self.reason, self.lasts_s, self.not_before_s, self.due_s, self.priority, self.together, self.ends) == (
-            other.reason, other.lasts_s, other.not_before_s, other.due_s, other.priority, other.together, other.ends)
+        return (
+            self.reason,
+            self.lasts_s,
+            self.not_before_s,
+            self.due_s,
+            self.priority,
+            self.together,
+            self.ends,
+        ) == (
+            other.reason,
+            other.lasts_s,
+            other.not_before_s,
+            other.due_s,
+            other.priority,
+            other.together,
+            other.ends,
+        )
 
 
 class Turn(msgspec.Struct, frozen=True, array_like=True):
--- a/moorusher/outage/spare.py
+++ b/moorusher/outage/spare.py
@@ -59,11 +59,16 @@
         served = [v for v in self.views.values() if v.up]
         self.need = max(sum(v.load for v in served), sum(v.peak for v in served))
         self.zones = Counter(self.views[s].zone for s in self.out if s in self.views)
-        self.groups = Counter(self.views[s].group for s in self.out if s in self.views and self.views[s].group)
+        self.groups = Counter(
+            self.views[s].group for s in self.out if s in self.views and self.views[s].group
+        )
         asks = {a.id: a for a in roster.asks}
         # Zones in which something is out that wants nobody beside it.
-        self.alone = {self.views[t.seat].zone for t in roster.turns
-                      if t.seat in self.views and (t.ask not in asks or not asks[t.ask].together)}
+        self.alone = {
+            self.views[t.seat].zone
+            for t in roster.turns
+            if t.seat in self.views and (t.ask not in asks or not asks[t.ask].together)
+        }
         self.alone |= {self.views[s].zone for s in self.lost}
         self.keepers = set(keepers)
         # One more that is lost unasked, and forgets, must not lose the order of all.
@@ -101,8 +106,9 @@
 
     def _who(self) -> str:
         named = sorted(self.out)
-        return ", ".join(named[:3]) + (f" and {len(named) - 3} more are" if len(named) > 3 else
-                                       " is" if len(named) == 1 else " are")
+        return ", ".join(named[:3]) + (
+            f" and {len(named) - 3} more are" if len(named) > 3 else " is" if len(named) == 1 else " are"
+        )
 
     def take(self, ask: Ask, seat: str) -> None:
         view = self.views[seat]
--- a/moorusher/publishing/cast.py
+++ b/moorusher/publishing/cast.py
@@ -32,8 +32,9 @@
     def clock(self) -> int: ...
     def count(self, name: str) -> None: ...
     def draft(self, customer: str, at: At) -> bytes | None: ...  # of that revision, where it is had
-    def have(self, customer: str, at: At, gone: bool, draft: bytes | None, whence: str,
-             then: Callable[[str], None]) -> None: ...  # `then("")` once it is had, or `then(why)`
+    def have(
+        self, customer: str, at: At, gone: bool, draft: bytes | None, whence: str, then: Callable[[str], None]
+    ) -> None: ...  # `then("")` once it is had, or `then(why)`
 
 
 @dataclass(slots=True, eq=False)
@@ -99,8 +100,19 @@
             wave.open += 1
             draft = wave.draft
             left = max(0, (wave.until - A_LEVEL - self.host.clock()) // MS)
-            self.host.say(seat, Cast(serial, wave.customer, wave.at, wave.gone, i, high, left,
-                                     draft if draft is not None and len(draft) <= SMALL else None))
+            self.host.say(
+                seat,
+                Cast(
+                    serial,
+                    wave.customer,
+                    wave.at,
+                    wave.gone,
+                    i,
+                    high,
+                    left,
+                    draft if draft is not None and len(draft) <= SMALL else None,
+                ),
+            )
             self.host.at(self.host.clock() + HEARD_WITHIN, partial(self._not_heard, serial))
             return
 
@@ -130,7 +142,7 @@
         for serial, part in list(self._parts.items()):
             if part.wave is wave:
                 del self._parts[serial]
-                for seat in self.seats[part.head:part.high]:
+                for seat in self.seats[part.head : part.high]:
                     if seat != self.host.me:
                         self._lacks(wave, seat, "no word of it in time")
         wave.over = True
--- a/moorusher/publishing/compare.py
+++ b/moorusher/publishing/compare.py
@@ -34,8 +34,9 @@
     def clock(self) -> int: ...
     def random(self) -> float: ...
     def has(self, customer: str) -> tuple[At, bool]: ...  # and whether it is gone
-    def have(self, customer: str, at: At, gone: bool, draft: bytes | None, whence: str,
-             then: Callable[[str], None]) -> None: ...
+    def have(
+        self, customer: str, at: At, gone: bool, draft: bytes | None, whence: str, then: Callable[[str], None]
+    ) -> None: ...
     def became_ready(self) -> None: ...
 
 
@@ -153,8 +154,12 @@
                 continue
             self._ask(customer, wanted)
         self._going = False
-        if not self.ready and not self._queue and not self._asked and (
-                self._settled or len(self._known) >= majority(self.seats) - 1):
+        if (
+            not self.ready
+            and not self._queue
+            and not self._asked
+            and (self._settled or len(self._known) >= majority(self.seats) - 1)
+        ):
             self._be_ready()
 
     def _ask(self, customer: str, wanted: _Wanted) -> None:
--- a/moorusher/publishing/desk.py
+++ b/moorusher/publishing/desk.py
@@ -61,7 +61,9 @@
 
     def granted(self, customer: str) -> Granted | None: ...  # None: no customer of the settings
     def bounds(self, customer: str) -> Bounds: ...
-    def check(self, draft: bytes, granted: Granted, then: Callable[[NamespaceError | None], None]) -> None: ...
+    def check(
+        self, draft: bytes, granted: Granted, then: Callable[[NamespaceError | None], None]
+    ) -> None: ...
     def read(self, draft: bytes, then: Callable[[Namespace | NamespaceError], None]) -> None: ...
     def keep(self, customer: str, at: At, draft: bytes | None) -> None: ...  # None: it is gone
     def unix_ms(self) -> int: ...
@@ -100,9 +102,16 @@
         self._having: dict[str, _Having] = {}
         self._serial = node.owner.inc  # answers to an earlier process of this seat are none to this one
         self._handlers: dict[type, Callable[[str, Any], None]] = {
-            Submit: self._submit_to_us, Submitted: self._was_submitted, Want: self._want, Given: self._given,
-            Cast: self.casting.cast, Heard: self.casting.heard, Covered: self.casting.covered,
-            Compare: self.comparing.compare, Differ: self.comparing.differ}
+            Submit: self._submit_to_us,
+            Submitted: self._was_submitted,
+            Want: self._want,
+            Given: self._given,
+            Cast: self.casting.cast,
+            Heard: self.casting.heard,
+            Covered: self.casting.covered,
+            Compare: self.comparing.compare,
+            Differ: self.comparing.differ,
+        }
 
     # ---- what its parts ask of it ----
 
@@ -162,8 +171,9 @@
 
     # ---- revisions that this member comes to have ----
 
-    def have(self, customer: str, at: At, gone: bool, draft: bytes | None, whence: str,
-             then: Callable[[str], None]) -> None:
+    def have(
+        self, customer: str, at: At, gone: bool, draft: bytes | None, whence: str, then: Callable[[str], None]
+    ) -> None:
         """`then("")` once that one, or a later one, is current here; else why not."""
         if at <= self.customers.at(customer):
             return then("")
@@ -367,8 +377,13 @@
             if why:  # then nobody was asked
                 seats = list(self.office.node.members.by_seat)[:MOST_LACKING]
                 return then({seat: why if seat == self.me else "not asked" for seat in seats})
-            return self.casting.begin(customer, self.customers.at(customer), self.customers.gone(customer),
-                                      max(0, until - self.clock()), then)
+            return self.casting.begin(
+                customer,
+                self.customers.at(customer),
+                self.customers.gone(customer),
+                max(0, until - self.clock()),
+                then,
+            )
 
         def fetched(draft: bytes | None) -> None:
             if draft is not None or self.customers.at(customer) >= at:
@@ -383,6 +398,7 @@
 
     def _fetch(self, customer: str, at: At, then: Callable[[bytes | None], None]) -> None:
         """From the register: that very revision."""
+
         def got(found: tuple[int, Book] | DutyError) -> None:
             entry = None if isinstance(found, DutyError) or found[0] != at[0] else found[1].find(at[1])
             then(None if entry is None else entry.draft)
@@ -391,12 +407,19 @@
 
     def delete(self, customer: str, then: Answer) -> None:
         """The namespace and all that is its own; made anew, it is another one."""
+
         def removed(got: Post | DutyError) -> None:
             if isinstance(got, DutyError):
                 return then(got)
             at = (got.born if got.life == Life.GONE.value else got.born - 1), GONE  # made anew already
-            self.have(customer, at, True, None, self.me, lambda why: self.casting.begin(
-                customer, at, True, CAST, lambda lacking: None))
+            self.have(
+                customer,
+                at,
+                True,
+                None,
+                self.me,
+                lambda why: self.casting.begin(customer, at, True, CAST, lambda lacking: None),
+            )
             return then(at)
 
         self.office.remove(duty_of(customer), removed)
@@ -428,7 +451,11 @@
             if entry is None:
                 return then(Retired(f"revision {at[1]} of {customer!r} is kept no longer"))
             draft = entry.draft
-            return self._host.read(draft, lambda read: then(
-                read if isinstance(read, NamespaceError) else Revision(customer, at, read, draft)))
+            return self._host.read(
+                draft,
+                lambda read: then(
+                    read if isinstance(read, NamespaceError) else Revision(customer, at, read, draft)
+                ),
+            )
 
         return self.book(customer, got)
--- a/moorusher/report.py
+++ b/moorusher/report.py
@@ -20,7 +20,9 @@
 
 log = logging.getLogger("moorusher")
 
-KEPT = 10 * MS  # a report is worked out anew after so long, or at once where something `changed`: a flood of probes
+KEPT = (
+    10 * MS
+)  # a report is worked out anew after so long, or at once where something `changed`: a flood of probes
 # must not have each of them walk through what is held
 
 
@@ -40,8 +42,14 @@
 
     @staticmethod
     def _facts(s: Settings, phase: float) -> Facts:
-        return Facts(s.cores, s.crowd_per_core, round(s.crowd_window_ms * MS),
-                     round(min(c.aim_ms for c in s.classes) * MS), CROWD_FILL, phase)
+        return Facts(
+            s.cores,
+            s.crowd_per_core,
+            round(s.crowd_window_ms * MS),
+            round(min(c.aim_ms for c in s.classes) * MS),
+            CROWD_FILL,
+            phase,
+        )
 
     def retune(self, settings: Settings) -> None:
         """What was observed stays; what it is held against has changed."""
@@ -91,7 +99,9 @@
         self._last = None
         if self.core.draining:
             return False
-        taken = self.tracker.maintain(Maintenance(reason, now, None if for_s is None else now + round(for_s * 1e6)))
+        taken = self.tracker.maintain(
+            Maintenance(reason, now, None if for_s is None else now + round(for_s * 1e6))
+        )
         self.told()
         return taken
 
@@ -133,9 +143,21 @@
         held, oldest = core.held()
         values = core.told_gauges()
         return Observation(
-            core.clock.now, core.ready, core.speed(), False, core.runs.on_cores, core.runs.at_calls, held, oldest,
-            core.owed, core.healthy, core.draining, self.doors_closed, core.left_us,
-            gauge_of(core.settings.gauges, values, core.gauges_at) if values else None)
+            core.clock.now,
+            core.ready,
+            core.speed(),
+            False,
+            core.runs.on_cores,
+            core.runs.at_calls,
+            held,
+            oldest,
+            core.owed,
+            core.healthy,
+            core.draining,
+            self.doors_closed,
+            core.left_us,
+            gauge_of(core.settings.gauges, values, core.gauges_at) if values else None,
+        )
 
     def report(self, source: str = "") -> Report:
         self.core.touch()
@@ -151,7 +173,13 @@
             log.error("the standing can't be told: %s", exc)
             made = Report(Standing.FAILED, 0, f"standing unknown: {exc}", False, "", 0.0, 0.0, 0.0, 0.0, 0, 0)
         if made.changed:
-            log.info("standing: %s, weight %d: %s (%s)", made.standing.value, made.weight, made.changed, made.reason)
+            log.info(
+                "standing: %s, weight %d: %s (%s)",
+                made.standing.value,
+                made.weight,
+                made.changed,
+                made.reason,
+            )
             self.core.counters.add("standing: " + made.standing.value)
         elif self._last is not None and self._last.weight != made.weight:
             self.core.counters.add("weights changed")
@@ -163,23 +191,47 @@
         """All that the standing is made of, with ages in ms, for `GET /standing`."""
         made = self.report()
         seen, tracker = self.observe(), self.tracker
-        gauge = None if seen.gauge is None else asdict(seen.gauge) | {"age_ms": (seen.now - seen.gauge.at) / MS}
+        gauge = (
+            None if seen.gauge is None else asdict(seen.gauge) | {"age_ms": (seen.now - seen.gauge.at) / MS}
+        )
         if gauge is not None:
             del gauge["at"]
         m = tracker.maintenance
         return {
-            "standing": made.standing.value, "weight": made.weight, "reason": made.reason,
-            "since_ms": (seen.now - tracker.since) / MS, "routable": made.routable,
-            "pressure": made.pressure, "parts": made.parts, "unknown": list(made.unknown),
-            "crowd": {"now": seen.on_cores, "mean_per_core": made.crowd, "forecast_per_core": made.forecast,
-                      "survives_per_core": made.survives, "horizon_ms": made.horizon_us / MS,
-                      "trend_per_s": tracker.crowd.trend(seen.now)},
-            "at_calls": seen.at_calls, "held": seen.held, "oldest_held_ms": seen.oldest_held_us / MS,
-            "open": seen.owed, "speed": seen.speed, "gauge": gauge,
+            "standing": made.standing.value,
+            "weight": made.weight,
+            "reason": made.reason,
+            "since_ms": (seen.now - tracker.since) / MS,
+            "routable": made.routable,
+            "pressure": made.pressure,
+            "parts": made.parts,
+            "unknown": list(made.unknown),
+            "crowd": {
+                "now": seen.on_cores,
+                "mean_per_core": made.crowd,
+                "forecast_per_core": made.forecast,
+                "survives_per_core": made.survives,
+                "horizon_ms": made.horizon_us / MS,
+                "trend_per_s": tracker.crowd.trend(seen.now),
+            },
+            "at_calls": seen.at_calls,
+            "held": seen.held,
+            "oldest_held_ms": seen.oldest_held_us / MS,
+            "open": seen.owed,
+            "speed": seen.speed,
+            "gauge": gauge,
             "link": {"losses_in_30_s": tracker.link.flaps(seen.now)},
-            "maintenance": None if m is None else {
-                "reason": m.reason, "for_ms": (seen.now - m.since) / MS,
-                "left_ms": None if m.until is None else (m.until - seen.now) / MS},
-            "draining": seen.draining, "left_ms": seen.left_us / MS,
-            "balancers": {"known": len(tracker.balancers), "slowest_ms": tracker.balancers.slowest(seen.now) / MS},
+            "maintenance": None
+            if m is None
+            else {
+                "reason": m.reason,
+                "for_ms": (seen.now - m.since) / MS,
+                "left_ms": None if m.until is None else (m.until - seen.now) / MS,
+            },
+            "draining": seen.draining,
+            "left_ms": seen.left_us / MS,
+            "balancers": {
+                "known": len(tracker.balancers),
+                "slowest_ms": tracker.balancers.slowest(seen.now) / MS,
+            },
         }
--- a/moorusher/routing/grants.py
+++ b/moorusher/routing/grants.py
@@ -27,7 +27,8 @@
     def taken(self) -> set[str]:
         """Servers that are not for everybody."""
         return {s for servers in self.own.values() for s in servers} | {
-            s for pool in self.pools.values() for s in pool.servers}
+            s for pool in self.pools.values() for s in pool.servers
+        }
 
     def share(self, customer: str, pool: str) -> int:
         """Calls at a time; at least one where there is a share at all."""
--- a/moorusher/routing/ways.py
+++ b/moorusher/routing/ways.py
@@ -36,14 +36,27 @@
 class Ways:
     """The part of `tier.router.Router` that links need, for all of them."""
 
-    def __init__(self, servers: Iterable[Server], policy: Policy, runner: str, draw: Callable[[], float], now: int,
-                 grants: Grants) -> None:
+    def __init__(
+        self,
+        servers: Iterable[Server],
+        policy: Policy,
+        runner: str,
+        draw: Callable[[], float],
+        now: int,
+        grants: Grants,
+    ) -> None:
         self._policy, self._runner, self._draw = policy, runner, draw
         self.servers = {s.name: s for s in servers}
         self.grants = grants
         self._attempts = count(1)
-        self.default = Router([s for s in self.servers.values() if s.name not in grants.taken()], policy, runner, draw,
-                              now, self._attempts)
+        self.default = Router(
+            [s for s in self.servers.values() if s.name not in grants.taken()],
+            policy,
+            runner,
+            draw,
+            now,
+            self._attempts,
+        )
         self._routers: OrderedDict[Label, Router] = OrderedDict()
         self._hops: dict[Label, Hop] = {}
         self._going: dict[int, _Going] = {}
@@ -65,15 +78,20 @@
             weights = dict.fromkeys(self.grants.pools[hop.pool].servers, 1)
         else:
             weights = {name: weight for name, weight in hop.servers if weight and name in own}
-        there = [replace(self.servers[n], weight=self.servers[n].weight * w) for n, w in weights.items()
-                 if n in self.servers]
+        there = [
+            replace(self.servers[n], weight=self.servers[n].weight * w)
+            for n, w in weights.items()
+            if n in self.servers
+        ]
         if not there:
             return None
         label = way.customer, way.born, hop.route
         made = self._routers.get(label)
         if made is None:
             self._forget_some()
-            made = self._routers[label] = Router(there, self._policy, self._runner, self._draw, now, self._attempts)
+            made = self._routers[label] = Router(
+                there, self._policy, self._runner, self._draw, now, self._attempts
+            )
         else:
             self._routers.move_to_end(label)
             if self._hops.get(label) is not hop:
@@ -93,7 +111,7 @@
 
     def _forget_some(self) -> None:
         if len(self._routers) >= MOST_ROUTERS:
-            for label in [name for name, r in self._routers.items() if not r.open][:MOST_ROUTERS // 10]:
+            for label in [name for name, r in self._routers.items() if not r.open][: MOST_ROUTERS // 10]:
                 del self._routers[label]
                 self._hops.pop(label, None)
 
@@ -261,6 +279,14 @@
 
     def told(self) -> list[dict[str, object]]:
         """The routes that have been used, for their customers."""
-        return [{"customer": c, "route": route, "calls": r.counts.calls, "attempts": r.counts.attempts,
-                 "open": self._on.get((c, born, route), 0), "servers": sorted(r.members)}
-                for (c, born, route), r in self._routers.items()]
+        return [
+            {
+                "customer": c,
+                "route": route,
+                "calls": r.counts.calls,
+                "attempts": r.counts.attempts,
+                "open": self._on.get((c, born, route), 0),
+                "servers": sorted(r.members),
+            }
+            for (c, born, route), r in self._routers.items()
+        ]
--- a/moorusher/service.py
+++ b/moorusher/service.py
@@ -35,17 +35,35 @@
 log = logging.getLogger("moorusher")
 
 QUIET = 250 * MS  # without a word from any front end, before the connections that are left are closed
-LISTEN_AGAIN, LISTEN_WITHIN = 100 * MS, 4 * SECOND  # where an address is not free; a new process says yes in 6 s
+LISTEN_AGAIN, LISTEN_WITHIN = (
+    100 * MS,
+    4 * SECOND,
+)  # where an address is not free; a new process says yes in 6 s
 LAST = 60 * MS  # before the time at which it would be killed, the program is gone in any case
 SPARE_SOCKETS = 160  # descriptors for the calls below, the links, the listening sockets, the console and the
 # interpreter
 ACCEPTS_SHARE = 8  # and for one in so many of them a listening socket may accept one more client in a turn
 LEAST_PLACES = 16  # for clients, whatever else there is
-REPLACED_MOST_MS, REPLACED_MORE_MS = 3_000.0, 700.0  # a replaced process is killed so long after SIGTERM: its longest
+REPLACED_MOST_MS, REPLACED_MORE_MS = (
+    3_000.0,
+    700.0,
+)  # a replaced process is killed so long after SIGTERM: its longest
 # deadline, at most the first, and the second
 CONSOLE_SHARE = 6  # one in so many of them is the console's: two processes may have one
 # What SIGHUP changes; the rest is for the next start, and so are some of the settings (`core/retune.py`).
-LIVE = {"kernel", "announce", "db", "stop_ms", "limits", "settings", "probes", "tier", "namespaces", "outage", "raw"}
+LIVE = {
+    "kernel",
+    "announce",
+    "db",
+    "stop_ms",
+    "limits",
+    "settings",
+    "probes",
+    "tier",
+    "namespaces",
+    "outage",
+    "raw",
+}
 
 
 class Service:
@@ -62,16 +80,29 @@
         if config.tier.servers:
             from .links.tier import TierCalls
 
-            self.tier = TierCalls(reactor, config.tier.servers, config.tier.policy, config.name,
-                                  random.Random(config.settings.seed).random, config.namespaces.grants)
+            self.tier = TierCalls(
+                reactor,
+                config.tier.servers,
+                config.tier.policy,
+                config.name,
+                random.Random(config.settings.seed).random,
+                config.namespaces.grants,
+            )
         elif config.uwsgi.below is not None:
             below = UwsgiCalls(reactor, config.uwsgi.below)
         elif config.db is not None:
             below = DatabasePool(reactor, config.db)
         self.below = below
         calls: Calls = self.tier or below or NoCalls()
-        self.core = Decider(config.settings, self.clock, self.alarms, self.kernel, calls,
-                            lambda f: reactor.callLater(0, f), memory_mb=config.limits.memory_mb)
+        self.core = Decider(
+            config.settings,
+            self.clock,
+            self.alarms,
+            self.kernel,
+            calls,
+            lambda f: reactor.callLater(0, f),
+            memory_mb=config.limits.memory_mb,
+        )
         self.kernel.core = self.core
         if self.tier is not None:
             self.tier.core = self.core
@@ -80,14 +111,24 @@
         self.keeper: Any = None  # of what is learnt of the tier
         self.reporter = Reporter(self.core, config.probes.policy, config.name)
         probes = config.probes
-        if not (probes.agent or probes.health or config.admin.listen or config.uwsgi.load_report or self.tier
-                or config.fleet.listen):
-            self.core.watched_by(Watch())  # nobody asks, as on the platform: each run is spared what it would tell
+        if not (
+            probes.agent
+            or probes.health
+            or config.admin.listen
+            or config.uwsgi.load_report
+            or self.tier
+            or config.fleet.listen
+        ):
+            self.core.watched_by(
+                Watch()
+            )  # nobody asks, as on the platform: each run is spared what it would tell
         self.announcer = Announcer(reactor, config.announce, config.name) if config.announce else None
         self._beside = 0  # connections of another process of this runner
         self._size(config.limits)
         self.front = JsonRpcFront(self.core, self._most, self._fit)
-        self.uwsgi = UwsgiFront(self.core, self._most, config.uwsgi.body_bytes, config.uwsgi.idle_s, self._fit)
+        self.uwsgi = UwsgiFront(
+            self.core, self._most, config.uwsgi.body_bytes, config.uwsgi.idle_s, self._fit
+        )
         self.agent: Any = None  # probes' listeners are imported only where they are set
         self.health: Any = None
         self.console: Any = None
@@ -99,8 +140,14 @@
         if config.fleet.listen is not None:
             from .links.fleet import FleetLink
 
-            self.fleet = FleetLink(reactor, self.core, config.fleet, config.name, self._fit_for_more,
-                                   random.Random(config.name).random)
+            self.fleet = FleetLink(
+                reactor,
+                self.core,
+                config.fleet,
+                config.name,
+                self._fit_for_more,
+                random.Random(config.name).random,
+            )
         self.namespaces: Any = None  # customers' rules, imported only where they are set
         if config.namespaces.on:
             from .links.namespaces import NamespaceLink
@@ -127,8 +174,9 @@
         if config.console is not None:  # first: it tells operators what is still missing
             from .fronts.console import Console
 
-            self.console = Console(self.core, self.reporter, max(8, self._spare // CONSOLE_SHARE),
-                                   lambda: self.serving)
+            self.console = Console(
+                self.core, self.reporter, max(8, self._spare // CONSOLE_SHARE), lambda: self.serving
+            )
             self._adopt(listener(config.console), self.console)
         self._doors: dict[str, tuple[Address, Any]] = {"listen": (config.listen, self.front)}
         if config.uwsgi.listen is not None:
@@ -152,13 +200,26 @@
         if probes.health is not None:
             from .fronts.health import HealthFront
 
-            self.health = HealthFront(self.core, self.reporter, probes.codes, load if probes.load_report else None)
+            self.health = HealthFront(
+                self.core, self.reporter, probes.codes, load if probes.load_report else None
+            )
             self._doors["health"] = probes.health, self.health
         if config.admin.listen is not None:
             from .admin import admin_site  # Twisted's web server: 6 MB that the platform does not need
 
-            site = admin_site(self.core, self.reporter, config.name, config.admin.token, self.drain, self.tier,
-                              self._condition, self.fleet, self.namespaces, self.forecast, self.outage)
+            site = admin_site(
+                self.core,
+                self.reporter,
+                config.name,
+                config.admin.token,
+                self.drain,
+                self.tier,
+                self._condition,
+                self.fleet,
+                self.namespaces,
+                self.forecast,
+                self.outage,
+            )
             self._doors["admin"] = config.admin.listen, site
         if self.tier is not None and config.tier.knowledge is not None:
             from .links.knowledge import Keeper
@@ -181,13 +242,18 @@
 
     def _adopt(self, made: socket.socket, factory: Any) -> Any:
         with made:
-            return Door.of(self.reactor, made, factory, max(1, self._spare // ACCEPTS_SHARE), self.core.counters.add)
+            return Door.of(
+                self.reactor, made, factory, max(1, self._spare // ACCEPTS_SHARE), self.core.counters.add
+            )
 
     # ---- beside another process of this runner ----
 
     def usable(self, handed: dict[str, int]) -> dict[str, int]:
-        return {label: fd for label, fd in handed.items()
-                if label in self._doors and label not in self.ports and listens_at(fd, self._doors[label][0])}
+        return {
+            label: fd
+            for label, fd in handed.items()
+            if label in self._doors and label not in self.ports and listens_at(fd, self._doors[label][0])
+        }
 
     def accept(self, handed: dict[str, int]) -> None:
         """On the sockets that another process has handed over, and on others that it may share."""
@@ -253,8 +319,12 @@
 
     def load(self) -> Load:
         runs = self.core.runs
-        return Load(runs.on_cores, len(runs), self.core.memory_kb(),
-                    len(self.front.connections) + len(self.uwsgi.connections))
+        return Load(
+            runs.on_cores,
+            len(runs),
+            self.core.memory_kb(),
+            len(self.front.connections) + len(self.uwsgi.connections),
+        )
 
     def beside(self, load: Load) -> None:
         """One runner's limits hold for both."""
@@ -301,7 +371,9 @@
         from .standing.states import Standing
 
         standing = self.reporter.report().standing
-        return {Standing.CROWDED: Condition.CROWDED, Standing.WARMING: Condition.COLD}.get(standing, Condition.WELL)
+        return {Standing.CROWDED: Condition.CROWDED, Standing.WARMING: Condition.COLD}.get(
+            standing, Condition.WELL
+        )
 
     # ---- a new configuration ----
 
@@ -317,12 +389,18 @@
 
     def _follow(self, old: Config, new: Config) -> None:
         """Raises ConfigError before anything is changed."""
-        odd = [f.name for f in fields(Config) if getattr(new, f.name) != getattr(old, f.name)
-               and f.name not in LIVE]
+        odd = [
+            f.name
+            for f in fields(Config)
+            if getattr(new, f.name) != getattr(old, f.name) and f.name not in LIVE
+        ]
         if "fleet" in odd and old.fleet.but_for_addresses() == new.fleet.but_for_addresses():
             odd.remove("fleet")  # its seats are reached elsewhere: that is followed at once
-        odd += [f"{name}.listen" for name in ("agent", "health")
-                if getattr(new.probes, name) != getattr(old.probes, name)]
+        odd += [
+            f"{name}.listen"
+            for name in ("agent", "health")
+            if getattr(new.probes, name) != getattr(old.probes, name)
+        ]
         below = new.uwsgi.below or new.db if old.uwsgi.below is None else new.uwsgi.below
         if new.namespaces.on != (self.namespaces is not None):
             raise ConfigError("namespaces.on: can't be changed without a restart")
@@ -332,11 +410,16 @@
             raise ConfigError("tier.server: can't be set or taken away without a restart")
         announced = (new.announce is None) == (self.announcer is None)
         if not announced or (self.tier is None and (below is None) != (self.below is None)):
-            raise ConfigError(f"{'db' if announced else 'announce'}: can't be set or taken away without a restart")
+            raise ConfigError(
+                f"{'db' if announced else 'announce'}: can't be set or taken away without a restart"
+            )
         self.core.touch()
         retune = plan(self.core.settings, new.settings)
-        self.config = replace(old, **{name: getattr(new, name) for name in LIVE},
-                              fleet=old.fleet if "fleet" in odd else new.fleet)
+        self.config = replace(
+            old,
+            **{name: getattr(new, name) for name in LIVE},
+            fleet=old.fleet if "fleet" in odd else new.fleet,
+        )
         if retune.settings != self.core.settings:
             self.core.retune(retune)
             self.reporter.retune(retune.settings)
@@ -358,8 +441,12 @@
         if self.announcer is not None and new.announce is not None:
             self.announcer.move(new.announce)
         self.core.counters.add("configurations read")
-        log.info("configuration read again: kernel %s:%d%s%s", *new.kernel, retune.words(),
-                 f"; {', '.join(odd)}: changed, for the next start" if odd else "")
+        log.info(
+            "configuration read again: kernel %s:%d%s%s",
+            *new.kernel,
+            retune.words(),
+            f"; {', '.join(odd)}: changed, for the next start" if odd else "",
+        )
 
     def _size(self, limits: Limits) -> None:
         """How many places and keys there are follows the limits. What is open stays open."""
@@ -493,8 +580,10 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: reactor.callFromThread(service.term))
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(service.reload, load))
-    signal.signal(signal.SIGUSR1, lambda *_: reactor.callFromThread(
-        lambda: log.info("counters: %s", service.counters())))
+    signal.signal(
+        signal.SIGUSR1,
+        lambda *_: reactor.callFromThread(lambda: log.info("counters: %s", service.counters())),
+    )
     reactor.callWhenRunning(start)
     gc.collect()
     gc.freeze()  # what was imported lives as long as the process: no need to walk it again
--- a/moorusher/standing/balancers.py
+++ b/moorusher/standing/balancers.py
@@ -43,5 +43,7 @@
 
     def slowest(self, now: int) -> int:
         """The longest interval, in us, of those that still ask; 0 where none has asked twice."""
-        return max((s.interval for s in self._sources.values()
-                    if s.interval and now - s.at <= HEARD * s.interval), default=0)
+        return max(
+            (s.interval for s in self._sources.values() if s.interval and now - s.at <= HEARD * s.interval),
+            default=0,
+        )
--- a/moorusher/standing/crowd.py
+++ b/moorusher/standing/crowd.py
@@ -14,6 +14,8 @@
 TREND = 6  # blocks of the shorter trend: under a second and a half few runs are no trend
 SURE = 1.0  # deviations by which a trend must exceed what chance would show, before it is believed
 AHEAD = 6  # points of the time ahead at which the mean is worked out
+
+
 class History:
     """A figure over time, as an integral for each bucket. Bounded: one ring, whatever happens how often."""
 
@@ -23,7 +25,9 @@
         self._ring = [0] * self._size  # figure times us; the newest is `_bucket`'s
         self._bucket, self._at, self.value = now // BUCKET, now, 0
         if now % BUCKET:
-            self._at = self._bucket * BUCKET  # the first bucket is whole too: before the start the figure was 0
+            self._at = (
+                self._bucket * BUCKET
+            )  # the first bucket is whole too: before the start the figure was 0
             self.advance(now)
 
     def set(self, now: int, value: int) -> None:
@@ -81,8 +85,10 @@
         self.advance(now)
         ring, size, last = self._ring, self._size, self._bucket
         count = (size - 1) // BLOCK
-        blocks = [sum(ring[(last - BLOCK * back - i) % size] for i in range(1, BLOCK + 1)) / (BLOCK * BUCKET)
-                  for back in range(count - 1, -1, -1)]
+        blocks = [
+            sum(ring[(last - BLOCK * back - i) % size] for i in range(1, BLOCK + 1)) / (BLOCK * BUCKET)
+            for back in range(count - 1, -1, -1)
+        ]
         gains = [b - a for a, b in pairwise(blocks)]
         drift = (blocks[-1] - blocks[0]) / (count - 1)
         seconds = BLOCK * BUCKET / 1e6
@@ -148,8 +154,16 @@
         return total
 
 
-def highest_mean(history: History, now: int, horizon_us: int, floor: float = 0.0, waiting: int = 0,
-                 came_per_s: float = 0.0, ended_per_s: float = 0.0, most: float = float("inf")) -> float:
+def highest_mean(
+    history: History,
+    now: int,
+    horizon_us: int,
+    floor: float = 0.0,
+    waiting: int = 0,
+    came_per_s: float = 0.0,
+    ended_per_s: float = 0.0,
+    most: float = float("inf"),
+) -> float:
     """The highest mean of the window that ends at any time from now on, if balancers act on what they are told now
     within `horizon_us`.
 
--- a/moorusher/standing/policy.py
+++ b/moorusher/standing/policy.py
@@ -12,11 +12,19 @@
 class Policy:
     """Times in milliseconds where the name ends in `_ms`, in seconds in `_s`; shares from 0 to 1."""
 
-    probe_ms: float = 2000.0  # the longest time between two probes of one balancer; seen probes may lengthen it
-    reaction_ms: float = 500.0  # from a balancer's reading of a report to the end of the traffic that it sent before
-    tip_per_core: float = 0.0  # runs on the cores, for each, that a warm runner does not survive; 0: as settings say
+    probe_ms: float = (
+        2000.0  # the longest time between two probes of one balancer; seen probes may lengthen it
+    )
+    reaction_ms: float = (
+        500.0  # from a balancer's reading of a report to the end of the traffic that it sent before
+    )
+    tip_per_core: float = (
+        0.0  # runs on the cores, for each, that a warm runner does not survive; 0: as settings say
+    )
     crowded_at: float = 0.7  # of what is survived, from which a runner is crowded,
-    full_at: float = 0.85  # and from which it is told nothing new is to be sent: the rest is for what can't be foreseen
+    full_at: float = (
+        0.85  # and from which it is told nothing new is to be sent: the rest is for what can't be foreseen
+    )
     calm_at: float = 0.5  # and under which it is so no longer
     crowded_weight: int = 10  # at the end of the steps down, while no crossing is forecast
     hold_share: float = 0.3  # of the shortest aim: a request held for longer means crowded
--- a/moorusher/standing/states.py
+++ b/moorusher/standing/states.py
@@ -27,25 +27,41 @@
 
 
 _S = Standing
-_OUT = {_S.MAINTENANCE: "an operator took it out", _S.DRAINING: "the notice to leave came",
-        _S.FAILED: "the kernel is gone, or the decision module says unfit"}
+_OUT = {
+    _S.MAINTENANCE: "an operator took it out",
+    _S.DRAINING: "the notice to leave came",
+    _S.FAILED: "the kernel is gone, or the decision module says unfit",
+}
 
 # A standing is worked out as a probe asks: what happened between two probes can be more than one step, so a way
 # may lead over a standing that nobody saw. What no sequence of events leads to is not here, and is an error.
 TRANSITIONS: dict[Standing, dict[Standing, str]] = {
-    _S.STARTING: _OUT | {_S.WARMING: "the kernel came up cold", _S.SERVING: "the kernel came up warm",
-                         _S.CROWDED: "the kernel came up, and work with it"},
+    _S.STARTING: _OUT
+    | {
+        _S.WARMING: "the kernel came up cold",
+        _S.SERVING: "the kernel came up warm",
+        _S.CROWDED: "the kernel came up, and work with it",
+    },
     _S.WARMING: _OUT | {_S.SERVING: "warm", _S.CROWDED: "a crossing is forecast"},
     # Never back to WARMING: a kernel that starts anew starts the runner anew.
     _S.SERVING: _OUT | {_S.CROWDED: "a crossing is forecast"},
     _S.CROWDED: _OUT | {_S.WARMING: "the crowd is gone, still cold", _S.SERVING: "the crowd is gone"},
-    _S.MAINTENANCE: {_S.DRAINING: _OUT[_S.DRAINING], _S.FAILED: "put back, and the kernel is gone",
-                     _S.STARTING: "put back before the kernel came up", _S.WARMING: "put back, still cold",
-                     _S.SERVING: "put back", _S.CROWDED: "put back into a crowd"},
+    _S.MAINTENANCE: {
+        _S.DRAINING: _OUT[_S.DRAINING],
+        _S.FAILED: "put back, and the kernel is gone",
+        _S.STARTING: "put back before the kernel came up",
+        _S.WARMING: "put back, still cold",
+        _S.SERVING: "put back",
+        _S.CROWDED: "put back into a crowd",
+    },
     _S.DRAINING: {},  # a notice to leave is not taken back
-    _S.FAILED: {_S.MAINTENANCE: _OUT[_S.MAINTENANCE], _S.DRAINING: _OUT[_S.DRAINING],
-                _S.WARMING: "the kernel is back, still cold", _S.SERVING: "the kernel is back",
-                _S.CROWDED: "the kernel is back, and runs are many"},
+    _S.FAILED: {
+        _S.MAINTENANCE: _OUT[_S.MAINTENANCE],
+        _S.DRAINING: _OUT[_S.DRAINING],
+        _S.WARMING: "the kernel is back, still cold",
+        _S.SERVING: "the kernel is back",
+        _S.CROWDED: "the kernel is back, and runs are many",
+    },
 }
 
 
--- a/moorusher/standing/track.py
+++ b/moorusher/standing/track.py
@@ -30,7 +30,9 @@
     tip_per_core: float  # runs a core that a warm runner does not survive in the mean of the window
     window_us: int
     shortest_aim_us: int
-    guard_share: float = 1.0  # of what the settings say is survived: up to there the decision module starts runs
+    guard_share: float = (
+        1.0  # of what the settings say is survived: up to there the decision module starts runs
+    )
     phase: float = 0.5  # 0 to 1, apart from the neighbours': from the runner's name
 
 
@@ -112,8 +114,16 @@
         survives = survived(cores, policy.tip_per_core or self.facts.tip_per_core, seen.speed)
         guard = self.facts.guard_share * survived(cores, self.facts.tip_per_core, seen.speed)
         horizon = self.horizon(now)
-        forecast = highest_mean(self.crowd, now, horizon, believed, seen.held + seen.at_calls,
-                                self._per_s(self._came, now), self._leaves(now), guard)
+        forecast = highest_mean(
+            self.crowd,
+            now,
+            horizon,
+            believed,
+            seen.held + seen.at_calls,
+            self._per_s(self._came, now),
+            self._leaves(now),
+            guard,
+        )
         parts = self._pressure(seen, forecast / survives)
         pressure = max(parts.values())
         after, why = self._where(seen, link.failed, link.words, pressure)
@@ -132,8 +142,21 @@
         # Runs whose answer was given still take the cores, and are in nobody's count.
         unowed = max(0, seen.on_cores + seen.at_calls + seen.held - seen.owed)
         room = max(1, int((survives * policy.full_at - unowed) / max(1, self.balancers.live(now))))
-        return Report(after, weight, why, after.routable and weight > 0, changed, pressure,
-                      self.crowd.mean(now) / cores, forecast / cores, survives / cores, horizon, room, unknown, parts)
+        return Report(
+            after,
+            weight,
+            why,
+            after.routable and weight > 0,
+            changed,
+            pressure,
+            self.crowd.mean(now) / cores,
+            forecast / cores,
+            survives / cores,
+            horizon,
+            room,
+            unknown,
+            parts,
+        )
 
     # ---- the parts ----
 
@@ -171,7 +194,9 @@
         refused = turned / came / policy.refused_share if came >= LEAST_ASKED else 0.0
         return {"crowd": crossing, "held": min(SURE, held), "refused": min(SURE, refused)}
 
-    def _where(self, seen: Observation, link_failed: bool, link: str, pressure: float) -> tuple[Standing, str]:
+    def _where(
+        self, seen: Observation, link_failed: bool, link: str, pressure: float
+    ) -> tuple[Standing, str]:
         """The standing, and the reason where it is no matter of pressure."""
         now, policy = seen.now, self.policy
         if self.maintenance is not None and self.maintenance.over(now):
@@ -179,7 +204,11 @@
         if seen.draining:
             return Standing.DRAINING, f"leaving, {max(0, seen.left_us) / 1e6:.1f} s left, {seen.owed} open"
         if self.maintenance is not None:
-            left = "" if self.maintenance.until is None else f", {(self.maintenance.until - now) / 1e6:.0f} s left"
+            left = (
+                ""
+                if self.maintenance.until is None
+                else f", {(self.maintenance.until - now) / 1e6:.0f} s left"
+            )
             return Standing.MAINTENANCE, self.maintenance.reason + left
         if not seen.kernel_up:
             return Standing.STARTING, "no word from the kernel yet"
@@ -200,8 +229,9 @@
             return Zone.CROWDED
         return Zone.BETWEEN if pressure >= policy.calm_at else Zone.CALM
 
-    def _why(self, seen: Observation, parts: dict[str, float], forecast: float, survives: float,
-             link: str) -> str:
+    def _why(
+        self, seen: Observation, parts: dict[str, float], forecast: float, survives: float, link: str
+    ) -> str:
         cores = self.facts.cores
         words = [f"{forecast / cores:.1f} of {survives / cores:.1f} a core ahead"]
         if self.standing is Standing.CROWDED:
--- a/moorusher/standing/words.py
+++ b/moorusher/standing/words.py
@@ -88,7 +88,12 @@
 def orca(report: Report, cpu: float | None, memory: float | None, rps: float, eps: float) -> str:
     """The value of `endpoint-load-metrics`. What is unknown is left out: a 0 would draw traffic."""
     told: list[tuple[str, float | None]] = [
-        ("application_utilization", report.pressure), ("cpu_utilization", cpu), ("mem_utilization", memory),
-        ("rps_fractional", rps), ("eps", eps), ("named_metrics.weight", float(report.weight)),
-        ("named_metrics.crowd_per_core", report.crowd)]
+        ("application_utilization", report.pressure),
+        ("cpu_utilization", cpu),
+        ("mem_utilization", memory),
+        ("rps_fractional", rps),
+        ("eps", eps),
+        ("named_metrics.weight", float(report.weight)),
+        ("named_metrics.crowd_per_core", report.crowd),
+    ]
     return "TEXT " + ", ".join(f"{name}={value:.4g}" for name, value in told if value is not None)
--- a/moorusher/start.py
+++ b/moorusher/start.py
@@ -45,12 +45,17 @@
         return FAULTY
     taken = _taken_beside(path_for(os.environ.get("TMPDIR", ""), config.name, config.listen))
     if not room_for_two(config.limits.memory_mb, taken):
-        log.error("limits.memory_mb: %g is too little for a second process: the one in service takes %.0f MB",
-                  config.limits.memory_mb, taken)
+        log.error(
+            "limits.memory_mb: %g is too little for a second process: the one in service takes %.0f MB",
+            config.limits.memory_mb,
+            taken,
+        )
         return FAULTY
     # Nothing has been read yet: until the service takes the signal over, leaving is ending.
     signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
-    hangups: list[int] = []  # a new configuration that comes meanwhile is read once there is who can follow it
+    hangups: list[
+        int
+    ] = []  # a new configuration that comes meanwhile is read once there is who can follow it
     signal.signal(signal.SIGHUP, lambda number, _: hangups.append(number))
     from . import loop  # the loop is installed before any module can import Twisted's default one
 
--- a/moorusher/tier/choose.py
+++ b/moorusher/tier/choose.py
@@ -15,6 +15,7 @@
 def rank(runner: str, servers: Sequence[Member]) -> list[Member]:
     """Weighted rendezvous hashing: each runner has an order of its own, in which a server that comes or goes moves no
     other. The first `subset` of it are the runner's."""
+
     def score(member: Member) -> float:
         drawn = (xxhash.xxh3_64_intdigest(f"{runner}\0{member.server.name}".encode()) + 1) / (2**64 + 2)
         return -member.server.weight / math.log(drawn)
@@ -22,8 +23,13 @@
     return sorted(servers, key=score, reverse=True)
 
 
-def two(members: Sequence[Member], now: int, typical: float, draw: Callable[[], float],
-        avoid: Member | None = None) -> Member | None:
+def two(
+    members: Sequence[Member],
+    now: int,
+    typical: float,
+    draw: Callable[[], float],
+    avoid: Member | None = None,
+) -> Member | None:
     """The better of two at random that have room; all are looked at only where chance finds none."""
     count = len(members)
     if not count:
--- a/moorusher/tier/member.py
+++ b/moorusher/tier/member.py
@@ -46,8 +46,9 @@
 class Member:
     """One server: its calls, its latency, its limit, and whether it is ejected."""
 
-    def __init__(self, server: Server, policy: Policy, now: int, established: bool = False,
-                 runner: str = "") -> None:
+    def __init__(
+        self, server: Server, policy: Policy, now: int, established: bool = False, runner: str = ""
+    ) -> None:
         self.server, self.policy = server, policy
         self.state, self.retires = State.IN, False  # leaving, and to be forgotten once nothing is in flight
         self.latency, self.limit = Latency(), Limit(policy.least_limit, policy.most_limit)
@@ -66,7 +67,9 @@
         self._slow = slow
         self._slots: SlotCounter | None = None  # while it starts, of this runner's part of what it may get
         if policy.slow_start_calls and slow:
-            budget = StartBudget(policy.slow_start_calls, round(policy.slow_start_window_ms * 1e3), policy.runners)
+            budget = StartBudget(
+                policy.slow_start_calls, round(policy.slow_start_window_ms * 1e3), policy.runners
+            )
             self._slots = SlotCounter(budget, phase_of(runner, server.name), now)
 
     # ---- what it is worth ----
@@ -157,7 +160,9 @@
         return None
 
     def eject(self, now: int, why: Why) -> None:
-        self._times = 1 if now - self._ejected_at > FORGET + self.until - self._ejected_at else self._times + 1
+        self._times = (
+            1 if now - self._ejected_at > FORGET + self.until - self._ejected_at else self._times + 1
+        )
         lasts = min(self.policy.most_eject_s, self.policy.eject_s * 2 ** min(self._times - 1, 16))
         self.state, self.why, self._ejected_at = State.EJECTED, why, now
         self.until = now + round(lasts * 1e6)
--- a/moorusher/tier/policy.py
+++ b/moorusher/tier/policy.py
@@ -49,6 +49,8 @@
     most_backoff_ms: float = 250.0
     hedge: bool = True  # a second copy of a safe call, after its server's 95th percentile
     slow_start_s: float = 10.0  # until a new or returned server has its whole share
-    slow_start_calls: int = 0  # that it may get in a window as that ends, from all runners together; 0: no bound
+    slow_start_calls: int = (
+        0  # that it may get in a window as that ends, from all runners together; 0: no bound
+    )
     slow_start_window_ms: float = 1_000.0
     runners: int = 1  # that call these servers
--- a/moorusher/tier/roster.py
+++ b/moorusher/tier/roster.py
@@ -16,8 +16,9 @@
 class Roster:
     """`draw` gives numbers from 0 to under 1. `runner` is this instance's name, for its subset."""
 
-    def __init__(self, servers: Iterable[Server], policy: Policy, runner: str, draw: Callable[[], float],
-                 now: int) -> None:
+    def __init__(
+        self, servers: Iterable[Server], policy: Policy, runner: str, draw: Callable[[], float], now: int
+    ) -> None:
         self.policy, self.runner, self._draw = policy, runner, draw
         self.members: dict[str, Member] = {}
         self.panics = self.ejections = 0
@@ -111,7 +112,11 @@
             if member is None or member.latency.samples or member.failures:
                 continue  # known by itself
             member.prior = prior
-            if prior.out and prior.weight >= BELIEVED and out + 1 <= self.policy.most_ejected * len(self.members):
+            if (
+                prior.out
+                and prior.weight >= BELIEVED
+                and out + 1 <= self.policy.most_ejected * len(self.members)
+            ):
                 member.state, out = State.PROBED, out + 1
         self._stale_at = now
 
@@ -196,11 +201,25 @@
 
     def told(self, now: int) -> list[dict[str, object]]:
         """Each server, for `GET /servers`. Times in ms."""
-        return [{
-            "name": m.server.name, "address": f"{m.server.address[0]}:{m.server.address[1]}", "zone": m.server.zone,
-            "weight": m.server.weight, "state": m.state.value, "why": m.why.value if m.why else None,
-            "back_in_ms": max(0, m.until - now) / 1000 if m.state is State.EJECTED else None,
-            "in_flight": len(m.in_flight), "limit": int(m.limit.value), "calls": m.calls, "failures": m.failures,
-            "answered_share": m.answered_share(), "ejections": m.ejections, "ramp": m.ramp(now),
-            "short_ms": m.latency.short / 1000, "long_ms": m.latency.long / 1000, "usable": m in self._usable,
-        } for m in self._ranked]
+        return [
+            {
+                "name": m.server.name,
+                "address": f"{m.server.address[0]}:{m.server.address[1]}",
+                "zone": m.server.zone,
+                "weight": m.server.weight,
+                "state": m.state.value,
+                "why": m.why.value if m.why else None,
+                "back_in_ms": max(0, m.until - now) / 1000 if m.state is State.EJECTED else None,
+                "in_flight": len(m.in_flight),
+                "limit": int(m.limit.value),
+                "calls": m.calls,
+                "failures": m.failures,
+                "answered_share": m.answered_share(),
+                "ejections": m.ejections,
+                "ramp": m.ramp(now),
+                "short_ms": m.latency.short / 1000,
+                "long_ms": m.latency.long / 1000,
+                "usable": m in self._usable,
+            }
+            for m in self._ranked
+        ]
--- a/moorusher/tier/router.py
+++ b/moorusher/tier/router.py
@@ -100,8 +100,15 @@
 class Router:
     """`draw` gives numbers from 0 to under 1. `runner` is this instance's name, for its subset."""
 
-    def __init__(self, servers: Iterable[Server], policy: Policy, runner: str, draw: Callable[[], float],
-                 now: int, attempts: Iterator[int] | None = None) -> None:
+    def __init__(
+        self,
+        servers: Iterable[Server],
+        policy: Policy,
+        runner: str,
+        draw: Callable[[], float],
+        now: int,
+        attempts: Iterator[int] | None = None,
+    ) -> None:
         """`attempts`: their numbers, where several routers share them."""
         self.policy, self._draw = policy, draw
         self.roster = Roster(servers, policy, runner, draw, now)
@@ -283,7 +290,12 @@
                 continue
             if what == "again" and call.again_at == at and not call.attempts:
                 out += self._place(now, call, call.last)
-            elif what == "hedge" and not call.hedged and len(call.attempts) == 1 and now + LEAST_LEFT < call.due:
+            elif (
+                what == "hedge"
+                and not call.hedged
+                and len(call.attempts) == 1
+                and now + LEAST_LEFT < call.due
+            ):
                 out += self._hedge(now, call)
         return out + self._fill(now)
 
@@ -305,4 +317,3 @@
     @property
     def open(self) -> int:
         return len(self._calls)
-
--- a/peattack/balance.py
+++ b/peattack/balance.py
@@ -576,7 +576,6 @@
         for f in self.flows.values():
             f.lmax = {kind: x for kind, x in f.lmax.items() if kind in self.kinds}
 
-
     def _drain(self, e: api.DrainNotice) -> None:
         self.stop_at = self.now + e.left_ms - 4 * TICK_MS
         if e.replaced:
--- a/peattack/interface.py
+++ b/peattack/interface.py
@@ -85,7 +85,12 @@
             _require(isinstance(value, _ENUMS[f.type]), name, f"a member of {f.type}", value)
 
 
-_ENUMS: dict[str, type[Enum]] = {"Effect": Effect, "Halting": Halting, "SignalKind": SignalKind, "Below": Below}
+_ENUMS: dict[str, type[Enum]] = {
+    "Effect": Effect,
+    "Halting": Halting,
+    "SignalKind": SignalKind,
+    "Below": Below,
+}
 
 
 @dataclass(slots=True, frozen=True)
@@ -106,7 +111,9 @@
     def __post_init__(self) -> None:
         _check_numbers(self, "classes[].")
         _require(self.aim_ms > 0, "classes[].aim_ms", "more than 0", self.aim_ms)
-        _require(self.deadline_ms >= self.aim_ms, "classes[].deadline_ms", "at least aim_ms", self.deadline_ms)
+        _require(
+            self.deadline_ms >= self.aim_ms, "classes[].deadline_ms", "at least aim_ms", self.deadline_ms
+        )
 
 
 @dataclass(slots=True, frozen=True)
@@ -370,5 +377,19 @@
     text: str
 
 
-Action = Union[Start, Stop, Reject, Fail, Call, SkipCall, Remember, Forget, ShareResult, SetHealth, Signal,
-               TrimConnections, SetTimer, Log]
+Action = Union[
+    Start,
+    Stop,
+    Reject,
+    Fail,
+    Call,
+    SkipCall,
+    Remember,
+    Forget,
+    ShareResult,
+    SetHealth,
+    Signal,
+    TrimConnections,
+    SetTimer,
+    Log,
+]
--- a/peattack/wire.py
+++ b/peattack/wire.py
@@ -41,8 +41,14 @@
 
 
 OUTCOMES = {
-    0: api.Outcome.OK, 255: api.Outcome.ERROR, 254: api.Outcome.FULL, 253: api.Outcome.TIMEOUT,
-    252: api.Outcome.CONNECT_FAILED, 251: api.Outcome.RESET, 250: api.Outcome.CANCELLED, 249: api.Outcome.MOOT,
+    0: api.Outcome.OK,
+    255: api.Outcome.ERROR,
+    254: api.Outcome.FULL,
+    253: api.Outcome.TIMEOUT,
+    252: api.Outcome.CONNECT_FAILED,
+    251: api.Outcome.RESET,
+    250: api.Outcome.CANCELLED,
+    249: api.Outcome.MOOT,
 }
 EFFECTS = {"free": api.Effect.SAFE, "guarded": api.Effect.KEYED, "single_shot": api.Effect.UNSAFE}
 HALTING = {h.value: h for h in api.Halting}
@@ -114,10 +120,16 @@
 def _class(c: _Settings, may_call: bool, worth_without_call: float) -> api.RequestClass:
     try:
         return api.RequestClass(
-            aim_ms=c.need("aimMs", float), deadline_ms=c.need("deadlineMs", float), name=c.get("name", ""),
-            worth=c.get("worth", 1.0), late_share=c.get("lateShare", 0.0), aim_stretch=c.get("aimStretch", 0.0),
-            effect=c.choice("effect", EFFECTS, api.Effect.SAFE), window_ms=c.get("windowMs", 0.0),
-            may_call=may_call, worth_without_call=worth_without_call,
+            aim_ms=c.need("aimMs", float),
+            deadline_ms=c.need("deadlineMs", float),
+            name=c.get("name", ""),
+            worth=c.get("worth", 1.0),
+            late_share=c.get("lateShare", 0.0),
+            aim_stretch=c.get("aimStretch", 0.0),
+            effect=c.choice("effect", EFFECTS, api.Effect.SAFE),
+            window_ms=c.get("windowMs", 0.0),
+            may_call=may_call,
+            worth_without_call=worth_without_call,
         )
     except WireError:
         raise
@@ -143,25 +155,39 @@
     )
     retry_after = limits.get("retryAfter", True)
     return api.Settings(
-        cores=extra.need("cpus", int), memory_kb=extra.need("memoryKb", float), classes=classes, seed=seed,
-        tenants=tenants, run_memory_factor=extra.get("blowup", 1.0), key_entry_kb=extra.get("entryKb", 0.0),
+        cores=extra.need("cpus", int),
+        memory_kb=extra.need("memoryKb", float),
+        classes=classes,
+        seed=seed,
+        tenants=tenants,
+        run_memory_factor=extra.get("blowup", 1.0),
+        key_entry_kb=extra.get("entryKb", 0.0),
         answer_slack_ms=rules.get("graceToAnswerMs", 50.0),
         drain_grace_ms=rules.get("stopSendingWithinMs", 1000.0),
-        crowd_per_core=rules.get("tipMultiple", 3.0), crowd_window_ms=rules.get("overloadForMs", 2000.0),
-        cold=extra.get("cold", False), cold_speed=rules.get("coldShare", 1.0),
+        crowd_per_core=rules.get("tipMultiple", 3.0),
+        crowd_window_ms=rules.get("overloadForMs", 2000.0),
+        cold=extra.get("cold", False),
+        cold_speed=rules.get("coldShare", 1.0),
         warm_after_ms=rules.get("warmAfterMs", 0.0),
         halting=extra.choice("halt", HALTING, api.Halting.OFF),
-        signal=extra.choice("say", SIGNALS, api.SignalKind.OFF), signal_heard_ms=extra.get("heardForMs", 1000.0),
-        callers=extra.get("upstreams", 1), peers=root.get("peersTotal", 1),
-        below=extra.choice("below", BELOW, api.Below.OFF), fair_calls=extra.get("fairCalls", 0.0),
-        call_window_ms=extra.get("depWindowMs", 5000.0), abandoned_call_stays_ms=extra.get("staysForMs", 0.0),
-        share_answers_ms=extra.get("freshForMs", 0.0), deep_checks=extra.get("deepChecks", False),
+        signal=extra.choice("say", SIGNALS, api.SignalKind.OFF),
+        signal_heard_ms=extra.get("heardForMs", 1000.0),
+        callers=extra.get("upstreams", 1),
+        peers=root.get("peersTotal", 1),
+        below=extra.choice("below", BELOW, api.Below.OFF),
+        fair_calls=extra.get("fairCalls", 0.0),
+        call_window_ms=extra.get("depWindowMs", 5000.0),
+        abandoned_call_stays_ms=extra.get("staysForMs", 0.0),
+        share_answers_ms=extra.get("freshForMs", 0.0),
+        deep_checks=extra.get("deepChecks", False),
         passes_deadline=extra.get("passesDeadline", False),
-        list_follows_health=extra.get("registryFollows", False), tells_gone=extra.get("tellsGone", False),
+        list_follows_health=extra.get("registryFollows", False),
+        tells_gone=extra.get("tellsGone", False),
         retries_marked=root.sub("callers").get("marksRetry", False),
         idle_connection_ms=extra.get("keepaliveMaxMs", 0.0),
         retry_after_max_ms=limits.get("maxRetryAfterMs", 0.0) if retry_after else 0.0,
-        over_share_worth=root.get("overShareWorth", 1.0), gauges=tuple(extra.values("gauges", str)),
+        over_share_worth=root.get("overShareWorth", 1.0),
+        gauges=tuple(extra.values("gauges", str)),
     )
 
 
@@ -175,8 +201,19 @@
 def _request(values: tuple[Any, ...]) -> api.Request:
     rid, ttl, caller, tenant, waited, flags, klass, repeats, rank, subject, hint, memory = values
     return api.Request(
-        rid, klass, memory, waited, ttl, caller, tenant, bool(flags & 2), bool(flags & 4),
-        repeats or None, rank, subject or None, hint if flags & 1 else None,
+        rid,
+        klass,
+        memory,
+        waited,
+        ttl,
+        caller,
+        tenant,
+        bool(flags & 2),
+        bool(flags & 4),
+        repeats or None,
+        rank,
+        subject or None,
+        hint if flags & 1 else None,
     )
 
 
@@ -233,7 +270,7 @@
                 at += _START.size
                 if at + n > len(frame):
                     raise WireError("settings run past the frame")
-                events.append(Begin(parse_settings(frame[at:at + n], seed)))
+                events.append(Begin(parse_settings(frame[at : at + n], seed)))
                 at += n
             else:
                 raise WireError(f"unknown event code {code}")
@@ -261,7 +298,12 @@
 _NOTIFY = struct.Struct("<HdI")
 _TEXT = struct.Struct("<HH")
 _PLAIN: dict[type, int] = {
-    api.Start: 268, api.Stop: 261, api.Fail: 263, api.SkipCall: 271, api.Forget: 262, api.ShareResult: 256,
+    api.Start: 268,
+    api.Stop: 261,
+    api.Fail: 263,
+    api.SkipCall: 271,
+    api.Forget: 262,
+    api.ShareResult: 256,
 }
 
 
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -25,9 +25,18 @@
 class Fleet:
     """Runner i has kernel i; `relays[i, j]` is the way from i to j."""
 
-    def __init__(self, n: int, uncovered: str = "refuse", window_ms: int = 20_000, journals: bool = False,
-                 aim_ms: int = 3000, more: Callable[[int], str] = lambda i: "", copies: int = 3, claim_ms: int = 250,
-                 **kernel: Any) -> None:
+    def __init__(
+        self,
+        n: int,
+        uncovered: str = "refuse",
+        window_ms: int = 20_000,
+        journals: bool = False,
+        aim_ms: int = 3000,
+        more: Callable[[int], str] = lambda i: "",
+        copies: int = 3,
+        claim_ms: int = 250,
+        **kernel: Any,
+    ) -> None:
         self.ports = [free_port() for _ in range(n)]
         self.relays = {(i, j): Relay(reactor(), self.ports[j]) for i in range(n) for j in range(n) if i != j}
         self._kernel, self._journals = kernel, tempfile.TemporaryDirectory() if journals else None
@@ -37,19 +46,25 @@
         check, submit = SETTINGS["classes"]
         settings = SETTINGS | {"classes": [check, submit | {"windowMs": window_ms, "aimMs": aim_ms}]}
         self.uncovered, self._more, self._copies, self._claim_ms = uncovered, more, copies, claim_ms
-        self.runners = [Runner(self.kernels[i].port, None, None, None, None, settings, self.toml(i), name=f"n{i}")
-                        for i in range(n)]
+        self.runners = [
+            Runner(self.kernels[i].port, None, None, None, None, settings, self.toml(i), name=f"n{i}")
+            for i in range(n)
+        ]
         self.stopped: set[int] = set()
         self._fronts: list[FrontEnd] = []  # a connection lasts as long as somebody knows it
 
     def toml(self, i: int) -> str:
-        seats = "".join(f'[[fleet.seat]]\nname = "n{j}"\nzone = "z{j % 2}"\n'
-                        f'address = "{HOST}:{self.relays[i, j].port if i != j else self.ports[i]}"\n'
-                        for j in range(len(self.ports)))
+        seats = "".join(
+            f'[[fleet.seat]]\nname = "n{j}"\nzone = "z{j % 2}"\n'
+            f'address = "{HOST}:{self.relays[i, j].port if i != j else self.ports[i]}"\n'
+            for j in range(len(self.ports))
+        )
         disk = f'journal = "{self._journals.name}/n{i}"\n' if self._journals else ""
-        return (f'[fleet]\nlisten = "{HOST}:{self.ports[i]}"\nname = "f"\nuncovered = "{self.uncovered}"\n'
-                f'copies = {self._copies}\nclaim_ms = {self._claim_ms}\n'
-                f'{disk}{seats}{self._more(i)}')
+        return (
+            f'[fleet]\nlisten = "{HOST}:{self.ports[i]}"\nname = "f"\nuncovered = "{self.uncovered}"\n'
+            f"copies = {self._copies}\nclaim_ms = {self._claim_ms}\n"
+            f"{disk}{seats}{self._more(i)}"
+        )
 
     async def begin(self) -> None:
         for r in self.runners:
@@ -67,8 +82,11 @@
         await until(all_remember)
 
     async def admin(self, i: int, method: str, path: str) -> bytes:
-        return await exchange(self.runners[i].admin, f"{method} /{path} HTTP/1.0\r\nAuthorization: Bearer {TOKEN}\r\n"
-                              "Content-Length: 0\r\n\r\n".encode())
+        return await exchange(
+            self.runners[i].admin,
+            f"{method} /{path} HTTP/1.0\r\nAuthorization: Bearer {TOKEN}\r\n"
+            "Content-Length: 0\r\n\r\n".encode(),
+        )
 
     async def front(self, i: int) -> FrontEnd:
         made = await FrontEnd.connect(self.runners[i].port)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -22,13 +22,20 @@
 A = TypeVar("A")
 
 SAFE = RequestClass(name="read", aim_ms=1000, deadline_ms=4000)
-KEYED = RequestClass(name="write", aim_ms=1000, deadline_ms=3000, worth=2, effect=Effect.KEYED, window_ms=8000)
+KEYED = RequestClass(
+    name="write", aim_ms=1000, deadline_ms=3000, worth=2, effect=Effect.KEYED, window_ms=8000
+)
 
 
 def settings(**changes: Any) -> Settings:
     base: dict[str, Any] = {
-        "cores": 2, "memory_kb": 100_000.0, "classes": (SAFE, KEYED), "tenants": (Tenant(1.0), Tenant(1.0)),
-        "run_memory_factor": 4.0, "key_entry_kb": 10.0, "gauges": ("cpu_busy",),
+        "cores": 2,
+        "memory_kb": 100_000.0,
+        "classes": (SAFE, KEYED),
+        "tenants": (Tenant(1.0), Tenant(1.0)),
+        "run_memory_factor": 4.0,
+        "key_entry_kb": 10.0,
+        "gauges": ("cpu_busy",),
     }
     return Settings(**(base | changes))
 
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -29,12 +29,31 @@
 SETTINGS: dict[str, Any] = {
     "classes": [
         {"name": "check", "aimMs": 3000, "deadlineMs": 8000, "effect": "free", "worth": 1},
-        {"name": "submit", "aimMs": 3000, "deadlineMs": 8000, "effect": "guarded", "windowMs": 20000, "worth": 3},
+        {
+            "name": "submit",
+            "aimMs": 3000,
+            "deadlineMs": 8000,
+            "effect": "guarded",
+            "windowMs": 20000,
+            "worth": 3,
+        },
     ],
     "realms": [{"name": "acme", "share": 0.5}, {"name": "bolt", "share": 0.5}],
-    "extra": {"cpus": 2, "memoryKb": 50000, "blowup": 16, "entryKb": 1, "halt": "discard", "say": "allowance",
-              "below": "tier", "classCalls": [True, True], "worthWithout": [0.5, 0], "passesDeadline": True,
-              "tellsGone": True, "gauges": ["cpu_busy"], "upstreams": 2},
+    "extra": {
+        "cpus": 2,
+        "memoryKb": 50000,
+        "blowup": 16,
+        "entryKb": 1,
+        "halt": "discard",
+        "say": "allowance",
+        "below": "tier",
+        "classCalls": [True, True],
+        "worthWithout": [0.5, 0],
+        "passesDeadline": True,
+        "tellsGone": True,
+        "gauges": ["cpu_busy"],
+        "upstreams": 2,
+    },
     "invariants": {"graceToAnswerMs": 80, "tipMultiple": 5, "stopSendingWithinMs": 2000},
     "limits": {"maxRetryAfterMs": 1000},
 }
@@ -101,9 +120,19 @@
     def send(self, method: str, **params: Any) -> asyncio.Future[dict[str, Any]]:
         self._next += 1
         body = params.pop("body", b"x")
-        params = {"rid": os.urandom(8).hex(), "t0": int(time.time() * 1000), "peer": 1, "acct": "acme",
-                  "budget": 8000, "mem": 20.0, "prio": 0.5, "content": base64.b64encode(body).decode()} | params
-        self.raw(json.dumps({"jsonrpc": "2.0", "id": self._next, "method": method, "params": params}).encode())
+        params = {
+            "rid": os.urandom(8).hex(),
+            "t0": int(time.time() * 1000),
+            "peer": 1,
+            "acct": "acme",
+            "budget": 8000,
+            "mem": 20.0,
+            "prio": 0.5,
+            "content": base64.b64encode(body).decode(),
+        } | params
+        self.raw(
+            json.dumps({"jsonrpc": "2.0", "id": self._next, "method": method, "params": params}).encode()
+        )
         future = self._waiting[self._next] = asyncio.get_running_loop().create_future()
         return future
 
@@ -122,8 +151,13 @@
 
 
 def uwsgi_request(klass: str, body: bytes = b"x", **more: str) -> bytes:
-    variables = {VARS["class"]: klass, VARS["tenant"]: "acme", VARS["budget"]: "8000", VARS["mem"]: "20",
-                 "CONTENT_LENGTH": str(len(body))}
+    variables = {
+        VARS["class"]: klass,
+        VARS["tenant"]: "acme",
+        VARS["budget"]: "8000",
+        VARS["mem"]: "20",
+        "CONTENT_LENGTH": str(len(body)),
+    }
     return build_packet(variables | {VARS[k]: v for k, v in more.items()}) + body
 
 
@@ -150,11 +184,23 @@
 class Runner:
     """The program, as the platform starts it."""
 
-    def __init__(self, kernel_port: int, db_port: int | None, below_port: int | None,
-                 announce: int | None, listen: int | None, settings: dict[str, Any], more: str = "",
-                 beside: Mapping[str, bytes] | None = None, descriptors: int = 0, name: str = "n1") -> None:
+    def __init__(
+        self,
+        kernel_port: int,
+        db_port: int | None,
+        below_port: int | None,
+        announce: int | None,
+        listen: int | None,
+        settings: dict[str, Any],
+        more: str = "",
+        beside: Mapping[str, bytes] | None = None,
+        descriptors: int = 0,
+        name: str = "n1",
+    ) -> None:
         self._descriptors = descriptors
-        self.port, self.uwsgi, self.agent, self.health, self.admin, self.console = (free_port() for _ in range(6))
+        self.port, self.uwsgi, self.agent, self.health, self.admin, self.console = (
+            free_port() for _ in range(6)
+        )
         self.port = listen or self.port
         self.dir = tempfile.TemporaryDirectory()
         folder = Path(self.dir.name)
@@ -163,12 +209,19 @@
         self.fronts.write_text(
             f'[uwsgi]\nlisten = "{HOST}:{self.uwsgi}"\nidle_s = 3\n{below}[agent]\nlisten = "{HOST}:{self.agent}"\n'
             f'[health]\nlisten = "{HOST}:{self.health}"\n'
-            f'[admin]\nlisten = "{HOST}:{self.admin}"\ntoken = "t0p"\n{more}')
+            f'[admin]\nlisten = "{HOST}:{self.admin}"\ntoken = "t0p"\n{more}'
+        )
         for name, raw in (beside or {}).items():
             (folder / name).write_bytes(raw)
-        config = {"name": name, "listen": f"{HOST}:{self.port}", "kernel": f"{HOST}:{kernel_port}", "seed": "ab",
-                  "console": f"{HOST}:{self.console}", "stop_ms": 4000, "settings": settings} | {
-            name: f"{HOST}:{port}" for name, port in (("db", db_port), ("announce", announce)) if port}
+        config = {
+            "name": name,
+            "listen": f"{HOST}:{self.port}",
+            "kernel": f"{HOST}:{kernel_port}",
+            "seed": "ab",
+            "console": f"{HOST}:{self.console}",
+            "stop_ms": 4000,
+            "settings": settings,
+        } | {name: f"{HOST}:{port}" for name, port in (("db", db_port), ("announce", announce)) if port}
         (folder / "config.json").write_text(json.dumps(config))
         self.config = config
         self.log = open(folder / "log", "w+")  # noqa: SIM115 - it lives as long as the runner
@@ -184,10 +237,20 @@
             self.console = free_port()
             self.config |= {"kernel": f"{HOST}:{kernel_port}"} if kernel_port else {}
             (folder / "config.json").write_text(json.dumps(self.config))
-        self.processes.append(subprocess.Popen(
-            [sys.executable, "-m", "moorusher", "serve", "--fronts", str(self.fronts)], cwd=ROOT,
-            env=os.environ | {"GW_CONFIG": str(folder / "config.json"), "GW_CONSOLE": f"{HOST}:{self.console}",
-                              "TMPDIR": str(self.spool)}, stdout=self.log, stderr=self.log))
+        self.processes.append(
+            subprocess.Popen(
+                [sys.executable, "-m", "moorusher", "serve", "--fronts", str(self.fronts)],
+                cwd=ROOT,
+                env=os.environ
+                | {
+                    "GW_CONFIG": str(folder / "config.json"),
+                    "GW_CONSOLE": f"{HOST}:{self.console}",
+                    "TMPDIR": str(self.spool),
+                },
+                stdout=self.log,
+                stderr=self.log,
+            )
+        )
         if self._descriptors:
             resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (self._descriptors, self._descriptors))
 
@@ -206,12 +269,15 @@
         """The status that the console of a process gives, the last one's if none is named; 0 where none listens."""
         method = b"GET" if call == "health" else b"POST"
         with suppress(ConnectionError):
-            return status(await exchange(port or self.console, method + f" /admin/{call} HTTP/1.1\r\n\r\n".encode()))
+            return status(
+                await exchange(port or self.console, method + f" /admin/{call} HTTP/1.1\r\n\r\n".encode())
+            )
         return 0
 
     async def says_yes(self) -> None:
         async def yes() -> bool:
             return await self.asked("health") == 200
+
         await until(yes)
 
     async def ready(self) -> None:
@@ -223,8 +289,9 @@
         return False
 
     async def counters(self, name: str = "counters") -> dict[str, Any]:
-        got: dict[str, Any] = json.loads(body_of(await exchange(
-            self.admin, b"GET /" + name.encode() + b" HTTP/1.0\r\n\r\n")))
+        got: dict[str, Any] = json.loads(
+            body_of(await exchange(self.admin, b"GET /" + name.encode() + b" HTTP/1.0\r\n\r\n"))
+        )
         return got
 
     def reload(self, **changes: Any) -> None:
@@ -255,15 +322,32 @@
 
 
 @asynccontextmanager
-async def running(kernel: Kernel, db: Database | None = None, below: int | None = None, wait: bool = True,
-                  announce: int | None = None, listen: int | None = None, more: str = "",
-                  beside: Mapping[str, bytes] | None = None, descriptors: int = 0,
-                  **changes: Any) -> AsyncIterator[Runner]:
+async def running(
+    kernel: Kernel,
+    db: Database | None = None,
+    below: int | None = None,
+    wait: bool = True,
+    announce: int | None = None,
+    listen: int | None = None,
+    more: str = "",
+    beside: Mapping[str, bytes] | None = None,
+    descriptors: int = 0,
+    **changes: Any,
+) -> AsyncIterator[Runner]:
     kernel.listen()
     if db is not None:
         db.listen()
-    runner = Runner(kernel.port, db.port if db else None, below, announce, listen, SETTINGS | changes, more, beside,
-                    descriptors)
+    runner = Runner(
+        kernel.port,
+        db.port if db else None,
+        below,
+        announce,
+        listen,
+        SETTINGS | changes,
+        more,
+        beside,
+        descriptors,
+    )
     try:
         if wait:
             await runner.ready()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -21,7 +21,8 @@
 
 
 def test_check_config_says_what_it_holds_or_names_the_key(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
     file, fronts = tmp_path / "c.json", tmp_path / "fronts.toml"
     monkeypatch.setenv("GW_CONFIG", str(file))
     data = {"name": "n1", "listen": f"{HOST}:1", "kernel": f"{HOST}:2", "settings": SETTINGS}
@@ -38,7 +39,9 @@
 def test_stats_without_a_runner_fails_in_words(capsys: pytest.CaptureFixture[str]) -> None:
     assert cli.main(["stats", "--address", f"{HOST}:{free_port()}"]) == 1
     assert "refused" in capsys.readouterr().err
-    assert cli.main(["stats", "--address", "x"]) == cli.main(["stats", "everything"]) == cli.main(["stat"]) == 2
+    assert (
+        cli.main(["stats", "--address", "x"]) == cli.main(["stats", "everything"]) == cli.main(["stat"]) == 2
+    )
     assert "--address" in capsys.readouterr().err
     assert cli.main(["stats"]) == 2
     assert "admin.listen" in capsys.readouterr().err
@@ -57,15 +60,30 @@
 @sockets
 async def test_verbs_on_a_runner_over_its_api() -> None:
     async with running(Kernel()) as r:
+
         def say(*args: str) -> int:
             return cli.main([*args, "--address", f"{HOST}:{r.admin}", "--token", "t0p"])
 
         async def said(*args: str) -> int:
             return await asyncio.to_thread(say, *args)
 
-        assert [await said(*v) for v in (
-            ("standing", "--check"), ("standing", "--json"), ("maintenance", "set", "--reason", "disk", "--for", "60"),
-            ("standing", "--check"), ("maintenance", "show"), ("maintenance", "clear"), ("maintenance", "clear"),
-            ("maintenance", "set", "--for", "-1"), ("stats", "counters"), ("drain",),
-            ("maintenance", "set"))] == [0, 0, 0, 4, 0, 0, 3, 3, 0, 0, 3]
-        assert await asyncio.to_thread(cli.main, ["drain", "--address", f"{HOST}:{r.admin}", "--token", "no"]) == 3
+        assert [
+            await said(*v)
+            for v in (
+                ("standing", "--check"),
+                ("standing", "--json"),
+                ("maintenance", "set", "--reason", "disk", "--for", "60"),
+                ("standing", "--check"),
+                ("maintenance", "show"),
+                ("maintenance", "clear"),
+                ("maintenance", "clear"),
+                ("maintenance", "set", "--for", "-1"),
+                ("stats", "counters"),
+                ("drain",),
+                ("maintenance", "set"),
+            )
+        ] == [0, 0, 0, 4, 0, 0, 3, 3, 0, 0, 3]
+        assert (
+            await asyncio.to_thread(cli.main, ["drain", "--address", f"{HOST}:{r.admin}", "--token", "no"])
+            == 3
+        )
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -209,7 +209,9 @@
     client.send(uwsgi_request("read", b"body", tenant="", rid="u1"))
     s.loop.turn()
     s.world.core.run_over("u1", Ending.RUN_PASSED, b"done")
-    client.send(b"more than was announced")  # as the answer goes out: closed over it, the connection would be reset
+    client.send(
+        b"more than was announced"
+    )  # as the answer goes out: closed over it, the connection would be reset
     s.loop.turn()
     client.send(b"and more")
     s.loop.turn()
--- a/tests/test_config_namespaces.py
+++ b/tests/test_config_namespaces.py
@@ -16,32 +16,41 @@
 SHARED = {"name": "shared", "servers": ["p1"], "limit": 10}
 
 
-def read(said: dict[str, Any], duties: bool = True, state_bytes: int = 1 << 18,
-         servers: set[str] = SERVERS) -> NamespacesConfig:
+def read(
+    said: dict[str, Any], duties: bool = True, state_bytes: int = 1 << 18, servers: set[str] = SERVERS
+) -> NamespacesConfig:
     section = Section({"on": True, "customer": [ACME, BOLT], "pool": [SHARED]} | said, "namespaces")
     return read_namespaces(section, servers, duties, state_bytes)
 
 
 def test_each_customer_has_its_own_servers_shares_and_budget() -> None:
     got = read({"rules": 50, "customer": [ACME | {"rules": 70, "keep": 3}, BOLT]})
-    assert got.customers["acme"].granted == Granted(frozenset({"a1", "a2"}), {"shared": 0.5}, Budget(rules=70))
+    assert got.customers["acme"].granted == Granted(
+        frozenset({"a1", "a2"}), {"shared": 0.5}, Budget(rules=70)
+    )
     assert got.customers["acme"].bounds.keep == 3 and got.customers["bolt"].bounds.keep == 8
     assert got.customers["bolt"].granted.budget.rules == 50
     assert got.grants.share("acme", "shared") == 5 and got.grants.share("nobody", "shared") == 0
     assert got.grants.taken() == SERVERS - {"free"}
 
 
-@pytest.mark.parametrize(("said", "what"), [
-    ({"customer": [ACME, BOLT | {"servers": ["a1"]}]}, "'a1' is granted to acme and to bolt"),
-    ({"pool": [SHARED | {"servers": ["a1"]}]}, "'a1' is acme's own"),
-    ({"customer": [ACME, BOLT | {"pools": {"shared": 0.6}}]}, r"shares of shared come to 1\.1"),
-    ({"customer": [ACME | {"pools": {"other": 0.5}}]}, r"customer\[0\]\.pools\.other: no such pool"),
-    ({"customer": [ACME | {"servers": ["zz"]}]}, r"customer\[0\]\.servers: no such server"),
-    ({"customer": [ACME, ACME]}, r"customer\[1\]\.name"), ({"customer": [ACME | {"name": "a b"}]}, r"customer\[0\]"),
-    ({"customer": [ACME | {"odd": 1}]}, r"customer\[0\]\.odd"), ({"rules": 0}, r"namespaces\.rules"),
-    ({"memory_mb": 16.0}, "2 customers may take 16 MB together, and 16 are set"),
-    ({"bytes": 262_000}, "expected 4096 less than duties.state_bytes"),
-    ({"pool": [SHARED | {"servers": ["p1", "free"]}]}, "none is left for who has no rules")])
+@pytest.mark.parametrize(
+    ("said", "what"),
+    [
+        ({"customer": [ACME, BOLT | {"servers": ["a1"]}]}, "'a1' is granted to acme and to bolt"),
+        ({"pool": [SHARED | {"servers": ["a1"]}]}, "'a1' is acme's own"),
+        ({"customer": [ACME, BOLT | {"pools": {"shared": 0.6}}]}, r"shares of shared come to 1\.1"),
+        ({"customer": [ACME | {"pools": {"other": 0.5}}]}, r"customer\[0\]\.pools\.other: no such pool"),
+        ({"customer": [ACME | {"servers": ["zz"]}]}, r"customer\[0\]\.servers: no such server"),
+        ({"customer": [ACME, ACME]}, r"customer\[1\]\.name"),
+        ({"customer": [ACME | {"name": "a b"}]}, r"customer\[0\]"),
+        ({"customer": [ACME | {"odd": 1}]}, r"customer\[0\]\.odd"),
+        ({"rules": 0}, r"namespaces\.rules"),
+        ({"memory_mb": 16.0}, "2 customers may take 16 MB together, and 16 are set"),
+        ({"bytes": 262_000}, "expected 4096 less than duties.state_bytes"),
+        ({"pool": [SHARED | {"servers": ["p1", "free"]}]}, "none is left for who has no rules"),
+    ],
+)
 def test_a_faulty_key_is_named(said: dict[str, Any], what: str) -> None:
     with pytest.raises(ConfigError, match=what):
         read(said)
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -55,8 +55,12 @@
         """What every health answer says."""
         _, heard = self.connect(b'{"jsonrpc":"2.0","id":1,"method":"heartbeat"}\n', front=self.front)
         _, ping = self.connect(HEAD.pack(PING, 0, 0), front=self.uwsgi)
-        return {self.health() == 200, said(heard)[0]["result"]["fit"], ping.value() != b"",
-                self.reporter.report().routable}
+        return {
+            self.health() == 200,
+            said(heard)[0]["result"]["fit"],
+            ping.value() != b"",
+            self.reporter.report().routable,
+        }
 
 
 def test_each_call_has_its_answer_and_all_health_answers_follow_the_drain_in_the_same_turn() -> None:
@@ -104,19 +108,27 @@
     assert o.health() == 503
 
 
-@pytest.mark.parametrize("sent, code", [
-    (b"GET /admin/other HTTP/1.1\r\n\r\n", 404), (b"GET / HTTP/1.1\r\n\r\n", 404),
-    (b"POST /admin/health HTTP/1.1\r\n\r\n", 405), (b"GET /admin/quiesce HTTP/1.1\r\n\r\n", 405),
-    (b"GET /admin/health\r\n\r\n", 400), (b"\x16\x03\x01\n\n", 400),
-    (b"GET /admin/health HTTP/1.1\r\nnocolon\r\n\r\n", 400),
-    (b"POST /admin/quiesce HTTP/1.1\r\nContent-Length: x\r\n\r\n", 400),
-    (b"POST /admin/quiesce HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
-    (b"POST /admin/quiesce HTTP/1.1\r\nContent-Length: 99999999999999\r\n\r\n", 413),
-    (b"POST /admin/quiesce HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 413),
-    (b"GET /" + b"x" * 5000, 431), (b"GET / HTTP/1.1\r\n" + b"a: b\r\n" * 2000, 431),
-    (b"GET /admin/health HTTP/1.1\r\nHost: x\r\n\r\n", 200), (b"HEAD /admin/health HTTP/1.0\n\n", 200),
-    (b"POST /admin/resume HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc", 200),
-])
+@pytest.mark.parametrize(
+    "sent, code",
+    [
+        (b"GET /admin/other HTTP/1.1\r\n\r\n", 404),
+        (b"GET / HTTP/1.1\r\n\r\n", 404),
+        (b"POST /admin/health HTTP/1.1\r\n\r\n", 405),
+        (b"GET /admin/quiesce HTTP/1.1\r\n\r\n", 405),
+        (b"GET /admin/health\r\n\r\n", 400),
+        (b"\x16\x03\x01\n\n", 400),
+        (b"GET /admin/health HTTP/1.1\r\nnocolon\r\n\r\n", 400),
+        (b"POST /admin/quiesce HTTP/1.1\r\nContent-Length: x\r\n\r\n", 400),
+        (b"POST /admin/quiesce HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
+        (b"POST /admin/quiesce HTTP/1.1\r\nContent-Length: 99999999999999\r\n\r\n", 413),
+        (b"POST /admin/quiesce HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 413),
+        (b"GET /" + b"x" * 5000, 431),
+        (b"GET / HTTP/1.1\r\n" + b"a: b\r\n" * 2000, 431),
+        (b"GET /admin/health HTTP/1.1\r\nHost: x\r\n\r\n", 200),
+        (b"HEAD /admin/health HTTP/1.0\n\n", 200),
+        (b"POST /admin/resume HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc", 200),
+    ],
+)
 def test_a_call_cut_anywhere_gets_the_answer_that_it_gets_whole(sent: bytes, code: int) -> None:
     step = max(1, len(sent) // 60)
     for at in range(0, len(sent) + 1, step):
@@ -133,8 +145,15 @@
     assert b"\r\nAllow: POST\r\n" in transport.value()
 
 
-@pytest.mark.parametrize("half", [
-    b"", b"G", b"GET /admin/health HTTP/1.1\r\n", b"POST /admin/quiesce HTTP/1.1\r\nContent-Length: 9\r\n\r\n{"])
+@pytest.mark.parametrize(
+    "half",
+    [
+        b"",
+        b"G",
+        b"GET /admin/health HTTP/1.1\r\n",
+        b"POST /admin/quiesce HTTP/1.1\r\nContent-Length: 9\r\n\r\n{",
+    ],
+)
 def test_a_silent_or_half_call_gets_408_and_a_close_well_within_a_second(half: bytes) -> None:
     o = Operated()
     connection, transport = o.connect(half)
@@ -162,4 +181,9 @@
     o.call("POST", "/admin/quiesce")
     _, transport = o.connect(b"GET /admin/health HTTP/1.1\r\n\r\n")
     assert json.loads(transport.value().split(b"\r\n\r\n")[1]) == {
-        "ready": False, "kernel": True, "leaving": False, "replaced": False, "quiesced": "quiesced by an operator"}
+        "ready": False,
+        "kernel": True,
+        "leaving": False,
+        "replaced": False,
+        "quiesced": "quiesced by an operator",
+    }
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -54,14 +54,22 @@
 
 
 class World:
-    def __init__(self, make: Callable[[api.Settings], Balancer] = Balancer, kernel: bool = True,
-                 **changes: Any) -> None:
+    def __init__(
+        self, make: Callable[[api.Settings], Balancer] = Balancer, kernel: bool = True, **changes: Any
+    ) -> None:
         self.at, self.turns = 1_000_000_000_000, list[Callable[[], None]]()
         clock = Clock(lambda: self.at, lambda: self.at + 10**18)
         self.kernel, self.calls = Kernel(), Calls()
         self.answers: list[tuple[int, Answer]] = []
-        self.core = Decider(settings(**changes), clock, Alarms(clock, lambda when: None), self.kernel, self.calls,
-                            self.turns.append, make)
+        self.core = Decider(
+            settings(**changes),
+            clock,
+            Alarms(clock, lambda when: None),
+            self.kernel,
+            self.calls,
+            self.turns.append,
+            make,
+        )
         if kernel:
             self.core.kernel_up(False, 0)
         self.turn()
@@ -80,7 +88,9 @@
     def answer(self, tag: int, answer: Answer, hint: float | None) -> None:
         self.answers.append((tag, answer))
 
-    def take(self, rid: str, tag: int = 0, klass: str = "write", token: str | None = "t", **more: Any) -> Request:
+    def take(
+        self, rid: str, tag: int = 0, klass: str = "write", token: str | None = "t", **more: Any
+    ) -> Request:
         taken = self.core.take(Arrival(rid, klass, b"x", token=token, memory_kb=10.0, **more), self, tag)
         assert isinstance(taken, Request)
         return taken
@@ -231,17 +241,24 @@
     assert w.runs() == ["a"] and w.verdicts()[-1] == (3, Verdict.SERVED)
 
 
-@pytest.mark.parametrize("cold, age_ms, is_cold, since", [
-    (False, 3_600_000.0, False, 0.0), (True, 0.0, True, 0.0), (True, 4_000.0, True, 4_000.0),
-    (True, 60_000.0, False, 0.0),
-])
-def test_warming_counts_from_the_kernel_and_windows_from_the_opening(cold: bool, age_ms: float, is_cold: bool,
-                                                                     since: float) -> None:
+@pytest.mark.parametrize(
+    "cold, age_ms, is_cold, since",
+    [
+        (False, 3_600_000.0, False, 0.0),
+        (True, 0.0, True, 0.0),
+        (True, 4_000.0, True, 4_000.0),
+        (True, 60_000.0, False, 0.0),
+    ],
+)
+def test_warming_counts_from_the_kernel_and_windows_from_the_opening(
+    cold: bool, age_ms: float, is_cold: bool, since: float
+) -> None:
     made: list[Balancer] = []
 
     def make(s: api.Settings) -> Balancer:
         made.append(Balancer(s))
         return made[-1]
+
     w = World(make, warm_after_ms=17_000.0)
     w.core._balancer = None
     w.core.kernel_up(cold, age_ms)
@@ -266,10 +283,15 @@
     assert w.verdicts() == [(2, Verdict.FAILED), (1, Verdict.FAILED)]
 
 
-@pytest.mark.parametrize("arrival, fault", [
-    (Arrival("r", "nothing", b""), Fault.NO_SUCH_CLASS), (Arrival("r", "write", b""), Fault.TOKEN_MISSING),
-    (Arrival("a", "read", b""), Fault.RID_IN_USE), (Arrival("r", "write", b"y", token="t"), Fault.BODY_DIFFERS),
-])
+@pytest.mark.parametrize(
+    "arrival, fault",
+    [
+        (Arrival("r", "nothing", b""), Fault.NO_SUCH_CLASS),
+        (Arrival("r", "write", b""), Fault.TOKEN_MISSING),
+        (Arrival("a", "read", b""), Fault.RID_IN_USE),
+        (Arrival("r", "write", b"y", token="t"), Fault.BODY_DIFFERS),
+    ],
+)
 def test_faults_of_intake(arrival: Arrival, fault: Fault) -> None:
     w = World()
     w.take("a", 1)
--- a/tests/test_core_shape.py
+++ b/tests/test_core_shape.py
@@ -9,8 +9,27 @@
 
 CORE = sorted((Path(__file__).resolve().parent.parent / "moorusher" / "core").glob("*.py"))
 WIRES = {"twisted", "json", "base64", "binascii", "socket", "struct", "asyncio", "threading"}
-ALLOWED_PARENTS = {None, "actions", "watch", "answer", "call", "care", "claims", "clock", "counters", "demand",
-                   "endings", "intake", "keys", "others", "decide", "requests", "retune", "routes", "run"}
+ALLOWED_PARENTS = {
+    None,
+    "actions",
+    "watch",
+    "answer",
+    "call",
+    "care",
+    "claims",
+    "clock",
+    "counters",
+    "demand",
+    "endings",
+    "intake",
+    "keys",
+    "others",
+    "decide",
+    "requests",
+    "retune",
+    "routes",
+    "run",
+}
 
 
 @pytest.mark.parametrize("path", CORE, ids=lambda p: p.stem)
@@ -26,14 +45,35 @@
 
 
 def test_there_is_a_core() -> None:
-    assert {"clock", "requests", "intake", "decide", "run", "call", "keys", "answer", "endings", "counters"} <= {
-        p.stem for p in CORE}
+    assert {
+        "clock",
+        "requests",
+        "intake",
+        "decide",
+        "run",
+        "call",
+        "keys",
+        "answer",
+        "endings",
+        "counters",
+    } <= {p.stem for p in CORE}
 
 
 PURE = ("standing", "succession", "tier", "knowledge", "fleet")
 DECIDES = [p for name in PURE for p in sorted((CORE[0].parent.parent / name).glob("*.py"))]
-CALCULATES = {"__future__", "collections", "dataclasses", "enum", "heapq", "itertools", "math", "struct", "typing",
-              "msgspec", "xxhash"}
+CALCULATES = {
+    "__future__",
+    "collections",
+    "dataclasses",
+    "enum",
+    "heapq",
+    "itertools",
+    "math",
+    "struct",
+    "typing",
+    "msgspec",
+    "xxhash",
+}
 
 
 @pytest.mark.parametrize("path", DECIDES, ids=lambda p: f"{p.parent.name}-{p.stem}")
--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -49,9 +49,14 @@
 
 def seen(world: World, transport: Transport) -> object:
     world.turn()
-    return (transport.value(), transport.disconnecting, transport.half_closed, transport.aborted,
-            [(s[0], s[1]) for s in world.kernel.said if s[0] == "run"],
-            sorted((n, v) for n, v in world.core.counters.total.items()))
+    return (
+        transport.value(),
+        transport.disconnecting,
+        transport.half_closed,
+        transport.aborted,
+        [(s[0], s[1]) for s in world.kernel.said if s[0] == "run"],
+        sorted((n, v) for n, v in world.core.counters.total.items()),
+    )
 
 
 def jsonrpc() -> Fed:
@@ -61,7 +66,10 @@
 
 def uwsgi() -> Fed:
     world = World()
-    connection, transport = UwsgiFront(world.core, 10, 2048, 60.0, lambda: True).buildProtocol(None), Transport()
+    connection, transport = (
+        UwsgiFront(world.core, 10, 2048, 60.0, lambda: True).buildProtocol(None),
+        Transport(),
+    )
     assert connection is not None
     connection.makeConnection(transport)  # type: ignore[no-untyped-call]
     return connection, lambda: seen(world, transport)
@@ -70,7 +78,11 @@
 def probes(kind: str) -> Fed:
     world = World()
     reporter = Reporter(world.core, Policy(), "n1")
-    factory = AgentFront(world.core, reporter) if kind == "agent" else HealthFront(world.core, reporter, Codes(), None)
+    factory = (
+        AgentFront(world.core, reporter)
+        if kind == "agent"
+        else HealthFront(world.core, reporter, Codes(), None)
+    )
     connection, transport = factory.buildProtocol(None), Transport()
     connection.makeConnection(transport)
     return connection, lambda: seen(world, transport)
@@ -104,20 +116,30 @@
 
 def announce() -> Fed:
     world, dialled = World(), []
-    announcer = Announcer(SimpleNamespace(connectTCP=lambda *a, **k: dialled.append(a[2])), ("127.0.0.1", 1), "n1")
+    announcer = Announcer(
+        SimpleNamespace(connectTCP=lambda *a, **k: dialled.append(a[2])), ("127.0.0.1", 1), "n1"
+    )
     announcer.core = world.core
     announcer.start()
     connection, transport = announcer.buildProtocol(None), Transport()
     connection.makeConnection(transport)  # type: ignore[no-untyped-call]
     counters = world.core.counters.total
-    return connection, lambda: (counters["reports heard"], counters["reports not heard"], transport.aborted,
-                                transport.disconnecting)
+    return connection, lambda: (
+        counters["reports heard"],
+        counters["reports not heard"],
+        transport.aborted,
+        transport.disconnecting,
+    )
 
 
 def succession() -> Fed:
     said: list[object] = []
-    link: Any = SimpleNamespace(core=World().core, connected=lambda peer: None, lost=said.append,
-                                heard=lambda peer, m, blob: said.append((m, blob)))
+    link: Any = SimpleNamespace(
+        core=World().core,
+        connected=lambda peer: None,
+        lost=said.append,
+        heard=lambda peer, m, blob: said.append((m, blob)),
+    )
     peer = Peer(link, came=True)
     peer.transport = transport = Transport()
     return peer, lambda: (said, transport.aborted)
@@ -128,11 +150,17 @@
     return struct.pack("!I", len(whole)) + whole
 
 
-NOTICES = b"".join(json.dumps(m).encode() + b"\n" for m in (
-    {"t": "BOOTED", "status": "LOADED", "time_ms": 5}, {"t": "IOREQ", "no": 1, "rid": "a", "b64": "eHg="},
-    {"t": "DMESG", "no": 2, "status": "hello"}, {"t": "INFO", "mark": "g", "v": [0.5, 1, 2, 3]},
-    {"t": "EINVAL", "status": "SCHED", "rid": "b"},
-    {"t": "REAP", "no": 3, "rid": "a", "status": "PASS", "time_ms": 9, "b64": "eQ=="}))
+NOTICES = b"".join(
+    json.dumps(m).encode() + b"\n"
+    for m in (
+        {"t": "BOOTED", "status": "LOADED", "time_ms": 5},
+        {"t": "IOREQ", "no": 1, "rid": "a", "b64": "eHg="},
+        {"t": "DMESG", "no": 2, "status": "hello"},
+        {"t": "INFO", "mark": "g", "v": [0.5, 1, 2, 3]},
+        {"t": "EINVAL", "status": "SCHED", "rid": "b"},
+        {"t": "REAP", "no": 3, "rid": "a", "status": "PASS", "time_ms": 9, "b64": "eQ=="},
+    )
+)
 HEARTBEAT = b'{"jsonrpc":"2.0","id":9,"method":"heartbeat"}\r\n'
 
 CASES: list[tuple[str, Callable[[], Fed], bytes]] = [
@@ -145,19 +173,34 @@
     ("uwsgi packet that lies", uwsgi, HEAD.pack(0, 6, 0) + b"\x04\x00ab\x09\x00"),
     ("uwsgi body too long", uwsgi, uwsgi_request("read", b"x" * 2049, tenant="")),
     ("agent", lambda: probes("agent"), b"lb1\nmore"),
-    ("health, twice", lambda: probes("health"), b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\nHEAD /alive HTTP/1.0\n\n"),
+    (
+        "health, twice",
+        lambda: probes("health"),
+        b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\nHEAD /alive HTTP/1.0\n\n",
+    ),
     ("health, no HTTP", lambda: probes("health"), b"GET /ready HTTP/1.1\r\nno colon\r\n\r\n"),
     ("kernel", kernel, NOTICES),
     ("kernel, spoilt", kernel, NOTICES[:300] + b'{"t":"REAP","no":4}\n' + NOTICES),
     ("database", database, REPLY),
-    ("database, 1xx first", database, b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: x\r\n\r\n" + REPLY),
+    (
+        "database, 1xx first",
+        database,
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: x\r\n\r\n" + REPLY,
+    ),
     ("database, turned away", database, b"HTTP/1.1 503 No\r\nNever-Started: 1\r\nContent-Length: 0\r\n\r\n"),
     ("database, noise", database, b"\x00\x01HTTP/1.1 200 OK\r\n\r\n"),
     ("database, 3 GB", database, b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 40),
-    ("database, two lengths", database, b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxy"),
+    (
+        "database, two lengths",
+        database,
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxy",
+    ),
     ("uwsgi below", uwsgi_below, REPLY),
-    ("uwsgi below, never ran", uwsgi_below,
-     b"HTTP/1.1 503 N\r\nX-Moorusher-Never-Ran: 1\r\nContent-Length: 2\r\n\r\nab"),
+    (
+        "uwsgi below, never ran",
+        uwsgi_below,
+        b"HTTP/1.1 503 N\r\nX-Moorusher-Never-Ran: 1\r\nContent-Length: 2\r\n\r\nab",
+    ),
     ("announce", announce, b"HTTP/1.1 204 No Content\r\n\r\n"),
     ("announce, spoilt", announce, b"HTTP/1.1 2\xff4\r\n\r\n"),
     ("succession", succession, frame({"t": "KEY", "k": [None, "b"]}, b"\x00\n\xff" * 9) + frame({"t": "GO"})),
@@ -177,7 +220,7 @@
     whole = feed(make, sent)
     for at in range(1, len(sent)):
         assert feed(make, sent[:at], sent[at:]) == whole, at
-    assert feed(make, *(sent[i:i + 1] for i in range(len(sent)))) == whole
+    assert feed(make, *(sent[i : i + 1] for i in range(len(sent)))) == whole
 
 
 @pytest.mark.parametrize("make, sent", [c[1:] for c in CASES], ids=[c[0] for c in CASES])
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -57,7 +57,10 @@
     tally.tick(T0 + 40_000)
     for minute in range(1, 8):
         tally.tick(T0 + minute * 50_000)
-    assert [(p.since_ms - T0, p.until_ms - T0) for p in tally.parts(T0 + 350_000)] == [(0, 300_000), (300_000, 350_000)]
+    assert [(p.since_ms - T0, p.until_ms - T0) for p in tally.parts(T0 + 350_000)] == [
+        (0, 300_000),
+        (300_000, 350_000),
+    ]
     tally.acknowledged(told(tally, T0 + 350_000))
     assert len(tally) == 1
 
@@ -66,8 +69,10 @@
     tally = Tally("n0", 1, "z", T0 + 100_000)
     tally.tick(T0 + 120_000)
     tally.tick(T0 + 2 * BUCKET_MS + 5_000)  # stopped meanwhile
-    assert [(p.bucket * BUCKET_MS - T0, p.covered_ms) for p in tally.parts(T0 + 2 * BUCKET_MS + 9_000)] \
-        == [(0, 20_000), (2 * BUCKET_MS, 4_000)]
+    assert [(p.bucket * BUCKET_MS - T0, p.covered_ms) for p in tally.parts(T0 + 2 * BUCKET_MS + 9_000)] == [
+        (0, 20_000),
+        (2 * BUCKET_MS, 4_000),
+    ]
 
 
 def test_a_clock_that_is_set_back_enters_no_bucket_twice() -> None:
@@ -87,7 +92,9 @@
     for i in range(5):
         tally.count(now, Key("acme", 1, f"r{i}", "z"), asked=1)
     rows = tally._rows[now // BUCKET_MS]
-    assert len(rows) == 3 and rows[pack_key(Key("acme", 1, "", "z"))].asked == 3, "beyond its bound, under no route"
+    assert len(rows) == 3 and rows[pack_key(Key("acme", 1, "", "z"))].asked == 3, (
+        "beyond its bound, under no route"
+    )
 
 
 def test_names_are_kept_exactly() -> None:
@@ -101,18 +108,34 @@
 
 
 @settings(max_examples=200)
-@given(st.lists(st.tuples(st.sampled_from(["n0", "n1"]), st.integers(1, 2), st.integers(0, 3), st.integers(1, 9)),
-                min_size=1, max_size=12), st.randoms(use_true_random=False))
-def test_told_in_any_order_and_any_number_of_times_it_is_the_same(steps: list[tuple[str, int, int, int]],
-                                                                  rng: random.Random) -> None:
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(["n0", "n1"]), st.integers(1, 2), st.integers(0, 3), st.integers(1, 9)),
+        min_size=1,
+        max_size=12,
+    ),
+    st.randoms(use_true_random=False),
+)
+def test_told_in_any_order_and_any_number_of_times_it_is_the_same(
+    steps: list[tuple[str, int, int, int]], rng: random.Random
+) -> None:
     """Counts of a process only grow; what is merged is what its largest report said."""
     grown: dict[tuple[str, int, int], int] = {}
     parts: list[Part] = []
     for seat, inc, bucket, more in steps:
         grown[seat, inc, bucket] = grown.get((seat, inc, bucket), 0) + more
         start = T0 + bucket * BUCKET_MS
-        parts.append(Part(seat, inc, "z", start // BUCKET_MS, start, start + min(BUCKET_MS, 1000 * len(parts)),
-                          {pack_key(KEY): Count(grown[seat, inc, bucket])}))
+        parts.append(
+            Part(
+                seat,
+                inc,
+                "z",
+                start // BUCKET_MS,
+                start,
+                start + min(BUCKET_MS, 1000 * len(parts)),
+                {pack_key(KEY): Count(grown[seat, inc, bucket])},
+            )
+        )
     again = parts + rng.choices(parts, k=len(parts))
     rng.shuffle(again)
     again.insert(0, parts[0])
@@ -132,7 +155,9 @@
 
 def whole(seat: str, inc: int, bucket: int, asked: int, since: int = 0, until: int = BUCKET_MS) -> Part:
     start = T0 + bucket * BUCKET_MS
-    return Part(seat, inc, "z", start // BUCKET_MS, start + since, start + until, {pack_key(KEY): Count(asked)})
+    return Part(
+        seat, inc, "z", start // BUCKET_MS, start + since, start + until, {pack_key(KEY): Count(asked)}
+    )
 
 
 def test_a_bucket_waits_for_all_seats_and_not_for_ever_and_what_is_missing_is_a_gap() -> None:
@@ -187,7 +212,12 @@
     state = ledger.pack()
     assert len(state) < 3_500
     back = Ledger.unpack(state, SEATS).series[pack_key(KEY)]
-    assert (back.asked, back.counted, back.core_us, back.worth) == (series.asked, series.counted, 500.0, series.worth)
+    assert (back.asked, back.counted, back.core_us, back.worth) == (
+        series.asked,
+        series.counted,
+        500.0,
+        series.worth,
+    )
     for cut in (state[:-1], state[:40] + b"x" + state[41:], b"nonsense"):
         with pytest.raises(ValueError):
             Ledger.unpack(cut, SEATS)
@@ -262,7 +292,10 @@
     assert isinstance(got.pop(), NotYet)
     owner.report("n0", Report(7, [whole("n0", 1, 0, 5)]))
     hour = T0 // HOUR_MS
-    good, late = Past(KEY, hour - 3, [1, 2, 3], 0.0, 0.0), Past(Key("acme", 1, "b", "z"), hour - 3, [1] * 4, 0.0, 0.0)
+    good, late = (
+        Past(KEY, hour - 3, [1, 2, 3], 0.0, 0.0),
+        Past(Key("acme", 1, "b", "z"), hour - 3, [1] * 4, 0.0, 0.0),
+    )
     more = [Past(Key("acme", 1, f"r{i}", "z"), hour - 3, [1], 0.0, 0.0) for i in range(3)]
     for wrong in ([good, late], [good, good], more):
         owner.load(wrong, got.append)
@@ -298,9 +331,18 @@
 class Adds(Ledger):
     @staticmethod
     def merge(old: Part, new: Part) -> Part:
-        rows = {name: (old.rows[name].more(c.asked) if name in old.rows else c) for name, c in new.rows.items()}
-        return Part(old.seat, old.inc, old.zone, old.bucket, min(old.since_ms, new.since_ms),
-                    max(old.until_ms, new.until_ms), {**old.rows, **rows})
+        rows = {
+            name: (old.rows[name].more(c.asked) if name in old.rows else c) for name, c in new.rows.items()
+        }
+        return Part(
+            old.seat,
+            old.inc,
+            old.zone,
+            old.bucket,
+            min(old.since_ms, new.since_ms),
+            max(old.until_ms, new.until_ms),
+            {**old.rows, **rows},
+        )
 
 
 class Adding(Forecaster):
@@ -318,10 +360,18 @@
     make = ZeroLedger
 
 
-@pytest.mark.parametrize(("kind", "how"), [(Adding, "are said to have been asked"), (Zeros, "said to be whole")])
+@pytest.mark.parametrize(
+    ("kind", "how"), [(Adding, "are said to have been asked"), (Zeros, "said to be whole")]
+)
 def test_a_seeded_mistake_is_found(kind: type[Forecaster], how: str) -> None:
-    found: Any = next((f for seed in itertools.islice(itertools.count(), 12)
-                       if (f := ForecastSimulation(seed, forecaster=kind).play()) is not None), None)
+    found: Any = next(
+        (
+            f
+            for seed in itertools.islice(itertools.count(), 12)
+            if (f := ForecastSimulation(seed, forecaster=kind).play()) is not None
+        ),
+        None,
+    )
     assert found is not None and how in found
 
 
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -69,38 +69,42 @@
 # ---- the life of a duty ----
 
 
-@pytest.mark.parametrize("change, old, life, term, owner", [
-    (Create("d", "test", 9), None, Life.VACANT, 0, None),
-    (Create("d", "test", 9), post(), None, 0, None),
-    (Create("d", "test", 0), post(Life.GONE, None), Life.VACANT, 0, None),
-    (Create("d", "test", 0, again=False), post(Life.GONE, None), None, 0, None),
-    (Accept(B, (1, 3), False, 3), post(Life.VACANT, None), Life.HELD, 4, B),
-    (Accept(B, (1, 3), True, 3), post(), Life.HELD, 4, B),
-    (Accept(B, (1, 2), True, 3), post(), None, 0, None),
-    (Accept(A, (1, 3), True, 3), post(), None, 0, None),
-    (Accept(B, (1, 3), True, 3), post(lost=2), Life.ASIDE, 4, None),
-    (Accept(B, (1, 3), False, 3), post(lost=2), Life.HELD, 4, B),
-    (Accept(B, (1, 3), True, 3), post(Life.ASIDE, None), None, 0, None),
-    (Accept(B, (1, 3), True, 3), post(Life.GONE, None), None, 0, None),
-    (Step(A, 1, 3, 1), post(), Life.HELD, 3, A),
-    (Step(A, 1, 3, 1), post(step=1), None, 0, None),
-    (Step(A, 1, 2, 1), post(), None, 0, None),
-    (Step(A, 0, 3, 1), post(), None, 0, None),
-    (Step(B, 1, 3, 1), post(), None, 0, None),
-    (Step(A, 1, 3, 1), post(Life.YIELDING), None, 0, None),
-    (Advance(A, 1, 3, 1, 7, 0, (), 3), post(Life.YIELDING), Life.YIELDING, 3, A),
-    (Advance(A, 1, 3, 1, 6, 0, (), 3), post(), None, 0, None),
-    (Yield(A, 1, 3, 1), post(), Life.YIELDING, 3, A),
-    (Release(A, 1, 3, 1, "b"), post(Life.YIELDING), Life.OFFERED, 3, None),
-    (Release(A, 1, 3, 1, ""), post(Life.YIELDING), Life.VACANT, 3, None),
-    (PutAside(A, 1, 3, 1, "why", 2), post(), Life.ASIDE, 3, None),
-    (Resume(), post(Life.ASIDE, None), Life.VACANT, 3, None),
-    (Resume(), post(), None, 0, None),
-    (Remove(1), post(), Life.GONE, 4, None),
-    (Remove(0), post(), None, 0, None),
-])
-def test_each_change_has_its_one_outcome(change: Any, old: Post | None, life: Life | None, term: int,
-                                         owner: Owner | None) -> None:
+@pytest.mark.parametrize(
+    "change, old, life, term, owner",
+    [
+        (Create("d", "test", 9), None, Life.VACANT, 0, None),
+        (Create("d", "test", 9), post(), None, 0, None),
+        (Create("d", "test", 0), post(Life.GONE, None), Life.VACANT, 0, None),
+        (Create("d", "test", 0, again=False), post(Life.GONE, None), None, 0, None),
+        (Accept(B, (1, 3), False, 3), post(Life.VACANT, None), Life.HELD, 4, B),
+        (Accept(B, (1, 3), True, 3), post(), Life.HELD, 4, B),
+        (Accept(B, (1, 2), True, 3), post(), None, 0, None),
+        (Accept(A, (1, 3), True, 3), post(), None, 0, None),
+        (Accept(B, (1, 3), True, 3), post(lost=2), Life.ASIDE, 4, None),
+        (Accept(B, (1, 3), False, 3), post(lost=2), Life.HELD, 4, B),
+        (Accept(B, (1, 3), True, 3), post(Life.ASIDE, None), None, 0, None),
+        (Accept(B, (1, 3), True, 3), post(Life.GONE, None), None, 0, None),
+        (Step(A, 1, 3, 1), post(), Life.HELD, 3, A),
+        (Step(A, 1, 3, 1), post(step=1), None, 0, None),
+        (Step(A, 1, 2, 1), post(), None, 0, None),
+        (Step(A, 0, 3, 1), post(), None, 0, None),
+        (Step(B, 1, 3, 1), post(), None, 0, None),
+        (Step(A, 1, 3, 1), post(Life.YIELDING), None, 0, None),
+        (Advance(A, 1, 3, 1, 7, 0, (), 3), post(Life.YIELDING), Life.YIELDING, 3, A),
+        (Advance(A, 1, 3, 1, 6, 0, (), 3), post(), None, 0, None),
+        (Yield(A, 1, 3, 1), post(), Life.YIELDING, 3, A),
+        (Release(A, 1, 3, 1, "b"), post(Life.YIELDING), Life.OFFERED, 3, None),
+        (Release(A, 1, 3, 1, ""), post(Life.YIELDING), Life.VACANT, 3, None),
+        (PutAside(A, 1, 3, 1, "why", 2), post(), Life.ASIDE, 3, None),
+        (Resume(), post(Life.ASIDE, None), Life.VACANT, 3, None),
+        (Resume(), post(), None, 0, None),
+        (Remove(1), post(), Life.GONE, 4, None),
+        (Remove(0), post(), None, 0, None),
+    ],
+)
+def test_each_change_has_its_one_outcome(
+    change: Any, old: Post | None, life: Life | None, term: int, owner: Owner | None
+) -> None:
     new = unpack(change(None if old is None else pack(old)))
     assert (new is None) == (life is None)
     if new is not None and life is not None:
@@ -131,8 +135,18 @@
 def test_a_receiver_takes_what_is_higher_answers_again_what_is_equal_and_refuses_the_rest() -> None:
     high = Fence(1, 2, 5)
     assert judge(None, high) is Verdict.NEW and judge(high, high) is Verdict.AGAIN
-    assert judge(high, Fence(1, 2, 6)) is judge(high, Fence(1, 3, 1)) is judge(high, Fence(2, 0, 0)) is Verdict.NEW
-    assert judge(high, Fence(1, 2, 4)) is judge(high, Fence(1, 1, 99)) is judge(high, Fence(0, 9, 9)) is Verdict.BEHIND
+    assert (
+        judge(high, Fence(1, 2, 6))
+        is judge(high, Fence(1, 3, 1))
+        is judge(high, Fence(2, 0, 0))
+        is Verdict.NEW
+    )
+    assert (
+        judge(high, Fence(1, 2, 4))
+        is judge(high, Fence(1, 1, 99))
+        is judge(high, Fence(0, 9, 9))
+        is Verdict.BEHIND
+    )
 
 
 # ---- states in pieces ----
@@ -185,7 +199,12 @@
 
 
 def test_the_full_and_the_unsteady_come_last_and_the_unfit_not_at_all() -> None:
-    seen = [Seen("a", True, 0, 6), Seen("b", True, 9, 6), Seen("c", False, 0, 6), Seen("d", True, 0, 6, steady=False)]
+    seen = [
+        Seen("a", True, 0, 6),
+        Seen("b", True, 9, 6),
+        Seen("c", False, 0, 6),
+        Seen("d", True, 0, 6, steady=False),
+    ]
     assert turn(KEY, seen, 2.0) == ["a", "b", "d"]
     assert room(0.0) == 1 and too_many(0.0) == 2 and too_many(2.0) > room(2.0)
 
@@ -214,10 +233,13 @@
     assert not read({}).duties.on
     with pytest.raises(ConfigError, match=r"duties.on: duties need a fleet"):
         read({"on": True})
-    for wrong, name in (({"most": 0}, "duties.most"), ({"odd": 1}, "duties.odd"),
-                        ({"report": [{"name": "a b"}]}, r"duties.report\[0\].name"),
-                        ({"report": [{"name": "a"}]}, r"duties.report\[0\].to"),
-                        ({"report": [{"name": "a", "to": "8.8.8.8:1"}]}, r"duties.report\[0\].to")):
+    for wrong, name in (
+        ({"most": 0}, "duties.most"),
+        ({"odd": 1}, "duties.odd"),
+        ({"report": [{"name": "a b"}]}, r"duties.report\[0\].name"),
+        ({"report": [{"name": "a"}]}, r"duties.report\[0\].to"),
+        ({"report": [{"name": "a", "to": "8.8.8.8:1"}]}, r"duties.report\[0\].to"),
+    ):
         with pytest.raises(ConfigError, match=name):
             read(wrong)
 
@@ -260,9 +282,16 @@
         return Post(new.name, new.kind, new.born, old.term, 1, new.life, new.owner, new.step)
 
 
-@pytest.mark.parametrize("how", [
-    {"step": Blind}, {"accept": SameTerm}, {"compares": False}, {"kind": "once", "early": True},
-], ids=["term looked at before", "same term twice", "receiver does not compare", "effect before intent"])
+@pytest.mark.parametrize(
+    "how",
+    [
+        {"step": Blind},
+        {"accept": SameTerm},
+        {"compares": False},
+        {"kind": "once", "early": True},
+    ],
+    ids=["term looked at before", "same term twice", "receiver does not compare", "effect before intent"],
+)
 def test_the_search_finds_each_seeded_mistake(how: dict[str, Any]) -> None:
     again = (1, 0) if "step" in how else (0, 0)
     found = explore(Terms.held(Limits(again=again, patient=True), **how), most=60_000, deep=True)
@@ -294,7 +323,10 @@
 
 
 def test_seeds_find_keepers_that_forgot_and_vote() -> None:
-    assert search(range(60), Course(seats=3, keys=0, faults=12, kinds=("forget", "cut")), amnesia=False) is not None
+    assert (
+        search(range(60), Course(seats=3, keys=0, faults=12, kinds=("forget", "cut")), amnesia=False)
+        is not None
+    )
 
 
 def test_seeds_find_an_old_owner_whose_change_is_made(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -307,7 +339,9 @@
     assert search(range(20), Course(seats=5, keys=0, faults=12, kinds=("stop", "cut"))) is not None
 
 
-def test_seeds_find_a_look_that_takes_one_keepers_word_for_that_of_a_majority(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_seeds_find_a_look_that_takes_one_keepers_word_for_that_of_a_majority(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     monkeypatch.setattr(Registers, "wanted", staticmethod(lambda looking, vote: 1))
     found = search(range(20))
     assert found is not None and "missing" in found[1]
@@ -362,7 +396,9 @@
     if closed:
         assert done["changes"] < 20 and done["looks"] < 0.5 * len(got["looks"])
     else:
-        assert done["changes"] == len(got["changes"]) > 150 and done["looks"] >= 0.99 * len(got["looks"]) > 1_500
+        assert (
+            done["changes"] == len(got["changes"]) > 150 and done["looks"] >= 0.99 * len(got["looks"]) > 1_500
+        )
 
 
 def test_without_a_majority_nothing_new_is_done_and_what_was_known_is_still_told() -> None:
@@ -399,8 +435,11 @@
     for _ in range(POLICY.most_lost):
         owner.alive = False
         sim.run(sim.now + round(2.5 * SECOND))
-        found = [p for p in sim.processes if isinstance(p, DutyProcess) and p.alive
-                 and key_of("duty-0") in p.office.tours]
+        found = [
+            p
+            for p in sim.processes
+            if isinstance(p, DutyProcess) and p.alive and key_of("duty-0") in p.office.tours
+        ]
         sim.processes[owner.seat] = sim.born(owner.seat, remembers=True)
         if not found:
             break
@@ -415,7 +454,9 @@
     assert any(key_of("duty-0") in p.office.tours for p in sim.processes if isinstance(p, DutyProcess))
 
 
-def test_a_receiver_that_knows_more_than_the_registers_puts_the_duty_aside_and_resumed_it_goes_above() -> None:
+def test_a_receiver_that_knows_more_than_the_registers_puts_the_duty_aside_and_resumed_it_goes_above() -> (
+    None
+):
     sim, owner, tour = settled()
     sim.facts["duty-0"].highest = Fence(tour.post.born + 10, 1, 1)
     ended: list[Any] = []
@@ -456,9 +497,12 @@
     assert sim.history.counts["duties: a damaged piece from another"] == 1
     owner.alive = False
     sim.run(sim.now + 3 * SECOND)
-    (then,) = [p.office.tours[tour.key] for p in sim.processes
-               if p.alive and isinstance(p, DutyProcess) and tour.key in p.office.tours]
-    assert then.state[:len(large)] == large
+    (then,) = [
+        p.office.tours[tour.key]
+        for p in sim.processes
+        if p.alive and isinstance(p, DutyProcess) and tour.key in p.office.tours
+    ]
+    assert then.state[: len(large)] == large
 
 
 def test_an_owner_that_is_not_fit_gives_its_duties_up_in_order() -> None:
@@ -493,8 +537,11 @@
             return None
 
     sim, owner, tour = settled(seats=5, process=Idle)
-    taker = next(p for p in sim.processes if isinstance(p, DutyProcess) and p is not owner
-                 and p.node.me not in sim.seats.keepers(tour.key))
+    taker = next(
+        p
+        for p in sim.processes
+        if isinstance(p, DutyProcess) and p is not owner and p.node.me not in sim.seats.keepers(tour.key)
+    )
     taker.office._offered("n0", Offer(tour.key, tour.post.born, tour.post.term, False, True))
     sim.run(sim.now + SECOND)
     assert tour.key in taker.office.tours and tour.key not in owner.office.tours
@@ -502,8 +549,11 @@
 
 def test_an_owner_that_was_never_heard_is_not_taken_for_unfit() -> None:
     sim, owner, tour = settled(seats=5)
-    keeper = next(p for p in sim.processes if isinstance(p, DutyProcess) and p is not owner
-                  and p.node.me in sim.seats.keepers(tour.key))
+    keeper = next(
+        p
+        for p in sim.processes
+        if isinstance(p, DutyProcess) and p is not owner and p.node.me in sim.seats.keepers(tour.key)
+    )
     member = keeper.node.members.by_seat[owner.node.me]
     member.state, member.told = State.UNKNOWN, Word()
     for _ in range(2):
--- a/tests/test_duties_real.py
+++ b/tests/test_duties_real.py
@@ -52,7 +52,9 @@
         seen = len(self.receiver.took)
         await has(lambda: len(self.receiver.took) > seen + 3)
 
-    async def ask(self, i: int, path: str = "duties/alive", method: str = "GET") -> tuple[int, dict[str, Any]]:
+    async def ask(
+        self, i: int, path: str = "duties/alive", method: str = "GET"
+    ) -> tuple[int, dict[str, Any]]:
         head, _, body = (await self.fleet.admin(i, method, path)).partition(b"\r\n\r\n")
         return int(head.split()[1]), json.loads(body)
 
@@ -78,8 +80,10 @@
         ways = [Relay(reactor(), receiver.port) for _ in range(n)]
 
         def toml(i: int) -> str:
-            return (f'[duties]\non = true\nsteady_ms = {steady_ms}\n[[duties.report]]\nname = "alive"\n'
-                    f'to = "{HOST}:{ways[i].port}"\nevery_ms = {EVERY_MS}\n')
+            return (
+                f'[duties]\non = true\nsteady_ms = {steady_ms}\n[[duties.report]]\nname = "alive"\n'
+                f'to = "{HOST}:{ways[i].port}"\nevery_ms = {EVERY_MS}\n'
+            )
 
         try:
             async with fleet(n, more=toml, **how) as f:
@@ -190,14 +194,18 @@
 
 
 @sockets
-async def test_a_report_that_is_under_way_as_its_owner_leaves_counts_in_the_state_that_it_hands_over() -> None:
+async def test_a_report_that_is_under_way_as_its_owner_leaves_counts_in_the_state_that_it_hands_over() -> (
+    None
+):
     async with watched() as w:
         first = w.owner
         w.ways[first].silence()
         await has(lambda: w.ways[first].holding > 0)
         leaving = w.fleet.runners[first]
         leaving.process.send_signal(signal.SIGTERM)
-        await has(lambda: "goes to others" in leaving.text())  # the duty is given up, and the report has no answer yet
+        await has(
+            lambda: "goes to others" in leaving.text()
+        )  # the duty is given up, and the report has no answer yet
         w.ways[first].hear()
         then = await w.next_owner(first)
         _, told = await w.ask(then)
@@ -298,7 +306,9 @@
 
         await until(fails)
         await w.goes_on()
-        resource.prlimit(r.process.pid, resource.RLIMIT_FSIZE, (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+        resource.prlimit(
+            r.process.pid, resource.RLIMIT_FSIZE, (resource.RLIM_INFINITY, resource.RLIM_INFINITY)
+        )
         await until(written)
         await w.goes_on()
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -69,39 +69,49 @@
     return Work(WorkState.BEGUN, A, 1, 7)
 
 
-@pytest.mark.parametrize("change, old, state, owner", [
-    (Claim(B, 7, ORDER), None, WorkState.HELD, B),
-    (Claim(B, 7, ORDER), held(), None, None),
-    (Claim(B, 7, ORDER), begun(), None, None),
-    (Claim(B, 7, ORDER), Work(WorkState.FREE, A, 1, 7), WorkState.HELD, B),
-    (Claim(B, 8, ORDER), Work(WorkState.FREE, A, 1, 7, ORDER), None, None),
-    (Take(B, A, 1), held(), WorkState.HELD, B),
-    (Take(B, A, 1), held(attempt=2), None, None),
-    (Take(B, A, 1), begun(), None, None),
-    (Take(B, A, 1), Work(WorkState.FREE, A, 3, 7, ORDER), WorkState.HELD, B),
-    (Take(B, A, 1), Work(WorkState.FREE, A, 1, 7), None, None),
-    (Begin(A, 1), held(), WorkState.BEGUN, A),
-    (Begin(A, 1), held(B, 2), None, None),
-    (Begin(A, 1), held(A, 2), None, None),
-    (Begin(A, 1), None, None, None),
-    (Settle(A, 1, b"r"), begun(), WorkState.OVER, A),
-    (Settle(A, 1, b"r"), Work(WorkState.OVER, A, 1, 7), WorkState.OVER, A),
-    (Settle(A, 1, None), Work(WorkState.OVER, A, 1, 7), None, None),
-    (Settle(A, 1, b"r"), held(B, 2), None, None),
-    (Bury(A, 1), begun(), WorkState.OVER, A),
-    (Bury(A, 1), held(), None, None),
-    (Free(A, 1, None, False), begun(), WorkState.FREE, A),
-    (Free(A, 1, None, False), Work(WorkState.OVER, A, 1, 7), None, None),
-])
-def test_each_change_has_its_one_outcome(change: Any, old: Work | None, state: WorkState | None,
-                                         owner: Owner | None) -> None:
+@pytest.mark.parametrize(
+    "change, old, state, owner",
+    [
+        (Claim(B, 7, ORDER), None, WorkState.HELD, B),
+        (Claim(B, 7, ORDER), held(), None, None),
+        (Claim(B, 7, ORDER), begun(), None, None),
+        (Claim(B, 7, ORDER), Work(WorkState.FREE, A, 1, 7), WorkState.HELD, B),
+        (Claim(B, 8, ORDER), Work(WorkState.FREE, A, 1, 7, ORDER), None, None),
+        (Take(B, A, 1), held(), WorkState.HELD, B),
+        (Take(B, A, 1), held(attempt=2), None, None),
+        (Take(B, A, 1), begun(), None, None),
+        (Take(B, A, 1), Work(WorkState.FREE, A, 3, 7, ORDER), WorkState.HELD, B),
+        (Take(B, A, 1), Work(WorkState.FREE, A, 1, 7), None, None),
+        (Begin(A, 1), held(), WorkState.BEGUN, A),
+        (Begin(A, 1), held(B, 2), None, None),
+        (Begin(A, 1), held(A, 2), None, None),
+        (Begin(A, 1), None, None, None),
+        (Settle(A, 1, b"r"), begun(), WorkState.OVER, A),
+        (Settle(A, 1, b"r"), Work(WorkState.OVER, A, 1, 7), WorkState.OVER, A),
+        (Settle(A, 1, None), Work(WorkState.OVER, A, 1, 7), None, None),
+        (Settle(A, 1, b"r"), held(B, 2), None, None),
+        (Bury(A, 1), begun(), WorkState.OVER, A),
+        (Bury(A, 1), held(), None, None),
+        (Free(A, 1, None, False), begun(), WorkState.FREE, A),
+        (Free(A, 1, None, False), Work(WorkState.OVER, A, 1, 7), None, None),
+    ],
+)
+def test_each_change_has_its_one_outcome(
+    change: Any, old: Work | None, state: WorkState | None, owner: Owner | None
+) -> None:
     new = change(old)
     assert (state, owner) == (None, None) if new is None else (new.state, new.owner) == (state, owner)
 
 
 def test_what_has_begun_leads_back_to_a_run_only_by_its_owners_own_word() -> None:
-    others: list[Any] = [Claim(B, 7, ORDER), Take(B, A, 1), Begin(B, 1), Bury(A, 1), Settle(B, 1, b"x"),
-                         Free(B, 1, ORDER, True)]
+    others: list[Any] = [
+        Claim(B, 7, ORDER),
+        Take(B, A, 1),
+        Begin(B, 1),
+        Bury(A, 1),
+        Settle(B, 1, b"x"),
+        Free(B, 1, ORDER, True),
+    ]
     reached = [begun()]
     for old in reached:
         for change in others:
@@ -184,11 +194,20 @@
         sim.run(sim.now + 3_000_000)
     keys = [b"k%d" % i for i in range(400)]
     without = [k for k in keys if "n4" not in sim.seats.keepers(k)]
-    assert without and all(p.node.keeper.votes_for(k) for k in without for p in sim.processes[:4]
-                           if p.node.me in sim.seats.keepers(k))
+    assert without and all(
+        p.node.keeper.votes_for(k)
+        for k in without
+        for p in sim.processes[:4]
+        if p.node.me in sim.seats.keepers(k)
+    )
     # Where it is needed nobody guesses: two of three are not enough to know again what all three were.
-    assert not any(p.node.keeper.votes_for(k) for k in keys if k not in without for p in sim.processes[:4]
-                   if p.node.me in sim.seats.keepers(k))
+    assert not any(
+        p.node.keeper.votes_for(k)
+        for k in keys
+        if k not in without
+        for p in sim.processes[:4]
+        if p.node.me in sim.seats.keepers(k)
+    )
 
 
 def test_what_is_of_the_whole_fleet_is_kept_by_more_seats() -> None:
@@ -213,7 +232,9 @@
     for s in ("x", "y"):
         k[s].ask(0, first[0])
     k["y"].hear_of({"x": 2})
-    assert not k["y"].ask(0, Ask(2, b"k", first[0].ballot, held(), first[0].after, {"x": 1, "y": 1}, 1000)).taken
+    assert (
+        not k["y"].ask(0, Ask(2, b"k", first[0].ballot, held(), first[0].after, {"x": 1, "y": 1}, 1000)).taken
+    )
 
 
 def test_the_word_that_a_fleet_is_new_counts_for_no_later_process() -> None:
@@ -263,10 +284,17 @@
     assert found.whole and found.states > 10_000 and found.broken is None, str(found)
 
 
-@pytest.mark.parametrize("limits, how", [
-    (Limits(held=True, again=(0, 0)), {"hasty": True}),
-    (Limits(again=(0, 1), patient=True), {"seats": {"P": ("a", "b", "c"), "Q": ("c", "d", "e")}, "alike": ("a", "b")}),
-], ids=["commanded before it is begun", "other seats in one step"])
+@pytest.mark.parametrize(
+    "limits, how",
+    [
+        (Limits(held=True, again=(0, 0)), {"hasty": True}),
+        (
+            Limits(again=(0, 1), patient=True),
+            {"seats": {"P": ("a", "b", "c"), "Q": ("c", "d", "e")}, "alike": ("a", "b")},
+        ),
+    ],
+    ids=["commanded before it is begun", "other seats in one step"],
+)
 def test_every_interleaving_finds_the_seeded_mistakes(limits: Limits, how: dict[str, Any]) -> None:
     case = Registers.begun(limits, **how)
     found = explore(case, 60_000, deep=True)
@@ -279,7 +307,9 @@
 
 def test_no_course_in_virtual_time_runs_twice_forgets_or_makes_a_result_up() -> None:
     found = search(range(40))
-    assert found is None, f"moorusher lab run fleet --seed {found[0]} plays it again: {found[1]}" if found else ""
+    assert found is None, (
+        f"moorusher lab run fleet --seed {found[0]} plays it again: {found[1]}" if found else ""
+    )
 
 
 class Hasty(Process):
@@ -305,13 +335,18 @@
         return super().__call__(old)
 
 
-@pytest.mark.parametrize("where, name, what, how", [
-    ("", "", None, {"process": Hasty}),
-    ("node", "Keeper", Amnesiac, {}),
-    ("node", "TakeWork", Grasping, {}),
-], ids=["commanded before it is begun", "amnesia ignored", "begun work taken over"])
-def test_the_seeds_find_the_seeded_mistakes(where: str, name: str, what: Any, how: dict[str, Any],
-                                            monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.mark.parametrize(
+    "where, name, what, how",
+    [
+        ("", "", None, {"process": Hasty}),
+        ("node", "Keeper", Amnesiac, {}),
+        ("node", "TakeWork", Grasping, {}),
+    ],
+    ids=["commanded before it is begun", "amnesia ignored", "begun work taken over"],
+)
+def test_the_seeds_find_the_seeded_mistakes(
+    where: str, name: str, what: Any, how: dict[str, Any], monkeypatch: pytest.MonkeyPatch
+) -> None:
     if where:
         for module in (node_module, left_module):
             monkeypatch.setattr(module, name, what, raising=False)
@@ -399,12 +434,13 @@
     m, host = members()
     before = m.own.version
     m.ping("b", Ping(1, [m_about("a", 1, before, State.DEAD)]))
-    (_, pong), = [x for x in host.sent if isinstance(x[1], Pong)]
+    ((_, pong),) = [x for x in host.sent if isinstance(x[1], Pong)]
     assert m.own.version > before and any(a.seat == "a" and a.version == m.own.version for a in pong.news)
 
 
 def m_about(seat: str, inc: int, version: int, state: State) -> Any:
     from moorusher.fleet.messages import About, Word
+
     return About(seat, inc, version, state.value, Word(True, 2))
 
 
@@ -426,8 +462,18 @@
 # ---- messages ----
 
 
-@pytest.mark.parametrize("raw", [b"", b"\xc1", b"\x91\x01", b"\x91\x93\xa3ask\x01\x02", b"\x91\x92\xa5hello\x01",
-                                 b"\x81\xa1a\x01", b"\x91" * 2000])
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"",
+        b"\xc1",
+        b"\x91\x01",
+        b"\x91\x93\xa3ask\x01\x02",
+        b"\x91\x92\xa5hello\x01",
+        b"\x81\xa1a\x01",
+        b"\x91" * 2000,
+    ],
+)
 def test_what_is_no_message_is_told_as_such(raw: bytes) -> None:
     with pytest.raises(ValueError):
         decode(raw)
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -53,7 +53,9 @@
 
 
 def test_days_of_a_kind_begin_and_end_at_the_customers_midnight() -> None:
-    kinds, names = kinds_of_days(hour_of(2026, 12, 23, 22), 28, Days("Europe/Copenhagen", {"2026-12-24": "holiday"}))
+    kinds, names = kinds_of_days(
+        hour_of(2026, 12, 23, 22), 28, Days("Europe/Copenhagen", {"2026-12-24": "holiday"})
+    )
     assert names == ["", "holiday"] and list(np.flatnonzero(kinds)) == list(range(1, 25))
 
 
@@ -80,8 +82,8 @@
     found = odd_hours(odd, OF_WEEK[:HOURS])[0]
     assert found[700:705].all() and found[500:510].sum() >= 5 and found.sum() <= 15
     higher = y.copy()
-    higher[0, -5 * 24:] *= 4
-    assert not odd_hours(higher, OF_WEEK[:HOURS])[0, -5 * 24:].any()
+    higher[0, -5 * 24 :] *= 4
+    assert not odd_hours(higher, OF_WEEK[:HOURS])[0, -5 * 24 :].any()
 
 
 def test_a_route_was_not_there_before_it_was_first_asked_for() -> None:
@@ -96,9 +98,11 @@
 
 def test_a_jump_is_taken_out_of_what_was_before_it_and_growth_is_found() -> None:
     y = steady()[None, :HOURS].copy()
-    y[0, -3 * 24:] *= 2.5
+    y[0, -3 * 24 :] *= 2.5
     flat = levelled(y, OF_WEEK[:HOURS])
-    assert flat.jumps[0, -4 * 24] == pytest.approx(np.log(2.5), abs=0.1) and not flat.jumps[0, -2 * 24:].any()
+    assert (
+        flat.jumps[0, -4 * 24] == pytest.approx(np.log(2.5), abs=0.1) and not flat.jumps[0, -2 * 24 :].any()
+    )
     assert flat.y[0, :500].mean() == pytest.approx(2.5 * y[0, :500].mean(), rel=0.1)
     growing = steady()[None, :HOURS] * np.exp(0.1 * np.arange(HOURS) / WEEK)
     assert levelled(growing, OF_WEEK[:HOURS]).growth[0, 0] == pytest.approx(0.1, abs=0.02)
@@ -108,7 +112,9 @@
 @pytest.mark.parametrize("known_weeks", [1, 2])
 def test_a_weekend_is_no_jump_however_little_is_known(known_weeks: int) -> None:
     y = np.full((1, HOURS), np.nan)
-    y[0, -known_weeks * WEEK:] = (steady() * np.where(OF_WEEK >= 120, 0.2, 1.0))[HOURS - known_weeks * WEEK:HOURS]
+    y[0, -known_weeks * WEEK :] = (steady() * np.where(OF_WEEK >= 120, 0.2, 1.0))[
+        HOURS - known_weeks * WEEK : HOURS
+    ]
     assert not levelled(y, OF_WEEK[:HOURS]).jumps.any()
 
 
@@ -124,9 +130,11 @@
     y = steady(noise=0.2)
     got = said(y)
     off = np.abs(got.ahead[0] - y[HOURS:]).mean()
-    assert off < 0.85 * np.abs(y[HOURS - WEEK:HOURS] - y[HOURS:]).mean()
+    assert off < 0.85 * np.abs(y[HOURS - WEEK : HOURS] - y[HOURS:]).mean()
     assert got.weights[:, 0].sum() == pytest.approx(1) and got.weights[got.names.index(PLAIN), 0] < 0.2
-    exact = np.tile(np.random.default_rng(3).integers(0, 500, WEEK).astype(float), 9)  # a week like the one before
+    exact = np.tile(
+        np.random.default_rng(3).integers(0, 500, WEEK).astype(float), 9
+    )  # a week like the one before
     assert np.array_equal(said(exact).ahead[0], exact[HOURS:])
 
 
@@ -134,7 +142,9 @@
     a, b = steady(seed=1), steady(40.0, 0.3, seed=2)
     both = np.stack([a, b])[:, :HOURS]
     together = choose(cleaned(both, np.ones_like(both), OF_WEEK[:HOURS]), OF_WEEK)
-    assert np.allclose(together.ahead[0], said(a).ahead[0]) and np.allclose(together.ahead[1], said(b).ahead[0])
+    assert np.allclose(together.ahead[0], said(a).ahead[0]) and np.allclose(
+        together.ahead[1], said(b).ahead[0]
+    )
 
 
 @pytest.mark.parametrize("kind", ["office", "rare", "floods", "gaps", "new"])
@@ -151,10 +161,10 @@
 @pytest.mark.parametrize("hours", [0, 1, 30, 100])
 def test_no_model_fails_where_little_or_nothing_is_known(hours: int) -> None:
     y = np.full((3, WEEK), np.nan)
-    y[0, WEEK - hours:] = 5.0
-    y[1, WEEK - hours:] = 0.0
+    y[0, WEEK - hours :] = 5.0
+    y[1, WEEK - hours :] = 0.0
     for model in MODELS.values():
-        assert np.isfinite(model(Known(y, OF_WEEK[:2 * WEEK]))).all()
+        assert np.isfinite(model(Known(y, OF_WEEK[: 2 * WEEK]))).all()
 
 
 def series(y: Any, first: int = FIRST) -> Series:
@@ -170,8 +180,12 @@
     exams = {day[3 * WEEK + 26], day[5 * WEEK + 50], day[HOURS + 74]}
     special = np.array([d in exams for d in day])
     y[special] *= 3
-    with_, without = (week_ahead({"r": series(y[:HOURS])}, {"r": "acme"}, FIRST + HOURS, {"acme": Days("UTC", days)}
-                                 ).of("r")[0] for days in (dict.fromkeys(exams, "exam"), {}))
+    with_, without = (
+        week_ahead({"r": series(y[:HOURS])}, {"r": "acme"}, FIRST + HOURS, {"acme": Days("UTC", days)}).of(
+            "r"
+        )[0]
+        for days in (dict.fromkeys(exams, "exam"), {})
+    )
     here = special[HOURS:]
     assert with_[here].sum() > 2.2 * without[here].sum()
     assert with_[~here].sum() == pytest.approx(y[HOURS:][~here].sum(), rel=0.05)
@@ -179,8 +193,12 @@
 
 def test_too_little_is_said_to_be_too_little_and_the_day_corrects_what_was_said() -> None:
     y = steady()
-    week = week_ahead({"a": series(y[:HOURS]), "b": series(y[:40], FIRST + HOURS - 40)}, {"a": "x", "b": "x"},
-                      FIRST + HOURS, {})
+    week = week_ahead(
+        {"a": series(y[:HOURS]), "b": series(y[:40], FIRST + HOURS - 40)},
+        {"a": "x", "b": "x"},
+        FIRST + HOURS,
+        {},
+    )
     assert week.names == ("a",) and "40 hours are known of it, and 48 are needed" in week.untold["b"]
     twice = [2 * float(v) for v in week.of("a")[0][:3]]
     after = corrected(week, {"a": twice}).of("a")[0]
@@ -204,8 +222,11 @@
 
 
 def test_a_hint_says_why_and_a_zone_of_which_nothing_is_known_gets_none_and_the_reason() -> None:
-    needs = [Need("acme/main", "a", (3600.0, 7200.0, 3600.0), 1e6), Need("bolt/main", "a", (1.0, 1.0, 1.0), 1e6),
-             Need("acme/main", "b", (9.0,), 0.0)]
+    needs = [
+        Need("acme/main", "a", (3600.0, 7200.0, 3600.0), 1e6),
+        Need("bolt/main", "a", (1.0, 1.0, 1.0), 1e6),
+        Need("acme/main", "b", (9.0,), 0.0),
+    ]
     assert cores_of(needs[:2])[1] == pytest.approx(2.0, rel=0.01)
     made = hints(needs, 100, SCALING, 0, {"c": "acme/main: 3 hours are known"}, {"a": 1})
     assert [(h.zone, h.since, h.runners) for h in made.hints] == [("a", 100, 3)]
@@ -214,14 +235,20 @@
     assert made.valid_until_ms == 7_200_000
 
 
-@pytest.mark.parametrize(("said", "path"), [
-    ({"on": True}, r"forecast\.on"), ({"routes": 0}, r"forecast\.routes"),
-    ({"scaling": {"fill": 2.0}}, r"scaling\.fill"),
-    ({"scaling": {"least": 5, "most": 2}}, r"scaling\.least"), ({"scaling": {"to": "8.8.8.8:1"}}, r"scaling\.to"),
-    ({"calendar": [{"customer": "a", "zone": "Nowhere/At"}]}, r"calendar\[0\]\.zone"),
-    ({"calendar": [{"customer": "a", "days": {"x": ["2026-13-01"]}}]}, r"days\.x"),
-    ({"calendar": [{"customer": "a"}, {"customer": "a"}]}, r"calendar\[1\]\.customer"),
-    ({"odd": 1}, r"forecast\.odd")])
+@pytest.mark.parametrize(
+    ("said", "path"),
+    [
+        ({"on": True}, r"forecast\.on"),
+        ({"routes": 0}, r"forecast\.routes"),
+        ({"scaling": {"fill": 2.0}}, r"scaling\.fill"),
+        ({"scaling": {"least": 5, "most": 2}}, r"scaling\.least"),
+        ({"scaling": {"to": "8.8.8.8:1"}}, r"scaling\.to"),
+        ({"calendar": [{"customer": "a", "zone": "Nowhere/At"}]}, r"calendar\[0\]\.zone"),
+        ({"calendar": [{"customer": "a", "days": {"x": ["2026-13-01"]}}]}, r"days\.x"),
+        ({"calendar": [{"customer": "a"}, {"customer": "a"}]}, r"calendar\[1\]\.customer"),
+        ({"odd": 1}, r"forecast\.odd"),
+    ],
+)
 def test_a_faulty_key_of_the_settings_is_named(said: dict[str, Any], path: str) -> None:
     with pytest.raises(ConfigError, match=path):
         read_forecast(Section(said, "forecast"), False, 1 << 20)
@@ -230,6 +257,18 @@
 def test_the_state_must_hold_all_routes() -> None:
     with pytest.raises(ConfigError, match=r"duties\.state_bytes is 1048576"):
         read_forecast(Section({"on": True, "routes": 500}, "forecast"), True, 1 << 20)
-    made = read_forecast(Section({"on": True, "routes": 100, "calendar": [
-        {"customer": "a", "zone": "Europe/Copenhagen", "days": {"exam": ["2026-05-01"]}}]}, "forecast"), True, 1 << 20)
+    made = read_forecast(
+        Section(
+            {
+                "on": True,
+                "routes": 100,
+                "calendar": [
+                    {"customer": "a", "zone": "Europe/Copenhagen", "days": {"exam": ["2026-05-01"]}}
+                ],
+            },
+            "forecast",
+        ),
+        True,
+        1 << 20,
+    )
     assert made.calendars["a"] == Days("Europe/Copenhagen", {"2026-05-01": "exam"})
--- a/tests/test_forecast_real.py
+++ b/tests/test_forecast_real.py
@@ -31,17 +31,34 @@
     hours = 168 * WEEKS
     first = int(time.time()) // 3600 - hours
     asked = [round(4000 + 3000 * math.sin(2 * math.pi * (first + i) / 24)) for i in range(hours)]
-    return json.dumps([{"customer": "acme", "route": route, "zone": "z0", "first_hour": first, "asked": asked,
-                        "core_ms": 500, "worth": 2}]).encode()
+    return json.dumps(
+        [
+            {
+                "customer": "acme",
+                "route": route,
+                "zone": "z0",
+                "first_hour": first,
+                "asked": asked,
+                "core_ms": 500,
+                "worth": 2,
+            }
+        ]
+    ).encode()
 
 
 class Forecast:
     def __init__(self, f: Fleet, scaler: Receiver, ways: list[Relay]) -> None:
         self.fleet, self.scaler, self.ways = f, scaler, ways
 
-    async def ask(self, i: int, path: str = "forecast/acme", method: str = "GET", body: bytes = b"") -> tuple[int, Any]:
-        got = await exchange(self.fleet.runners[i].admin, f"{method} /{path} HTTP/1.0\r\nAuthorization: Bearer t0p\r\n"
-                             f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+    async def ask(
+        self, i: int, path: str = "forecast/acme", method: str = "GET", body: bytes = b""
+    ) -> tuple[int, Any]:
+        got = await exchange(
+            self.fleet.runners[i].admin,
+            f"{method} /{path} HTTP/1.0\r\nAuthorization: Bearer t0p\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n".encode()
+            + body,
+        )
         head, _, rest = got.partition(b"\r\n\r\n")
         return int(head.split()[1]), json.loads(rest)
 
@@ -87,8 +104,10 @@
         ways = [Relay(reactor(), scaler.port) for _ in range(n)]
 
         def toml(i: int) -> str:
-            return (f'[duties]\non = true\nsteady_ms = 300\n[forecast]\non = true\nreport_ms = 100\nsave_ms = 100\n'
-                    f'routes = 20\n[forecast.scaling]\nto = "{HOST}:{ways[i].port}"\ncores = 2.0\n')
+            return (
+                f"[duties]\non = true\nsteady_ms = 300\n[forecast]\non = true\nreport_ms = 100\nsave_ms = 100\n"
+                f'routes = 20\n[forecast.scaling]\nto = "{HOST}:{ways[i].port}"\ncores = 2.0\n'
+            )
 
         try:
             async with fleet(n, more=toml, **how) as f:
@@ -136,7 +155,9 @@
         await until(counted)
         await asyncio.sleep(0.5)
         _, here = await w.ask(then, "forecast/+here")
-        assert sum(here["lately"].values()) == 8, "of sixteen: repeats are no demand, and nothing counts twice"
+        assert sum(here["lately"].values()) == 8, (
+            "of sixteen: repeats are no demand, and nothing counts twice"
+        )
 
 
 @sockets
@@ -182,7 +203,9 @@
     async with forecasting(3) as w:
         await w.load(0)
         status, told = await w.ask(1, "forecast", "POST", past())
-        assert status == 400 and told["kind"] == "BadPast" and "acme/main@z0" in told["error"] and told["remedy"]
+        assert (
+            status == 400 and told["kind"] == "BadPast" and "acme/main@z0" in told["error"] and told["remedy"]
+        )
         for wrong in (b"{}", b'[{"first_hour": 5, "asked": [-1]}]', b'[{"asked": [1]}]', b"[" * 5000):
             status, told = await w.ask(1, "forecast", "POST", wrong)
             assert status == 400 and told["error"]
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -58,16 +58,33 @@
     return json.dumps({"jsonrpc": "2.0", "id": tag, "method": method, "params": params}).encode() + b"\n"
 
 
-@pytest.mark.parametrize("line, code, tag", [
-    (b"{", -32700, None), (b"\xff\xfe", -32700, None), (b"[" * 5000, -32700, None), (b"[]", -32600, None),
-    (b"5", -32600, None), (b'{"id":1,"method":"read"}', -32600, None), (call("1"), -32600, None),
-    (call(True), -32600, None), (call(1.5), -32600, None), (call(0), -32600, 0), (call(2, 5), -32600, 2),
-    (call(2, "nothing"), -32601, 2), (call(2, acct="nobody"), -32602, 2), (call(2, "write"), -32602, 2),
-    (call(2, t0=NOW_MS - 7_200_000), -32602, 2), (call(2, t0=NOW_MS + 7_200_000), -32602, 2),
-    (call(2, rid=None), -32602, 2), (call(2, content="!"), -32602, 2),
-    (b'{"jsonrpc":"2.0","id":3,"method":"read","params":[1]}', -32602, 3),
-])
-def test_malformed_lines_get_their_error_and_the_next_line_is_read(line: bytes, code: int, tag: object) -> None:
+@pytest.mark.parametrize(
+    "line, code, tag",
+    [
+        (b"{", -32700, None),
+        (b"\xff\xfe", -32700, None),
+        (b"[" * 5000, -32700, None),
+        (b"[]", -32600, None),
+        (b"5", -32600, None),
+        (b'{"id":1,"method":"read"}', -32600, None),
+        (call("1"), -32600, None),
+        (call(True), -32600, None),
+        (call(1.5), -32600, None),
+        (call(0), -32600, 0),
+        (call(2, 5), -32600, 2),
+        (call(2, "nothing"), -32601, 2),
+        (call(2, acct="nobody"), -32602, 2),
+        (call(2, "write"), -32602, 2),
+        (call(2, t0=NOW_MS - 7_200_000), -32602, 2),
+        (call(2, t0=NOW_MS + 7_200_000), -32602, 2),
+        (call(2, rid=None), -32602, 2),
+        (call(2, content="!"), -32602, 2),
+        (b'{"jsonrpc":"2.0","id":3,"method":"read","params":[1]}', -32602, 3),
+    ],
+)
+def test_malformed_lines_get_their_error_and_the_next_line_is_read(
+    line: bytes, code: int, tag: object
+) -> None:
     world, _, connection, transport = front()
     connection.dataReceived(line.rstrip(b"\n") + b"\n" + call(9))
     world.turn()
@@ -140,10 +157,14 @@
     world.turn()
     asked, silent = more(factory, 5), more(factory, 4)
     for one, _ in asked:
-        one.dataReceived(b'{"jsonrpc":"2.0","id":1,"method":"heartbeat"}\n')  # asks once and holds on for good
+        one.dataReceived(
+            b'{"jsonrpc":"2.0","id":1,"method":"heartbeat"}\n'
+        )  # asks once and holds on for good
         world.wait(5)
     world.wait(400)
-    for i, (one, transport) in enumerate((*silent, *asked)):  # who never said anything goes first, then the idlest
+    for i, (one, transport) in enumerate(
+        (*silent, *asked)
+    ):  # who never said anything goes first, then the idlest
         more(factory, 1)[0][0].dataReceived(call(i + 1, rid=f"n{i}"))
         world.turn()
         assert transport.disconnecting and one.ending is Ending.MADE_WAY
@@ -153,8 +174,9 @@
     assert world.core.counters.total["connections: too many connections"] == 1
 
 
-@pytest.mark.parametrize("sent", [b"", b'{"jsonrpc":"2.0","id":1,', b'{"jsonrpc":"2.0","method":"read"}\n',
-                                  b"\n\n\n"])
+@pytest.mark.parametrize(
+    "sent", [b"", b'{"jsonrpc":"2.0","id":1,', b'{"jsonrpc":"2.0","method":"read"}\n', b"\n\n\n"]
+)
 def test_one_that_says_nothing_whole_is_closed_after_two_and_a_half_seconds(sent: bytes) -> None:
     """A slow client takes 2 s over its first request; one that says nothing whole is owed a close within 3 s."""
     world, _, connection, transport = front()
@@ -231,7 +253,9 @@
 
 
 @pytest.mark.parametrize("sent, got", [(b"", b""), (uwsgi_request("check", b"body")[:-1], b"HTTP/1.1 503 ")])
-def test_a_uwsgi_request_that_is_not_whole_as_the_runner_ends_may_go_elsewhere(sent: bytes, got: bytes) -> None:
+def test_a_uwsgi_request_that_is_not_whole_as_the_runner_ends_may_go_elsewhere(
+    sent: bytes, got: bytes
+) -> None:
     world = World()
     connection = UwsgiFront(world.core, 10, 2048, 60.0, lambda: True).buildProtocol(None)
     transport = Transport()
@@ -245,5 +269,10 @@
 
 
 def test_every_cause_and_fault_has_its_status() -> None:
-    assert set(FAILED_STATUS) == set(Cause) - {Cause.NONE, Cause.TURNED_AWAY, Cause.KEY_UNSURE, Cause.RULED_OUT}
+    assert set(FAILED_STATUS) == set(Cause) - {
+        Cause.NONE,
+        Cause.TURNED_AWAY,
+        Cause.KEY_UNSURE,
+        Cause.RULED_OUT,
+    }
     assert {*FAILED_STATUS.values(), *FAULT_STATUS.values()} <= set(REASONS)
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -57,8 +57,12 @@
 
 
 def test_a_file_of_another_seat_fleet_or_version_is_not_read() -> None:
-    for other in (Whose(VERSION, "f", "digest", "b"), Whose(VERSION, "g", "digest", "a"), Whose(9, "f", "digest", "a"),
-                  Whose(VERSION, "f", "more seats", "a")):
+    for other in (
+        Whose(VERSION, "f", "digest", "b"),
+        Whose(VERSION, "g", "digest", "a"),
+        Whose(9, "f", "digest", "a"),
+        Whose(VERSION, "f", "more seats", "a"),
+    ):
         with pytest.raises(ValueError, match="another"):
             read(pack([other, line(1)]), WHOSE)
     with pytest.raises(ValueError, match="no beginning"):
@@ -96,7 +100,7 @@
 
     def write(self, fd: int, data: bytes) -> int:
         ends = self._ends()
-        done = super().write(fd, data[:int(len(data) * self.part)] if ends else data)
+        done = super().write(fd, data[: int(len(data) * self.part)] if ends else data)
         if ends:
             self._lose()
         return done
@@ -123,7 +127,9 @@
     folder = Folder(path, WHOSE, files)
     try:
         inc, image, _ = folder.open(1)
-        keeper = Keeper("a", inc, lambda key: ("a", "b", "c"), frozenset("bc"), remembers=not known, notes=True)
+        keeper = Keeper(
+            "a", inc, lambda key: ("a", "b", "c"), frozenset("bc"), remembers=not known, notes=True
+        )
         if image is not None:
             keeper.recall(0, image)
             assert image.incs.get("a", 0) < inc
@@ -158,7 +164,9 @@
             steps += 1
             a_life(path, Files(), left, known=True)
             a_life(path, Files(), left, known=True)
-            assert len([p for p in path.iterdir() if p.suffix == ".log"]) == 1, "each life leaves a file behind"
+            assert len([p for p in path.iterdir() if p.suffix == ".log"]) == 1, (
+                "each life leaves a file behind"
+            )
         else:
             break
     assert steps > 15
@@ -171,11 +179,13 @@
         self._files.write(fd, data)
 
 
-def test_a_vote_that_does_not_wait_for_the_disk_is_found(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_vote_that_does_not_wait_for_the_disk_is_found(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     class Forgets(Ends):
         def _lose(self) -> None:  # all that no fsync has confirmed
             for p in sorted(p for d in tmp_path.iterdir() for p in d.glob("*.log")):
-                p.write_bytes(p.read_bytes()[:len(pack([WHOSE]))])
+                p.write_bytes(p.read_bytes()[: len(pack([WHOSE]))])
             raise Ended
 
     monkeypatch.setattr("tests.test_journal.Folder", Early)
@@ -198,12 +208,15 @@
     younger.close()
     third = Folder(tmp_path, WHOSE)
     inc, image, why = third.open(1)
-    assert inc > second and image is None and "forgotten" in why, "the younger one has forgotten, and voted since"
+    assert inc > second and image is None and "forgotten" in why, (
+        "the younger one has forgotten, and voted since"
+    )
     third.close()
 
 
-def test_a_file_that_is_written_anew_while_it_is_opened_is_still_its_writers(tmp_path: Path,
-                                                                           monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_file_that_is_written_anew_while_it_is_opened_is_still_its_writers(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """The lock was taken on the old file, which its writer had just let go."""
     elder, younger = Folder(tmp_path, WHOSE), Folder(tmp_path, WHOSE)
     elder.open(10)
@@ -255,7 +268,9 @@
 
 # ---- a fleet in virtual time ----
 
-DISKS = Course(disks=True, faults=9, kinds=("kill", "forget", "power", "power", "stop", "cut", "one way", "kernel"))
+DISKS = Course(
+    disks=True, faults=9, kinds=("kill", "forget", "power", "power", "stop", "cut", "one way", "kernel")
+)
 
 
 def test_no_seed_loses_work_or_runs_it_twice_with_disks_and_power_that_fails() -> None:
@@ -327,7 +342,10 @@
 @sockets
 async def test_a_keeper_whose_disk_is_full_has_no_vote_until_it_can_write_again() -> None:
     async with fleet(3, work=0.02, journals=True) as f:
-        def limit(i: int, most: int) -> None:  # a file may not grow past it: EFBIG, as a full disk says ENOSPC
+
+        def limit(
+            i: int, most: int
+        ) -> None:  # a file may not grow past it: EFBIG, as a full disk says ENOSPC
             resource.prlimit(f.runners[i].process.pid, resource.RLIMIT_FSIZE, (most, resource.RLIM_INFINITY))
 
         async def ask() -> bool:
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -62,19 +62,30 @@
 GOOD = write(knowledge(facts("a")))
 
 
-@pytest.mark.parametrize("raw, why", [
-    (b"", Why.TRUNCATED), (GOOD[:3], Why.TRUNCATED), (GOOD[:-1], Why.TRUNCATED), (b"HTTP/1.1 200 OK", Why.FOREIGN),
-    (GOOD + b"x", Why.DAMAGED), (GOOD[:-2] + b"zz", Why.DAMAGED), (b"x" * (MOST + 1), Why.OVERSIZED),
-    (sealed(b"\x80", major=MAJOR + 1), Why.FUTURE), (sealed(b""), Why.FAULTY), (sealed(b"\xc1"), Why.FAULTY),
-    (sealed(msgspec.msgpack.encode({"donor": 5})), Why.FAULTY), (sealed(msgspec.msgpack.encode({})), Why.FAULTY),
-    (sealed(msgspec.msgpack.encode({"donor": "d", "condition": "odd"})), Why.FAULTY),
-    (sealed(msgspec.msgpack.encode(knowledge(facts("a"), facts("a")))), Why.FAULTY),
-    (sealed(msgspec.msgpack.encode(knowledge(facts("a", float("inf"))))), Why.FAULTY),
-    (sealed(msgspec.msgpack.encode(knowledge(facts("a", -1)))), Why.FAULTY),
-    (sealed(msgspec.msgpack.encode(knowledge(facts("a", answered=1.5)))), Why.FAULTY),
-    (sealed(msgspec.msgpack.encode(knowledge(donor=""))), Why.FAULTY),
-    (sealed(b"\x91" * 100_000), Why.FAULTY),
-])
+@pytest.mark.parametrize(
+    "raw, why",
+    [
+        (b"", Why.TRUNCATED),
+        (GOOD[:3], Why.TRUNCATED),
+        (GOOD[:-1], Why.TRUNCATED),
+        (b"HTTP/1.1 200 OK", Why.FOREIGN),
+        (GOOD + b"x", Why.DAMAGED),
+        (GOOD[:-2] + b"zz", Why.DAMAGED),
+        (b"x" * (MOST + 1), Why.OVERSIZED),
+        (sealed(b"\x80", major=MAJOR + 1), Why.FUTURE),
+        (sealed(b""), Why.FAULTY),
+        (sealed(b"\xc1"), Why.FAULTY),
+        (sealed(msgspec.msgpack.encode({"donor": 5})), Why.FAULTY),
+        (sealed(msgspec.msgpack.encode({})), Why.FAULTY),
+        (sealed(msgspec.msgpack.encode({"donor": "d", "condition": "odd"})), Why.FAULTY),
+        (sealed(msgspec.msgpack.encode(knowledge(facts("a"), facts("a")))), Why.FAULTY),
+        (sealed(msgspec.msgpack.encode(knowledge(facts("a", float("inf"))))), Why.FAULTY),
+        (sealed(msgspec.msgpack.encode(knowledge(facts("a", -1)))), Why.FAULTY),
+        (sealed(msgspec.msgpack.encode(knowledge(facts("a", answered=1.5)))), Why.FAULTY),
+        (sealed(msgspec.msgpack.encode(knowledge(donor=""))), Why.FAULTY),
+        (sealed(b"\x91" * 100_000), Why.FAULTY),
+    ],
+)
 def test_what_cannot_be_trusted_whole_is_refused_with_its_reason(raw: bytes, why: Why) -> None:
     with pytest.raises(Refused) as caught:
         read(raw)
@@ -97,8 +108,14 @@
 
 def test_too_much_is_not_written() -> None:
     with pytest.raises(Refused) as caught:
-        write(knowledge(*(facts("x" * 60 + str(i), 1.5, first_seen_s=1.5, last_seen_s=2.5, spread_us=1.1)
-                          for i in range(5000))))
+        write(
+            knowledge(
+                *(
+                    facts("x" * 60 + str(i), 1.5, first_seen_s=1.5, last_seen_s=2.5, spread_us=1.1)
+                    for i in range(5000)
+                )
+            )
+        )
     assert caught.value.why is Why.OVERSIZED
     assert struct.calcsize(HEAD.format) == HEAD.size == snapshot.HEAD.size
 
@@ -108,7 +125,8 @@
 
 @pytest.mark.parametrize("step", ["open", "write", "os.fsync", "os.replace", "folder"])
 def test_a_writer_that_dies_at_any_step_leaves_the_old_or_the_new(
-        step: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    step: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     path, old, new = tmp_path / "known", write(knowledge(facts("old"))), write(knowledge(facts("new")))
     save(path, old)
     real_open, real_fsync, synced = open, os.fsync, [0]
@@ -145,7 +163,9 @@
     assert found is not None and found.servers[0].name == ("new" if step == "folder" else "old")
 
 
-def test_what_is_on_disk_is_as_old_as_its_file_and_what_cannot_be_used_means_a_cold_start(tmp_path: Path) -> None:
+def test_what_is_on_disk_is_as_old_as_its_file_and_what_cannot_be_used_means_a_cold_start(
+    tmp_path: Path,
+) -> None:
     path = tmp_path / "known"
     assert load(path) is None
     save(path, GOOD)
@@ -165,7 +185,9 @@
     text = listed(*servers, policy='knowledge_file = "known"')
     async with running(Kernel(calls=True), more=text) as r:
         f = await FrontEnd.connect(r.port)
-        for _ in range(100):  # once its first failure is known it is asked seldom: the fifth takes as long as it takes
+        for _ in range(
+            100
+        ):  # once its first failure is known it is asked seldom: the fifth takes as long as it takes
             for _ in range(40):
                 await f.ask("check")
             if (await r.counters("servers"))["counts"]["ejections"]:
@@ -187,10 +209,18 @@
 # ---- weighed ----
 
 
-@pytest.mark.parametrize("more, weight", [
-    ({}, 1.0), ({"age_s": 60.0}, 0.5), ({"age_s": 3600.0}, None), ({"condition": Condition.SLOW}, 0.6),
-    ({"condition": Condition.PAUSED}, 0.25), ({"up_s": 5.0}, 0.5), ({"up_s": 0.1}, None),
-])
+@pytest.mark.parametrize(
+    "more, weight",
+    [
+        ({}, 1.0),
+        ({"age_s": 60.0}, 0.5),
+        ({"age_s": 3600.0}, None),
+        ({"condition": Condition.SLOW}, 0.6),
+        ({"condition": Condition.PAUSED}, 0.25),
+        ({"up_s": 5.0}, 0.5),
+        ({"up_s": 0.1}, None),
+    ],
+)
 def test_a_word_weighs_by_its_age_and_its_donor(more: dict[str, Any], weight: float | None) -> None:
     prior = merge([knowledge(facts("a"), facts("b", 120), **more)], ["a", "b", "c"])
     if weight is None:
@@ -203,13 +233,17 @@
     names = ["a", "b", "c"]
     well = knowledge(facts("a", 40), facts("b", 40), facts("c", 200))
     slow = knowledge(facts("a", 400), facts("b", 400), facts("c", 2000), condition=Condition.SLOW)
-    assert [p.ratio for p in merge([well], names).values()] == [p.ratio for p in merge([slow], names).values()] == [
-        1, 1, 5]
+    assert (
+        [p.ratio for p in merge([well], names).values()]
+        == [p.ratio for p in merge([slow], names).values()]
+        == [1, 1, 5]
+    )
 
 
 def test_of_several_donors_the_median_counts_and_two_that_contradict_count_half() -> None:
-    one, two, liar = (knowledge(facts("a", 40), facts("b", 40), facts("c", ms), donor=f"d{ms}")
-                      for ms in (200, 220, 10))
+    one, two, liar = (
+        knowledge(facts("a", 40), facts("b", 40), facts("c", ms), donor=f"d{ms}") for ms in (200, 220, 10)
+    )
     both = merge([one, liar], ["c"])["c"]
     assert both.weight == pytest.approx(0.5) and set(both.donors) == {"d200", "d10"}
     assert merge([one, two, liar], ["c"])["c"].ratio == pytest.approx(5.0)
@@ -217,10 +251,26 @@
     assert merge(out, ["c"])["c"].out and not merge(out[1:], ["a"])["a"].out
 
 
-@given(st.lists(st.builds(knowledge, st.builds(
-    facts, st.just("a"), st.floats(0, 1e6), samples=st.integers(0, 1000), answered=st.floats(0, 1),
-    out=st.booleans(), last_seen_s=st.floats(0, 1e4)), up_s=st.floats(0, 1e4), age_s=st.floats(0, 1e4),
-    condition=st.sampled_from(Condition)), max_size=5))
+@given(
+    st.lists(
+        st.builds(
+            knowledge,
+            st.builds(
+                facts,
+                st.just("a"),
+                st.floats(0, 1e6),
+                samples=st.integers(0, 1000),
+                answered=st.floats(0, 1),
+                out=st.booleans(),
+                last_seen_s=st.floats(0, 1e4),
+            ),
+            up_s=st.floats(0, 1e4),
+            age_s=st.floats(0, 1e4),
+            condition=st.sampled_from(Condition),
+        ),
+        max_size=5,
+    )
+)
 def test_whatever_is_told_a_prior_stays_in_its_bounds(told: list[Knowledge]) -> None:
     for prior in merge(told, ["a"]).values():
         assert 0.1 <= prior.ratio <= 10 and 0 <= prior.answered <= 1 and LEAST_WEIGHT / 2 <= prior.weight <= 1
@@ -232,7 +282,9 @@
 
 def test_a_word_that_own_answers_contradict_is_dropped_and_then_the_whole_donor() -> None:
     dropped: list[str] = []
-    priors = {f"s{i}": Prior(1.0, 1.0, 1.0, False, ("liar",) if i < 8 else ("honest", "liar")) for i in range(10)}
+    priors = {
+        f"s{i}": Prior(1.0, 1.0, 1.0, False, ("liar",) if i < 8 else ("honest", "liar")) for i in range(10)
+    }
     trial = Trial(priors, dropped.append)
     trial.measured("s0", 5.0, 3)  # too few samples to say
     assert not dropped
@@ -261,7 +313,9 @@
 
 
 def test_at_most_the_share_that_may_be_out_is_kept_out_by_what_was_told() -> None:
-    r = Router([Server(f"s{i}", ("127.0.0.1", 1)) for i in range(6)], Policy(), "r", random.Random(1).random, 0)
+    r = Router(
+        [Server(f"s{i}", ("127.0.0.1", 1)) for i in range(6)], Policy(), "r", random.Random(1).random, 0
+    )
     priors = {f"s{i}": Prior(1.0, 0.0, 1.0, True, ("liar",)) for i in range(6)}
     r.learn(0, priors, Trial(priors, r.unlearn))
     assert sum(m.state is State.PROBED for m in r.members.values()) == 2
@@ -269,7 +323,9 @@
 
 def test_what_one_knows_spares_another_the_faulty_servers() -> None:
     def servers() -> list[Below]:
-        return [Below(f"s{i}", 16, mood={1: Mood("hang"), 2: Mood("slow", factor=15)}.get(i)) for i in range(6)]
+        return [
+            Below(f"s{i}", 16, mood={1: Mood("hang"), 2: Mood("slow", factor=15)}.get(i)) for i in range(6)
+        ]
 
     donor = World(servers(), "tier", 1, seconds=20)
     donor.play()
@@ -280,7 +336,11 @@
         priors = merge([told], router.members)
         router.learn(0, priors, Trial(priors, router.unlearn))
 
-    lost = {name: sum(w.calls - w.in_time for w in (World(servers(), "tier", seed, seconds=3, prepare=how).play()
-                                                    for seed in range(5)))
-            for name, how in (("cold", lambda router: None), ("warm", prepare))}
+    lost = {
+        name: sum(
+            w.calls - w.in_time
+            for w in (World(servers(), "tier", seed, seconds=3, prepare=how).play() for seed in range(5))
+        )
+        for name, how in (("cold", lambda router: None), ("warm", prepare))
+    }
     assert lost["warm"] < 0.6 * lost["cold"]
