--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -80,8 +80,16 @@
             told.append(server.share(0, 0))
         return told
 
-    assert shares(Standing.STARTING, Standing.WARMING, Standing.MAINTENANCE, Standing.SERVING, Standing.DRAINING,
-                  Standing.SERVING, Standing.FAILED, Standing.CROWDED) == [0, 0.5, 0, 0.5, 0, 0.5, 0, 0.5]
+    assert shares(
+        Standing.STARTING,
+        Standing.WARMING,
+        Standing.MAINTENANCE,
+        Standing.SERVING,
+        Standing.DRAINING,
+        Standing.SERVING,
+        Standing.FAILED,
+        Standing.CROWDED,
+    ) == [0, 0.5, 0, 0.5, 0, 0.5, 0, 0.5]
     server.agent(0, "ready up 50% maxconn:1")
     server.in_flight = 1
     assert server.share(0, 0) == 0
@@ -89,10 +97,19 @@
 
 def test_rise_fall_and_slow_start() -> None:
     server = Server("s")
-    for passed, up in ((False, True), (True, True), (False, True), (False, False), (True, False), (True, True)):
+    for passed, up in (
+        (False, True),
+        (True, True),
+        (False, True),
+        (False, False),
+        (True, False),
+        (True, True),
+    ):
         server.check(10, passed, rise=2, fall=2)
         assert server.up is up
-    assert server.share(10, 1000) == 0.05 and server.share(510, 1000) == 0.5 and server.share(5000, 1000) == 1.0
+    assert (
+        server.share(10, 1000) == 0.05 and server.share(510, 1000) == 0.5 and server.share(5000, 1000) == 1.0
+    )
 
 
 @pytest.mark.parametrize("mode", ["round", "least"])
@@ -114,7 +131,9 @@
 def test_a_seed_draws_the_same_and_another_does_not() -> None:
     first, again, other = (draw(seed, KINDS, ["t"], 50, 10) for seed in (1, 1, 2))
     assert first == again != other and 400 < len(first) < 600
-    assert all((a.token is not None) == a.kind.keyed and len(a.body.split()) == 2 + a.kind.call for a in first)
+    assert all(
+        (a.token is not None) == a.kind.keyed and len(a.body.split()) == 2 + a.kind.call for a in first
+    )
 
 
 def test_a_report_is_written_with_its_plots_and_holds_only_if_all_do(tmp_path: Path) -> None:
@@ -130,7 +149,10 @@
     write(result, Experiment("e", "about", nothing), 7, True, tmp_path)
     told = json.loads((tmp_path / "report.json").read_text())
     assert told["holds"] is False and [c["holds"] for c in told["criteria"]] == [True, False]
-    assert "2 &lt;b&gt;" in (tmp_path / "report.html").read_text() and (tmp_path / "plot0.png").stat().st_size > 1000
+    assert (
+        "2 &lt;b&gt;" in (tmp_path / "report.html").read_text()
+        and (tmp_path / "plot0.png").stat().st_size > 1000
+    )
 
 
 def test_a_small_fleet_in_virtual_time_plays_the_same_twice() -> None:
@@ -145,8 +167,9 @@
 
 def test_lab_verbs_name_what_is_wrong_and_up_serves_and_leaves_in_order() -> None:
     def moorusher(*args: str) -> subprocess.CompletedProcess[str]:
-        return subprocess.run([sys.executable, "-m", "moorusher", *args], cwd=ROOT, capture_output=True, text=True,
-                              timeout=60)
+        return subprocess.run(
+            [sys.executable, "-m", "moorusher", *args], cwd=ROOT, capture_output=True, text=True, timeout=60
+        )
 
     assert "shed" in moorusher("lab", "list").stdout
     wrong = moorusher("lab", "run", "none")
@@ -158,8 +181,10 @@
 
 
 def test_serving_imports_neither_the_laboratory_nor_the_command_line() -> None:
-    code = ("import sys, moorusher.start, moorusher.service; "
-            "print([m for m in sys.modules if m.startswith(('click', 'moorusher.lab', 'moorusher.cli', 'numpy', "
-            "'twisted.web', 'moorusher.fronts.health'))])")
+    code = (
+        "import sys, moorusher.start, moorusher.service; "
+        "print([m for m in sys.modules if m.startswith(('click', 'moorusher.lab', 'moorusher.cli', 'numpy', "
+        "'twisted.web', 'moorusher.fronts.health'))])"
+    )
     got = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     assert got.stdout.strip() == "[]"
--- a/tests/test_lazy.py
+++ b/tests/test_lazy.py
@@ -34,17 +34,43 @@
 """
 
 
-def test_serving_on_the_platform_needs_no_library_beyond_the_pinned_ones_and_loads_nothing_that_is_off() -> None:
+def test_serving_on_the_platform_needs_no_library_beyond_the_pinned_ones_and_loads_nothing_that_is_off() -> (
+    None
+):
     from .stand_ins import SETTINGS
 
-    done = subprocess.run([sys.executable, "-c", SERVE.format(extras=EXTRAS, settings=SETTINGS)], cwd=ROOT,
-                          capture_output=True, text=True, timeout=60, check=False)
+    done = subprocess.run(
+        [sys.executable, "-c", SERVE.format(extras=EXTRAS, settings=SETTINGS)],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
     assert done.returncode == 0, done.stderr
     pinned = {line.split("==")[0].lower() for line in (ROOT / "requirements.txt").read_text().split()}
     assert not pinned & set(EXTRAS), "one of them is installed by the build: it need not be missing here"
     loaded = done.stdout.split()
-    parts = {"fleet", "duties", "namespaces", "publishing", "routing", "tier", "knowledge", "forecast", "check", "lab"}
-    odd = [m for m in loaded if m.split(".")[1] in parts and m.split(".")[-1] not in (*parts, "policy", "grants")]
+    parts = {
+        "fleet",
+        "duties",
+        "namespaces",
+        "publishing",
+        "routing",
+        "tier",
+        "knowledge",
+        "forecast",
+        "check",
+        "lab",
+    }
+    odd = [
+        m for m in loaded if m.split(".")[1] in parts and m.split(".")[-1] not in (*parts, "policy", "grants")
+    ]
     assert not odd
-    assert not {"moorusher.links.fleet", "moorusher.links.duties", "moorusher.links.namespaces", "moorusher.links.tier",
-                "moorusher.admin"} & set(loaded)
+    assert not {
+        "moorusher.links.fleet",
+        "moorusher.links.duties",
+        "moorusher.links.namespaces",
+        "moorusher.links.tier",
+        "moorusher.admin",
+    } & set(loaded)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -49,7 +49,9 @@
 
 @pytest.mark.parametrize("more, closed", [(b"", False), (b"z", True), (REPLY, True), (b"\r\n", True)])
 @pytest.mark.parametrize("later", [False, True])
-def test_a_connection_that_got_more_than_its_reply_is_never_used_again(more: bytes, closed: bool, later: bool) -> None:
+def test_a_connection_that_got_more_than_its_reply_is_never_used_again(
+    more: bytes, closed: bool, later: bool
+) -> None:
     pool = Pool(world := World())
     pool.call(1, asked(1))
     connection, transport = pool.up()
@@ -142,11 +144,20 @@
 PASS: dict[str, Any] = {"t": "REAP", "rid": "a", "status": "PASS", "time_ms": 1, "b64": "cg=="}
 
 
-@pytest.mark.parametrize("line", [
-    b"{", b"\xff", b"[]", b'{"no":1}', b'{"t":"REAP","rid":"a","status":"PASS","b64":"cg=="}',
-    b'{"t":"REAP","no":"1","rid":"a","status":"PASS","b64":"cg=="}',
-    b'{"t":"REAP","no":1,"rid":"a","status":"PASS","b64":"c"}', b'{"t":"REAP","no":1,"rid":"a","status":"WELL"}',
-    b'{"t":"IOREQ","no":1,"b64":""}'])
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"{",
+        b"\xff",
+        b"[]",
+        b'{"no":1}',
+        b'{"t":"REAP","rid":"a","status":"PASS","b64":"cg=="}',
+        b'{"t":"REAP","no":"1","rid":"a","status":"PASS","b64":"cg=="}',
+        b'{"t":"REAP","no":1,"rid":"a","status":"PASS","b64":"c"}',
+        b'{"t":"REAP","no":1,"rid":"a","status":"WELL"}',
+        b'{"t":"IOREQ","no":1,"b64":""}',
+    ],
+)
 def test_a_notice_that_cannot_be_read_is_asked_for_again(line: bytes) -> None:
     link = KernelSide(world := World())
     connection, transport = link.up()
@@ -255,7 +266,9 @@
     quiet, transport = link.up()
     say(quiet, BOOTED)
     world.wait(QUIET / 1000)
-    assert [json.loads(m)["t"] for m in transport.value().splitlines()].count("SYSINFO") >= 2 and len(link.dialled) == 1
+    assert [json.loads(m)["t"] for m in transport.value().splitlines()].count("SYSINFO") >= 2 and len(
+        link.dialled
+    ) == 1
     world.wait(SURE / 1000 + 10)
     assert len(link.dialled) == 2 and not transport.disconnecting
     world.take("a", 1)
@@ -292,14 +305,23 @@
     assert len(link.dialled) == 3  # it is up by now: a link that says nothing is a dead one
 
 
-@pytest.mark.parametrize("line", [
-    b'{"t":"BOOTED","status":"LOADED","time_ms":"soon"}', b'{"t":"BOOTED","status":"LOADED","time_ms":NaN}',
-    b'{"t":"INFO","mark":"g","v":5}', b'{"t":"INFO","mark":"g","v":["x"]}', b'{"t":"INFO","mark":"g","v":[null]}',
-    b'{"t":"REAP","no":1,"rid":"a","status":[],"b64":""}', b'{"t":"IOREQ","no":true,"rid":"a","b64":""}',
-    b"[]", b"null",
-])
+@pytest.mark.parametrize(
+    "line",
+    [
+        b'{"t":"BOOTED","status":"LOADED","time_ms":"soon"}',
+        b'{"t":"BOOTED","status":"LOADED","time_ms":NaN}',
+        b'{"t":"INFO","mark":"g","v":5}',
+        b'{"t":"INFO","mark":"g","v":["x"]}',
+        b'{"t":"INFO","mark":"g","v":[null]}',
+        b'{"t":"REAP","no":1,"rid":"a","status":[],"b64":""}',
+        b'{"t":"IOREQ","no":true,"rid":"a","b64":""}',
+        b"[]",
+        b"null",
+    ],
+)
 def test_a_message_that_is_none_is_no_fault_of_ours_and_the_next_link_reads_on(
-        line: bytes, caplog: pytest.LogCaptureFixture) -> None:
+    line: bytes, caplog: pytest.LogCaptureFixture
+) -> None:
     link = KernelSide(world := World())
     connection, transport = link.up()
     if b"BOOTED" not in line:
--- a/tests/test_module_shape.py
+++ b/tests/test_module_shape.py
@@ -22,12 +22,25 @@
 
 
 def test_the_module_does_no_io_and_reads_no_clock() -> None:
-    names = {n.name for node in ast.walk(ast.parse(MODULE.read_text())) if isinstance(node, ast.Import)
-             for n in node.names}
-    froms = {node.module for node in ast.walk(ast.parse(MODULE.read_text())) if isinstance(node, ast.ImportFrom)}
-    assert (names | froms) <= {"heapq", "collections", "__future__", "collections.abc",
-                               "peattack", "peattack.interface",
-                               "random", "math"}
+    names = {
+        n.name
+        for node in ast.walk(ast.parse(MODULE.read_text()))
+        if isinstance(node, ast.Import)
+        for n in node.names
+    }
+    froms = {
+        node.module for node in ast.walk(ast.parse(MODULE.read_text())) if isinstance(node, ast.ImportFrom)
+    }
+    assert (names | froms) <= {
+        "heapq",
+        "collections",
+        "__future__",
+        "collections.abc",
+        "peattack",
+        "peattack.interface",
+        "random",
+        "math",
+    }
 
 
 def test_the_readme_example_runs() -> None:
--- a/tests/test_namespaces.py
+++ b/tests/test_namespaces.py
@@ -58,8 +58,10 @@
 
 SHORT = st.text("ab", max_size=3)
 WORDS = st.builds(Words.of, st.lists(SHORT, max_size=3), st.lists(SHORT, max_size=2))
-RANGES = st.builds(lambda ends: Ranges.of(zip(ends[::2], ends[1::2], strict=False)),
-                   st.lists(st.integers(-1, 6).map(float), max_size=4).map(sorted))
+RANGES = st.builds(
+    lambda ends: Ranges.of(zip(ends[::2], ends[1::2], strict=False)),
+    st.lists(st.integers(-1, 6).map(float), max_size=4).map(sorted),
+)
 STRINGS = ["".join(p) for n in range(5) for p in itertools.product("ab", repeat=n)]
 
 
@@ -73,9 +75,17 @@
 
 # ---- which rule decides ----
 
-MATCHES = st.builds(Match, WORDS | st.just(EVERY_WORD), RANGES | st.just(EVERY_NUMBER), st.just(EVERY_NUMBER) | RANGES,
-                    WORDS | st.just(EVERY_WORD), st.just(EVERY_RANK) | st.just(Ranges(((0.0, 0.5),))))
-ASKED = st.builds(Asked, SHORT, st.integers(-1, 6), st.integers(-1, 6), st.sampled_from([0.0, 0.4, 0.5, 0.9]), SHORT)
+MATCHES = st.builds(
+    Match,
+    WORDS | st.just(EVERY_WORD),
+    RANGES | st.just(EVERY_NUMBER),
+    st.just(EVERY_NUMBER) | RANGES,
+    WORDS | st.just(EVERY_WORD),
+    st.just(EVERY_RANK) | st.just(Ranges(((0.0, 0.5),))),
+)
+ASKED = st.builds(
+    Asked, SHORT, st.integers(-1, 6), st.integers(-1, 6), st.sampled_from([0.0, 0.4, 0.5, 0.9]), SHORT
+)
 
 
 def plain(rules: list[Rule], asked: Asked) -> Rule | None:
@@ -92,9 +102,14 @@
 
 
 @settings(max_examples=120, deadline=None, derandomize=True)
-@given(st.lists(st.tuples(MATCHES, st.booleans()), max_size=6), st.lists(ASKED, min_size=8, max_size=8), st.randoms())
+@given(
+    st.lists(st.tuples(MATCHES, st.booleans()), max_size=6),
+    st.lists(ASKED, min_size=8, max_size=8),
+    st.randoms(),
+)
 def test_the_table_decides_as_the_plain_reference_and_typing_order_does_not_count(
-        matches: list[tuple[Match, bool]], requests: list[Asked], shuffled: random.Random) -> None:
+    matches: list[tuple[Match, bool]], requests: list[Asked], shuffled: random.Random
+) -> None:
     rules = [Rule(f"r{i}", m, To(f"r{i}"), "t" if team else "") for i, (m, team) in enumerate(matches)]
     other = list(rules)
     shuffled.shuffle(other)
@@ -114,15 +129,23 @@
     only where it names what that alphabet has not."""
     rules = [Rule(f"r{i}", m, To("x")) for i, m in enumerate(matches)]
     table, why = built(rules)
-    sample = [Asked(k, c, s, r, key) for k in ("", "a", "b", "ab", "aabb", "ba\u00e9") for c in range(-1, 7)
-              for s in (-1, 0, 3, 5, 6) for r in (0.0, 0.5) for key in ("", "a", "b", "bb", "abab")]
+    sample = [
+        Asked(k, c, s, r, key)
+        for k in ("", "a", "b", "ab", "aabb", "ba\u00e9")
+        for c in range(-1, 7)
+        for s in (-1, 0, 3, 5, 6)
+        for r in (0.0, 0.5)
+        for key in ("", "a", "b", "bb", "abab")
+    ]
     if isinstance(why, Ambiguous):
         one, two = (next(r for r in rules if r.label == n) for n in why.rules)
         assert one.match.sizes() == two.match.sizes()
     elif isinstance(why, Unreachable):
         dead = next(r for r in rules if r.label == why.rule)
         assert all(plain(rules, a) is not dead for a in sample)
-        assert not why.by or all(any(r.label == n and r.order() <= dead.order() for r in rules) for n in why.by)
+        assert not why.by or all(
+            any(r.label == n and r.order() <= dead.order() for r in rules) for n in why.by
+        )
     else:
         assert table is not None
         for a in sample:
@@ -143,8 +166,14 @@
 def test_a_rule_that_others_cover_together_is_named_with_all_of_them() -> None:
     low, high = Ranges(((-1.0, 5.0),)), Ranges(((5.0, float(1 << 53)),))
     with pytest.raises(Unreachable) as told:
-        Table([rule("low", key=words("a*"), caller=low), rule("high", key=words("a*"), caller=high),
-               rule("both", key=words("a*"))], "d")
+        Table(
+            [
+                rule("low", key=words("a*"), caller=low),
+                rule("high", key=words("a*"), caller=high),
+                rule("both", key=words("a*")),
+            ],
+            "d",
+        )
     assert told.value.rule == "both" and set(told.value.by) == {"low", "high"}
     with pytest.raises(Unreachable, match="never can never match"):
         Table([rule("never", klass=Words())], "d")
@@ -161,7 +190,9 @@
 
 
 def test_outcomes_and_the_default() -> None:
-    table = Table([Rule("no", Match(klass=words("admin")), Refuse("not here")), rule("yes", klass=words("read"))], "d")
+    table = Table(
+        [Rule("no", Match(klass=words("admin")), Refuse("not here")), rule("yes", klass=words("read"))], "d"
+    )
     assert table.decide(Asked("admin")).reason == "not here" and table.decide(Asked("admin")).route is None
     assert table.decide(Asked("read")).route == "yes" and table.decide(Asked("other")).route == "d"
 
@@ -171,7 +202,9 @@
     keys = [f"k{i}" for i in range(8000)]
     before, after = [share(old, k) for k in keys], [share(new, k) for k in keys]
     assert abs(before.count("b") / 8000 - 1 / 4) < 0.02 and abs(after.count("b") / 8000 - 2 / 5) < 0.02
-    assert all(a == b or b == "b" for a, b in zip(before, after, strict=True)), "only to the one that weighs more"
+    assert all(a == b or b == "b" for a, b in zip(before, after, strict=True)), (
+        "only to the one that weighs more"
+    )
     assert all(share(Split((("a", 0), ("b", 1))), k) == "b" for k in keys[:50])
 
 
@@ -179,7 +212,11 @@
     many = [rule(f"r{i}", key=words(f"k{i}")) for i in range(500)]
     assert Table(many, "d").find(Asked("x", key="k77")) == many[77]
     with pytest.raises(OverBudget, match="steps"):
-        Table([rule(f"r{i}", key=words(f"{i}*"), caller=Ranges(((0.0, 1.0 + i),))) for i in range(300)], "d", 100)
+        Table(
+            [rule(f"r{i}", key=words(f"{i}*"), caller=Ranges(((0.0, 1.0 + i),))) for i in range(300)],
+            "d",
+            100,
+        )
     with pytest.raises(OverBudget, match="bytes"):
         Table(many, "d", most_bytes=1000)
 
@@ -188,11 +225,19 @@
     r = random.Random(1)
     for _ in range(300):
         a, b = (tuple(r.randrange(1, 8) for _ in range(3)) for _ in range(2))
-        cells = {c for c in itertools.product(range(3), repeat=3) if all(x >> i & 1 for x, i in zip(a, c, strict=True))}
+        cells = {
+            c
+            for c in itertools.product(range(3), repeat=3)
+            if all(x >> i & 1 for x, i in zip(a, c, strict=True))
+        }
         there = {c for c in cells if all(x >> i & 1 for x, i in zip(b, c, strict=True))}
         pieces = without(a, b)
-        found = [c for p in pieces for c in itertools.product(range(3), repeat=3)
-                 if all(x >> i & 1 for x, i in zip(p, c, strict=True))]
+        found = [
+            c
+            for p in pieces
+            for c in itertools.product(range(3), repeat=3)
+            if all(x >> i & 1 for x, i in zip(p, c, strict=True))
+        ]
         assert len(found) == len(set(found)) and set(found) == cells - there
         assert (meet(a, b) is None) == (not there)
 
@@ -202,12 +247,19 @@
 GRANTED = Granted(frozenset(["s1", "s2"]), {"shared": 0.5})
 DRAFT: dict[str, Any] = {
     "default": "main",
-    "routes": {"main": {"servers": {"s1": 1}, "limit": 50, "tries": 2, "fall_back": "spare"},
-               "spare": {"pool": "shared"}},
-    "rules": {"eu": {"match": {"key": ["eu-*"], "class": ["submit"], "caller": [[0, 100]]}, "to": "spare"},
-              "new": {"match": {"rank": [[0, 0.5]]}, "split": {"main": 9, "spare": 1}},
-              "no": {"match": {"class": ["admin"]}, "refuse": "not from here"}},
-    "teams": {"lab": {"match": {"key": ["lab-*"]}, "rules": {"all": {"match": {"key": ["*"]}, "to": "spare"}}}}}
+    "routes": {
+        "main": {"servers": {"s1": 1}, "limit": 50, "tries": 2, "fall_back": "spare"},
+        "spare": {"pool": "shared"},
+    },
+    "rules": {
+        "eu": {"match": {"key": ["eu-*"], "class": ["submit"], "caller": [[0, 100]]}, "to": "spare"},
+        "new": {"match": {"rank": [[0, 0.5]]}, "split": {"main": 9, "spare": 1}},
+        "no": {"match": {"class": ["admin"]}, "refuse": "not from here"},
+    },
+    "teams": {
+        "lab": {"match": {"key": ["lab-*"]}, "rules": {"all": {"match": {"key": ["*"]}, "to": "spare"}}}
+    },
+}
 
 
 def draft(**how: Any) -> bytes:
@@ -222,35 +274,71 @@
     assert got.table.decide(Asked("submit", rank=0.9, key="us")).route == "main"
     found = got.table.find(Asked("x", key="lab-7"))
     assert found is not None and found.label == "lab/all"
-    assert got.table.find(Asked("x", rank=0.9, key="la")) is None, "the team's * is all of the team, and no more"
-
-
-@pytest.mark.parametrize("how, error, text", [
-    ({"odd": 1}, Malformed, "draft.odd"),
-    ({"default": "none"}, Foreign, "default"),
-    ({"routes": {"main": {"servers": {"s9": 1}}}}, Foreign, "routes.main.servers"),
-    ({"routes": {"main": {"pool": "other"}}}, Foreign, "routes.main.pool"),
-    ({"routes": {"main": {}}}, Malformed, "routes.main"),
-    ({"routes": {"main": {"servers": {"s1": 1}, "fall_back": "x"}}}, Foreign, "routes.main.fall_back"),
-    ({"routes": {"main": {"servers": {"s1": 1}, "fall_back": "b"}, "spare": {"pool": "shared"},
-                 "b": {"pool": "shared", "fall_back": "main"}}}, Circular, "b falls back to main"),
-    ({"rules": {"r": {"to": "x"}}}, Foreign, "rules.r.to"),
-    ({"rules": {"r": {"to": "main", "refuse": "x"}}}, Malformed, "rules.r"),
-    ({"rules": {"r": {"split": {"main": 0}}}}, Malformed, "rules.r.split"),
-    ({"rules": {"r": {"match": {"caller": [[5, "x"]]}, "to": "main"}}}, Malformed, "rules.r.match.caller"),
-    ({"rules": {"r": {"match": {"tenant": ["bolt"]}, "to": "main"}}}, Malformed, "rules.r.match.tenant"),
-    ({"rules": {"a b": {"to": "main"}}}, Malformed, "rules"),
-    ({"teams": {"t": {"match": {"key": ["a"]}, "rules": {"r": {"match": {"key": ["b"]}, "to": "main"}}}}},
-     Unreachable, "t/r can never match"),
-])
-def test_what_is_wrong_with_a_draft_is_named_by_its_path(how: dict[str, Any], error: type[Exception],
-                                                         text: str) -> None:
+    assert got.table.find(Asked("x", rank=0.9, key="la")) is None, (
+        "the team's * is all of the team, and no more"
+    )
+
+
+@pytest.mark.parametrize(
+    "how, error, text",
+    [
+        ({"odd": 1}, Malformed, "draft.odd"),
+        ({"default": "none"}, Foreign, "default"),
+        ({"routes": {"main": {"servers": {"s9": 1}}}}, Foreign, "routes.main.servers"),
+        ({"routes": {"main": {"pool": "other"}}}, Foreign, "routes.main.pool"),
+        ({"routes": {"main": {}}}, Malformed, "routes.main"),
+        ({"routes": {"main": {"servers": {"s1": 1}, "fall_back": "x"}}}, Foreign, "routes.main.fall_back"),
+        (
+            {
+                "routes": {
+                    "main": {"servers": {"s1": 1}, "fall_back": "b"},
+                    "spare": {"pool": "shared"},
+                    "b": {"pool": "shared", "fall_back": "main"},
+                }
+            },
+            Circular,
+            "b falls back to main",
+        ),
+        ({"rules": {"r": {"to": "x"}}}, Foreign, "rules.r.to"),
+        ({"rules": {"r": {"to": "main", "refuse": "x"}}}, Malformed, "rules.r"),
+        ({"rules": {"r": {"split": {"main": 0}}}}, Malformed, "rules.r.split"),
+        (
+            {"rules": {"r": {"match": {"caller": [[5, "x"]]}, "to": "main"}}},
+            Malformed,
+            "rules.r.match.caller",
+        ),
+        ({"rules": {"r": {"match": {"tenant": ["bolt"]}, "to": "main"}}}, Malformed, "rules.r.match.tenant"),
+        ({"rules": {"a b": {"to": "main"}}}, Malformed, "rules"),
+        (
+            {
+                "teams": {
+                    "t": {"match": {"key": ["a"]}, "rules": {"r": {"match": {"key": ["b"]}, "to": "main"}}}
+                }
+            },
+            Unreachable,
+            "t/r can never match",
+        ),
+    ],
+)
+def test_what_is_wrong_with_a_draft_is_named_by_its_path(
+    how: dict[str, Any], error: type[Exception], text: str
+) -> None:
     with pytest.raises(error, match=re.escape(text)):
         read(draft(**how), GRANTED)
 
 
-@pytest.mark.parametrize("raw", [b"", b"[]", b"\xff", b'{"rules": []}', b"[" * 100_000, b'{"default": {}}',
-                                 b'{"default": "a", "routes": {"a": {"pool": []}}}'])
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"",
+        b"[]",
+        b"\xff",
+        b'{"rules": []}',
+        b"[" * 100_000,
+        b'{"default": {}}',
+        b'{"default": "a", "routes": {"a": {"pool": []}}}',
+    ],
+)
 def test_a_draft_that_is_none_is_refused(raw: bytes) -> None:
     with pytest.raises((Malformed, Foreign)):
         read(raw, GRANTED)
@@ -266,10 +354,20 @@
 
 # ---- one customer beside another ----
 
-REQUESTS = [Asked(k, key=key, rank=r) for k in ("submit", "admin", "x") for key in ("", "eu-1", "lab-1")
-            for r in (0.1, 0.9)]
-SMALL = [draft(), draft(rules={}), draft(teams={}), draft(default="spare"), draft(rules={"r": {"to": "spare"}}),
-         draft(rules={"no": {"match": {"class": ["submit"]}, "refuse": "b's"}})]
+REQUESTS = [
+    Asked(k, key=key, rank=r)
+    for k in ("submit", "admin", "x")
+    for key in ("", "eu-1", "lab-1")
+    for r in (0.1, 0.9)
+]
+SMALL = [
+    draft(),
+    draft(rules={}),
+    draft(teams={}),
+    draft(default="spare"),
+    draft(rules={"r": {"to": "spare"}}),
+    draft(rules={"no": {"match": {"class": ["submit"]}, "refuse": "b's"}}),
+]
 
 
 def decisions(all_of: Customers, customer: str) -> list[Any]:
--- a/tests/test_namespaces_real.py
+++ b/tests/test_namespaces_real.py
@@ -42,12 +42,18 @@
         self.fleet, self.servers = f, servers
 
     async def ask(self, i: int, method: str, path: str, body: bytes = b"") -> tuple[int, Any]:
-        got = await exchange(self.fleet.runners[i].admin, f"{method} /{path} HTTP/1.0\r\nAuthorization: Bearer t0p\r\n"
-                             f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        got = await exchange(
+            self.fleet.runners[i].admin,
+            f"{method} /{path} HTTP/1.0\r\nAuthorization: Bearer t0p\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n".encode()
+            + body,
+        )
         head, _, rest = got.partition(b"\r\n\r\n")
         return int(head.split()[1]), json.loads(rest)
 
-    async def publish(self, i: int, customer: str = "acme", how: str = "wait=1", **draft: Any) -> dict[str, Any]:
+    async def publish(
+        self, i: int, customer: str = "acme", how: str = "wait=1", **draft: Any
+    ) -> dict[str, Any]:
         status, told = await self.ask(i, "PUT", f"namespaces/{customer}?{how}", drafted(**draft))
         assert status == 200, told
         return told  # type: ignore[no-any-return]
@@ -73,7 +79,9 @@
 
     async def everywhere(self, number: int, *but: int) -> None:
         async def there() -> bool:
-            return all([await self.revision(i) == number for i in range(len(self.fleet.runners)) if i not in but])
+            return all(
+                [await self.revision(i) == number for i in range(len(self.fleet.runners)) if i not in but]
+            )
 
         await until(there)
 
@@ -87,7 +95,9 @@
     servers = {name: Database() for name in SERVERS}
     for server in servers.values():
         server.listen()
-    tier = "".join(f'[[tier.server]]\nname = "{name}"\naddress = "{HOST}:{s.port}"\n' for name, s in servers.items())
+    tier = "".join(
+        f'[[tier.server]]\nname = "{name}"\naddress = "{HOST}:{s.port}"\n' for name, s in servers.items()
+    )
     try:
         async with fleet(n, more=lambda i: tier + TOML + more, **{"work": 0.02, "calls": True} | how) as f:
             yield Routed(f, servers)
@@ -117,8 +127,17 @@
         await r.publish(0)
         owner = await r.owner(0)
         others = [i for i in range(5) if i != owner]
-        waiting = [asyncio.ensure_future(r.ask(others[k % 4], "PUT", f"namespaces/acme?id=s{k}&expects=-1&by=t",
-                                               drafted("a2" if k % 2 else "a1"))) for k in range(8)]
+        waiting = [
+            asyncio.ensure_future(
+                r.ask(
+                    others[k % 4],
+                    "PUT",
+                    f"namespaces/acme?id=s{k}&expects=-1&by=t",
+                    drafted("a2" if k % 2 else "a1"),
+                )
+            )
+            for k in range(8)
+        ]
         await asyncio.sleep(0.03)
         r.fleet.kill(owner)
         told = [await w for w in waiting]
@@ -250,8 +269,10 @@
 @sockets
 async def test_routes_fall_back_and_what_is_no_longer_granted_is_passed_over() -> None:
     async with routed() as r:
-        draft: dict[str, Any] = {"default": "main", "routes": {
-            "main": {"servers": {"a1": 1}, "fall_back": "spare"}, "spare": {"pool": "shared"}}}
+        draft: dict[str, Any] = {
+            "default": "main",
+            "routes": {"main": {"servers": {"a1": 1}, "fall_back": "spare"}, "spare": {"pool": "shared"}},
+        }
         status, _ = await r.ask(0, "PUT", "namespaces/acme?wait=1", json.dumps(draft).encode())
         assert status == 200 and await r.went(1) == "a1"
         r.servers["a1"].close()
@@ -259,8 +280,11 @@
         status, told = await r.ask(0, "PUT", "namespaces/acme", drafted("b1"))
         assert status == 403 and told["kind"] == "Foreign" and "'b1'" in told["error"]
         runner = r.fleet.runners[1]
-        runner.fronts.write_text(runner.fronts.read_text().replace('servers = ["a1", "a2"]', 'servers = ["a2"]')
-                                 .replace("pools = { shared = 0.5 }", "pools = { }", 1))
+        runner.fronts.write_text(
+            runner.fronts.read_text()
+            .replace('servers = ["a1", "a2"]', 'servers = ["a2"]')
+            .replace("pools = { shared = 0.5 }", "pools = { }", 1)
+        )
         runner.process.send_signal(signal.SIGHUP)
 
         async def taken() -> bool:
@@ -272,7 +296,9 @@
 
 
 @sockets
-async def test_a_replaced_owner_publishes_on_as_the_same_seat_and_its_successor_knows_the_rules_as_it_serves() -> None:
+async def test_a_replaced_owner_publishes_on_as_the_same_seat_and_its_successor_knows_the_rules_as_it_serves() -> (
+    None
+):
     async with routed(journals=True) as r:
         await r.publish(0)
         owner, kernel = await r.owner(0), Kernel(work=0.02, calls=True)
@@ -318,14 +344,15 @@
 async def test_what_is_wrong_with_a_call_of_the_api_is_named_and_says_what_helps() -> None:
     async with routed(3) as r:
         for method, path, body, status, kind in (
-                ("PUT", "namespaces/acme?expects=x", drafted(), 400, "Malformed"),
-                ("PUT", "namespaces/acme?expects=nan", drafted(), 400, "Malformed"),
-                ("PUT", "namespaces/acme?id=" + "x" * 65, drafted(), 400, "Malformed"),
-                ("PUT", "namespaces/acme", b"[" * 4_000, 400, "Malformed"),
-                ("PUT", "namespaces/nobody", drafted(), 404, "NoSuchCustomer"),
-                ("POST", "namespaces/acme/back/7", b"", 404, "Retired"),
-                ("GET", "namespaces/nobody/explain?class=x", b"", 404, "NoSuchCustomer"),
-                ("GET", "namespaces/acme/explain?rank=2", b"", 400, "Malformed")):
+            ("PUT", "namespaces/acme?expects=x", drafted(), 400, "Malformed"),
+            ("PUT", "namespaces/acme?expects=nan", drafted(), 400, "Malformed"),
+            ("PUT", "namespaces/acme?id=" + "x" * 65, drafted(), 400, "Malformed"),
+            ("PUT", "namespaces/acme", b"[" * 4_000, 400, "Malformed"),
+            ("PUT", "namespaces/nobody", drafted(), 404, "NoSuchCustomer"),
+            ("POST", "namespaces/acme/back/7", b"", 404, "Retired"),
+            ("GET", "namespaces/nobody/explain?class=x", b"", 404, "NoSuchCustomer"),
+            ("GET", "namespaces/acme/explain?rank=2", b"", 400, "Malformed"),
+        ):
             got, told = await r.ask(1, method, path, body)
             assert (got, told["kind"]) == (status, kind) and told["remedy"], told
         assert (await r.ask(1, "POST", "namespaces/acme/forward/1"))[0] == 404
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -170,10 +170,16 @@
     assert turn(done(roster, Return(turn(roster), 2, 3.0, "t"))).note == "came back with other settings"
 
 
-@pytest.mark.parametrize("change", [Over("n1", 1.0, "me", KEPT), Resume("n1"), Cancel("z", [], 1.0, "me", KEPT)])
+@pytest.mark.parametrize(
+    "change", [Over("n1", 1.0, "me", KEPT), Resume("n1"), Cancel("z", [], 1.0, "me", KEPT)]
+)
 def test_what_is_asked_of_one_that_is_not_there_is_refused_with_a_type(change: Change) -> None:
     roster = asked(ask())
-    assert done(roster, change) == roster and isinstance(change.error, errors.OutageError) and change.error.remedy
+    assert (
+        done(roster, change) == roster
+        and isinstance(change.error, errors.OutageError)
+        and change.error.remedy
+    )
 
 
 def test_every_error_says_what_an_operator_can_do_and_the_operators_page_has_it() -> None:
@@ -204,9 +210,15 @@
     assert isinstance(decide(turn(roster), own(inc=2, fresh=False), POLICY, 0).change, Accept)
 
 
-@pytest.mark.parametrize("ends, mark, doing", [
-    (Ends.BOOT, "start 1", Doing.GONE), (Ends.BOOT, "start 2", Doing.RETURNS), (Ends.BOOT, "", Doing.GONE),
-    (Ends.DONE, "start 2", Doing.GONE)])
+@pytest.mark.parametrize(
+    "ends, mark, doing",
+    [
+        (Ends.BOOT, "start 1", Doing.GONE),
+        (Ends.BOOT, "start 2", Doing.RETURNS),
+        (Ends.BOOT, "", Doing.GONE),
+        (Ends.DONE, "start 2", Doing.GONE),
+    ],
+)
 def test_only_a_later_start_of_the_machine_ends_a_turn_by_itself(ends: Ends, mark: str, doing: Doing) -> None:
     roster = out(asked(ask("a", "n0", ends=ends.value)))
     assert decide(turn(roster), own(inc=2, mark=mark), POLICY, 3).doing is doing
@@ -230,7 +242,9 @@
     return [View(f"n{i}", zone=f"z{i % 2}", **base) for i in range(6)]
 
 
-def why(seen: list[View], roster: Roster, seat: str, policy: Policy = POLICY, keepers: tuple[str, ...] = ()) -> str:
+def why(
+    seen: list[View], roster: Roster, seat: str, policy: Policy = POLICY, keepers: tuple[str, ...] = ()
+) -> str:
     found, _ = next((a, s) for a, s in roster.waits() if s == seat)
     return Spare(seen, roster, keepers, policy).why_not(found, seat) or ""
 
@@ -259,7 +273,10 @@
 
 def test_two_of_a_zone_go_only_where_both_may_be_done_with_others() -> None:
     policy = Policy(most=3, most_zone=2, fill=1.0)
-    for together, expected in ((True, ""), (False, "zone z0 has one out, and not both may be done with others")):
+    for together, expected in (
+        (True, ""),
+        (False, "zone z0 has one out, and not both may be done with others"),
+    ):
         roster = granted(asked(ask("a", "n0", "n2", together=together)), "a", "n0")
         assert why(views(), roster, "n2", policy) == expected
 
@@ -307,7 +324,9 @@
         return calm.look(Spare(seen, r, (), POLICY), now)
 
     assert left(0, views()) == 3 and left(2, views()) == 1 and left(4, views()) == 0
-    assert left(5, views(weight=50)) == 3 and left(9, views(weight=50)) == 0  # crowded, and no worse than that
+    assert (
+        left(5, views(weight=50)) == 3 and left(9, views(weight=50)) == 0
+    )  # crowded, and no worse than that
     assert left(10, views(), granted(roster, "a", "n0")) == 3
 
 
@@ -365,14 +384,22 @@
         return structs.replace(made, turns=tuple(t for t in made.turns if t.ask != self.id))
 
 
-@pytest.mark.parametrize("limits, how", [
-    (Limits(crashes=0), {"hasty": True}),
-    (Limits(crashes=0, given_up=0, withdrawn=False), {"grant": Unlimited, "own": Policy(most=9)}),
-    (Limits(crashes=0, given_up=0, withdrawn=False),
-     {"spare": OverdueForgotten, "grant": Unlimited, "own": Policy(most=9)}),
-    (Limits(crashes=0, given_up=0), {"cancel": WinsAfterGo}),
-    (Limits(crashes=1, given_up=0, withdrawn=False, asks=("b", "a"), planners=("c",)), {"any_process": True}),
-])
+@pytest.mark.parametrize(
+    "limits, how",
+    [
+        (Limits(crashes=0), {"hasty": True}),
+        (Limits(crashes=0, given_up=0, withdrawn=False), {"grant": Unlimited, "own": Policy(most=9)}),
+        (
+            Limits(crashes=0, given_up=0, withdrawn=False),
+            {"spare": OverdueForgotten, "grant": Unlimited, "own": Policy(most=9)},
+        ),
+        (Limits(crashes=0, given_up=0), {"cancel": WinsAfterGo}),
+        (
+            Limits(crashes=1, given_up=0, withdrawn=False, asks=("b", "a"), planners=("c",)),
+            {"any_process": True},
+        ),
+    ],
+)
 def test_every_interleaving_finds_the_seeded_mistakes(limits: Limits, how: dict[str, Any]) -> None:
     found = explore(Outages.begun(limits, **how), 200_000)
     assert found.broken is not None, found
--- a/tests/test_outage_real.py
+++ b/tests/test_outage_real.py
@@ -22,8 +22,10 @@
 from .stand_ins import HOST, Kernel, exchange, until
 from .test_sockets import sockets
 
-FIGURES = ("settle_s = 0.2\ndrain_s = 10.0\nleast_share = 0.3\nfill = 1.0\n"
-           "[standing]\nprobe_ms = 200\nreaction_ms = 50\n")
+FIGURES = (
+    "settle_s = 0.2\ndrain_s = 10.0\nleast_share = 0.3\nfill = 1.0\n"
+    "[standing]\nprobe_ms = 200\nreaction_ms = 50\n"
+)
 
 
 class Machines:
@@ -38,9 +40,14 @@
 
     async def api(self, i: int, what: str = "", **sent: Any) -> tuple[int, dict[str, Any]]:
         body = json.dumps(sent).encode() if what else b""
-        got = await exchange(self.fleet.runners[i].admin, (
-            f"{'POST' if what else 'GET'} /outage/{what} HTTP/1.0\r\nAuthorization: Bearer {TOKEN}\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
+        got = await exchange(
+            self.fleet.runners[i].admin,
+            (
+                f"{'POST' if what else 'GET'} /outage/{what} HTTP/1.0\r\nAuthorization: Bearer {TOKEN}\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n"
+            ).encode()
+            + body,
+        )
         head, _, rest = got.partition(b"\r\n\r\n")
         return (int(head.split()[1]), json.loads(rest)) if head else (0, {})
 
@@ -59,15 +66,18 @@
     async def until_at(self, i: int, *stages: str, at: int = 0) -> None:
         async def there() -> bool:
             return await self.stage(i, at) in stages
+
         await until(there)
 
     async def over(self, at: int = 0) -> None:
         """Nothing that was asked for is left."""
+
         async def none() -> bool:
             with suppress(OSError):
                 got = await self.show(at)
                 return bool(got.get("current")) and not got["asks"] and not got["turns"]
             return False
+
         await until(none)
 
     # ---- what happens to machines ----
@@ -102,9 +112,23 @@
 
     async def ask(self, i: int, *more: str) -> asyncio.subprocess.Process:
         return await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "moorusher", "outage", "ask", "--wait", "--lasts", "1s", "--address",
-            f"{HOST}:{self.fleet.runners[i].admin}", "--token", TOKEN, *more, stdout=asyncio.subprocess.DEVNULL,
-            stderr=asyncio.subprocess.DEVNULL, env=os.environ | {"PYTHONPATH": str(Path(__file__).parent.parent)})
+            sys.executable,
+            "-m",
+            "moorusher",
+            "outage",
+            "ask",
+            "--wait",
+            "--lasts",
+            "1s",
+            "--address",
+            f"{HOST}:{self.fleet.runners[i].admin}",
+            "--token",
+            TOKEN,
+            *more,
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.DEVNULL,
+            env=os.environ | {"PYTHONPATH": str(Path(__file__).parent.parent)},
+        )
 
     async def back(self, i: int) -> None:
         await self.fleet.runners[i].ready()
@@ -272,11 +296,15 @@
 @sockets
 async def test_two_operators_who_ask_for_everything_at_once_get_all_of_it_one_at_a_time() -> None:
     async with machines(3) as m:
-        asked = [m.api(i, "ask", id=id, all=True, reason=id, by=id, lasts_s=1) for i, id in ((0, "a"), (1, "b"))]
+        asked = [
+            m.api(i, "ask", id=id, all=True, reason=id, by=id, lasts_s=1) for i, id in ((0, "a"), (1, "b"))
+        ]
         asked += [m.api(2, "ask", id="b", all=True, reason="b", by="b", lasts_s=1) for _ in range(4)]
         assert {status for status, _ in await asyncio.gather(*asked)} == {200}
         assert (await m.api(0, "ask", id="a", all=True, reason="another"))[1]["kind"] == "OtherAsk"
-        flood = [asyncio.ensure_future(m.api(i % 3)) for i in range(200)]  # and the console is asked all the time
+        flood = [
+            asyncio.ensure_future(m.api(i % 3)) for i in range(200)
+        ]  # and the console is asked all the time
 
         async def granted(i: int, id: str) -> str:
             while True:
--- a/tests/test_owner_lost.py
+++ b/tests/test_owner_lost.py
@@ -53,8 +53,9 @@
                     ended_without_a_run += t not in there
             once(f, tokens)
             again = await ask_again(f, 3, tokens)
-            assert {t: served(t, a) for t, a in again.items()} == {t: served(t, a) for t, a in got.items()}, \
+            assert {t: served(t, a) for t, a in again.items()} == {t: served(t, a) for t, a in got.items()}, (
                 "another runner says otherwise"
+            )
             await f.gone(0)
             f.again(0)
             await f.runners[0].ready()
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -21,27 +21,71 @@
 from moorusher.outage.policy import Policy as OutagePolicy
 from moorusher.routing.grants import Grants
 
-GOOD = {"rid": "9b1f03aa5c7e2d41", "t0": 1764576000123, "peer": 4, "acct": "acme", "budget": 480, "mem": 24.5,
-        "prio": 0.625, "content": "AAE="}
+GOOD = {
+    "rid": "9b1f03aa5c7e2d41",
+    "t0": 1764576000123,
+    "peer": 4,
+    "acct": "acme",
+    "budget": 480,
+    "mem": 24.5,
+    "prio": 0.625,
+    "content": "AAE=",
+}
 
 
 def test_the_documented_request_is_read() -> None:
     a = jsonrpc_messages.read_arrival("check", GOOD | {"obj": "7f3a9c21e0b4d655"})
-    assert (a.rid, a.budget_ms, a.tenant, a.body, a.subject) == (GOOD["rid"], 480, "acme", b"\0\1", 0x7F3A9C21E0B4D655)
-
-
-@pytest.mark.parametrize("change, named", [
-    ({"rid": None}, "rid"), ({"rid": 7}, "rid"), ({"rid": ""}, "rid"), ({"rid": "a" * 65}, "rid"),
-    ({"rid": "a\r\nNever-Started: 1"}, "rid"), ({"rid": "\u0661"}, "rid"), ({"token": "t t"}, "token"),
-    ({"t0": "now"}, "t0"), ({"t0": -1}, "t0"), ({"t0": True}, "t0"), ({"t0": 1e300}, "t0"),
-    ({"budget": -1}, "budget"), ({"budget": float("nan")}, "budget"), ({"budget": float("inf")}, "budget"),
-    ({"budget": 1e9}, "budget"), ({"mem": []}, "mem"), ({"mem": 0}, "mem"), ({"mem": -1}, "mem"),
-    ({"mem": 2000}, "mem"), ({"mem": None}, "mem"), ({"prio": 1}, "prio"), ({"prio": -0.1}, "prio"),
-    ({"prio": None}, "prio"), ({"t0": None}, "t0"), ({"peer": 1.5}, "peer"), ({"peer": -1}, "peer"),
-    ({"peer": None}, "peer"), ({"prio": 1.5}, "prio"), ({"peer": "x"}, "peer"), ({"acct": 5}, "acct"),
-    ({"token": {}}, "token"), ({"obj": "xyz"}, "obj"), ({"content": 5}, "content"), ({"content": "A"}, "content"),
-    ({"content": "A?=="}, "content"), ({"content": "é"}, "content"), ({"content": "A" * 2736}, "content"),
-])
+    assert (a.rid, a.budget_ms, a.tenant, a.body, a.subject) == (
+        GOOD["rid"],
+        480,
+        "acme",
+        b"\0\1",
+        0x7F3A9C21E0B4D655,
+    )
+
+
+@pytest.mark.parametrize(
+    "change, named",
+    [
+        ({"rid": None}, "rid"),
+        ({"rid": 7}, "rid"),
+        ({"rid": ""}, "rid"),
+        ({"rid": "a" * 65}, "rid"),
+        ({"rid": "a\r\nNever-Started: 1"}, "rid"),
+        ({"rid": "\u0661"}, "rid"),
+        ({"token": "t t"}, "token"),
+        ({"t0": "now"}, "t0"),
+        ({"t0": -1}, "t0"),
+        ({"t0": True}, "t0"),
+        ({"t0": 1e300}, "t0"),
+        ({"budget": -1}, "budget"),
+        ({"budget": float("nan")}, "budget"),
+        ({"budget": float("inf")}, "budget"),
+        ({"budget": 1e9}, "budget"),
+        ({"mem": []}, "mem"),
+        ({"mem": 0}, "mem"),
+        ({"mem": -1}, "mem"),
+        ({"mem": 2000}, "mem"),
+        ({"mem": None}, "mem"),
+        ({"prio": 1}, "prio"),
+        ({"prio": -0.1}, "prio"),
+        ({"prio": None}, "prio"),
+        ({"t0": None}, "t0"),
+        ({"peer": 1.5}, "peer"),
+        ({"peer": -1}, "peer"),
+        ({"peer": None}, "peer"),
+        ({"prio": 1.5}, "prio"),
+        ({"peer": "x"}, "peer"),
+        ({"acct": 5}, "acct"),
+        ({"token": {}}, "token"),
+        ({"obj": "xyz"}, "obj"),
+        ({"content": 5}, "content"),
+        ({"content": "A"}, "content"),
+        ({"content": "A?=="}, "content"),
+        ({"content": "é"}, "content"),
+        ({"content": "A" * 2736}, "content"),
+    ],
+)
 def test_bad_params_are_named(change: dict[str, Any], named: str) -> None:
     with pytest.raises(jsonrpc_messages.BadParams, match=named):
         jsonrpc_messages.read_arrival("check", GOOD | change)
@@ -50,8 +94,17 @@
 VARS = {uwsgi_packets.VARS["class"]: "check"}
 
 
-@pytest.mark.parametrize("block", [b"\1", b"\5\0ab", b"\1\0a", b"\1\0a\5\0b", b"\0\0\1\0b",
-                                   b"".join(b"\4\0%04d\0\0" % i for i in range(200))])
+@pytest.mark.parametrize(
+    "block",
+    [
+        b"\1",
+        b"\5\0ab",
+        b"\1\0a",
+        b"\1\0a\5\0b",
+        b"\0\0\1\0b",
+        b"".join(b"\4\0%04d\0\0" % i for i in range(200)),
+    ],
+)
 def test_bad_variables(block: bytes) -> None:
     with pytest.raises(uwsgi_packets.BadPacket) as caught:
         uwsgi_packets.parse_vars(block)
@@ -64,8 +117,20 @@
     assert uwsgi_packets.parse_vars(raw[4:]) == VARS | {"EMPTY": "", "HIGH": "\xff"}
 
 
-@pytest.mark.parametrize("text, status", [("-1", 400), ("+1", 400), ("1e3", 400), (" 1", 400), ("1_0", 400),
-                                          ("\u0661", 400), ("2049", 413), ("9" * 5000, 413), ("0x10", 400)])
+@pytest.mark.parametrize(
+    "text, status",
+    [
+        ("-1", 400),
+        ("+1", 400),
+        ("1e3", 400),
+        (" 1", 400),
+        ("1_0", 400),
+        ("\u0661", 400),
+        ("2049", 413),
+        ("9" * 5000, 413),
+        ("0x10", 400),
+    ],
+)
 def test_bad_content_lengths(text: str, status: int) -> None:
     with pytest.raises(uwsgi_packets.BadPacket) as caught:
         uwsgi_packets.content_length({"CONTENT_LENGTH": text}, 2048)
@@ -77,10 +142,23 @@
     assert uwsgi_packets.content_length({"CONTENT_LENGTH": text}, 2048) == length
 
 
-@pytest.mark.parametrize("name, text", [("budget", "-1"), ("budget", "nan"), ("budget", "inf"), ("t0", "soon"),
-                                        ("prio", "1"), ("mem", "0"), ("mem", "2000"), ("obj", "xyz"),
-                                        ("token", "t" * 129),
-                                        ("rid", "a\r\nX: 1"), ("token", "a\n"), ("class", "")])
+@pytest.mark.parametrize(
+    "name, text",
+    [
+        ("budget", "-1"),
+        ("budget", "nan"),
+        ("budget", "inf"),
+        ("t0", "soon"),
+        ("prio", "1"),
+        ("mem", "0"),
+        ("mem", "2000"),
+        ("obj", "xyz"),
+        ("token", "t" * 129),
+        ("rid", "a\r\nX: 1"),
+        ("token", "a\n"),
+        ("class", ""),
+    ],
+)
 def test_bad_uwsgi_values(name: str, text: str) -> None:
     with pytest.raises(uwsgi_packets.BadPacket, match=uwsgi_packets.VARS[name]):
         uwsgi_packets.read_arrival(VARS | {uwsgi_packets.VARS[name]: text}, b"")
@@ -102,53 +180,76 @@
         self.got.append(why)
 
 
-@pytest.mark.parametrize("raw, got", [
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", [(200, b"ab", True)]),
-    (b"HTTP/1.1 204 No\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", [(204, b"", True), "stray"]),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab" * 2, [(200, b"ab", True), "stray"]),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabcd", [(200, b"ab", True), "stray"]),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc", ["two lengths"]),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nab", [(200, b"ab", True)]),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n" + b"x" * 99, ["bad length"]),
-    (b"HTTP/1.1 103 Early\r\n\r\n" * 9, ["interim replies without an end"]),
-    (b"HTTP/1.1 200 OK\r\n" + b"X-A: 0123456789\r\n" * 2000, ["a head without an end"]),
-    (b"HTTP/1.1 200 OK\r\nX: " + b"y" * 17_000, ["a line too long"]),
-    (b"HTTP/1.1 999 OK\r\n", ["no status line"]), (b"HTTP/1.1 200 OK\r\nBad Name : 5\r\n", ["bad header"]),
-    (b"HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 500 X\r\ncontent-length:1\r\n\r\nx", [(500, b"x", True)]),
-    (b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx", [(200, b"x", False)]),
-    (b"HTTP/1.0 200 OK\r\nContent-Length: 1\r\n\r\nx", [(200, b"x", False)]),
-    (b"HTTP/1.1 200 OK\r\n\r\n", ["bad length"]),
-    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", ["no stated length"]),
-    (b"hello\r\n", ["no status line"]),
-    (b"HTTP/1.1 200 OK\r\nnonsense\r\n", ["bad header"]),
-])
+@pytest.mark.parametrize(
+    "raw, got",
+    [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", [(200, b"ab", True)]),
+        (b"HTTP/1.1 204 No\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", [(204, b"", True), "stray"]),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab" * 2, [(200, b"ab", True), "stray"]),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabcd", [(200, b"ab", True), "stray"]),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc", ["two lengths"]),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nab", [(200, b"ab", True)]),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n" + b"x" * 99, ["bad length"]),
+        (b"HTTP/1.1 103 Early\r\n\r\n" * 9, ["interim replies without an end"]),
+        (b"HTTP/1.1 200 OK\r\n" + b"X-A: 0123456789\r\n" * 2000, ["a head without an end"]),
+        (b"HTTP/1.1 200 OK\r\nX: " + b"y" * 17_000, ["a line too long"]),
+        (b"HTTP/1.1 999 OK\r\n", ["no status line"]),
+        (b"HTTP/1.1 200 OK\r\nBad Name : 5\r\n", ["bad header"]),
+        (b"HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 500 X\r\ncontent-length:1\r\n\r\nx", [(500, b"x", True)]),
+        (b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx", [(200, b"x", False)]),
+        (b"HTTP/1.0 200 OK\r\nContent-Length: 1\r\n\r\nx", [(200, b"x", False)]),
+        (b"HTTP/1.1 200 OK\r\n\r\n", ["bad length"]),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", ["no stated length"]),
+        (b"hello\r\n", ["no status line"]),
+        (b"HTTP/1.1 200 OK\r\nnonsense\r\n", ["bad header"]),
+    ],
+)
 def test_replies_over_http(raw: bytes, got: list[object]) -> None:
     for step in (1, 7, len(raw)):  # in pieces of each size
         client = Replies()
         client.transport = type("T", (), {"disconnecting": False})()
         for at in range(0, len(raw), step):
-            client.dataReceived(raw[at:at + step])
+            client.dataReceived(raw[at : at + step])
         assert client.got == got
 
 
-@pytest.mark.parametrize("status, never, ending", [
-    (200, False, Ending.CALL_ANSWERED), (503, True, Ending.CALL_TURNED_AWAY), (503, False, Ending.CALL_FAILED),
-    (409, True, Ending.CALL_STRAY), (409, False, Ending.CALL_FAILED), (500, False, Ending.CALL_FAILED),
-    (504, False, Ending.CALL_OUT_OF_TIME), (404, False, Ending.CALL_FAILED),
-])
+@pytest.mark.parametrize(
+    "status, never, ending",
+    [
+        (200, False, Ending.CALL_ANSWERED),
+        (503, True, Ending.CALL_TURNED_AWAY),
+        (503, False, Ending.CALL_FAILED),
+        (409, True, Ending.CALL_STRAY),
+        (409, False, Ending.CALL_FAILED),
+        (500, False, Ending.CALL_FAILED),
+        (504, False, Ending.CALL_OUT_OF_TIME),
+        (404, False, Ending.CALL_FAILED),
+    ],
+)
 def test_endings_of_calls(status: int, never: bool, ending: Ending) -> None:
     assert database.ending_of(status, {b"never-started": b"1"} if never else {}) is ending
 
 
 def test_only_endings_that_prove_it_say_that_nothing_ran() -> None:
     proofs = {e for e, o in OUTCOMES.items() if o.never_ran}
-    assert proofs == {Ending.RUN_NEVER_BEGAN, Ending.CALL_TURNED_AWAY, Ending.CALL_STRAY, Ending.CALL_NOT_CONNECTED}
+    assert proofs == {
+        Ending.RUN_NEVER_BEGAN,
+        Ending.CALL_TURNED_AWAY,
+        Ending.CALL_STRAY,
+        Ending.CALL_NOT_CONNECTED,
+    }
 
 
 CONFIG: dict[str, Any] = {
-    "name": "n3", "listen": "127.0.0.1:8443", "kernel": "127.0.0.1:7300",
-    "settings": {"classes": [{"name": "c", "aimMs": 5, "deadlineMs": 9}], "extra": {"cpus": 2, "memoryKb": 1000},
-                 "news": 1}}
+    "name": "n3",
+    "listen": "127.0.0.1:8443",
+    "kernel": "127.0.0.1:7300",
+    "settings": {
+        "classes": [{"name": "c", "aimMs": 5, "deadlineMs": 9}],
+        "extra": {"cpus": 2, "memoryKb": 1000},
+        "news": 1,
+    },
+}
 
 
 def load(tmp_path: Path, data: object, fronts: str = "") -> config.Config:
@@ -157,32 +258,59 @@
     return config.load({"GW_CONFIG": str(tmp_path / "c.json")}, tmp_path / "fronts.toml")
 
 
-@pytest.mark.parametrize("change, named", [
-    ({"listen": "8443"}, "listen"), ({"listen": None}, "listen"), ({"kernel": "h:99999"}, "kernel"),
-    ({"kernel": 5}, "kernel"), ({"db": "x"}, "db"), ({"name": "a/b"}, "name"), ({"seed": "xyz"}, "seed"),
-    ({"stop_ms": 0}, "stop_ms"), ({"stop_ms": "soon"}, "stop_ms"), ({"limits": []}, "limits"),
-    ({"limits": {"sockets": -1}}, "limits.sockets"), ({"limits": {"memory_mb": True}}, "limits.memory_mb"),
-    ({"stop_ms": 10**400}, "stop_ms"), ({"stop_ms": float("inf")}, "stop_ms"), ({"stop_ms": float("nan")}, "stop_ms"),
-    ({"settings": {}}, "settings"), ({"settings": {"extra": {"cpus": 0}}}, "cpus|memoryKb"),
-])
+@pytest.mark.parametrize(
+    "change, named",
+    [
+        ({"listen": "8443"}, "listen"),
+        ({"listen": None}, "listen"),
+        ({"kernel": "h:99999"}, "kernel"),
+        ({"kernel": 5}, "kernel"),
+        ({"db": "x"}, "db"),
+        ({"name": "a/b"}, "name"),
+        ({"seed": "xyz"}, "seed"),
+        ({"stop_ms": 0}, "stop_ms"),
+        ({"stop_ms": "soon"}, "stop_ms"),
+        ({"limits": []}, "limits"),
+        ({"limits": {"sockets": -1}}, "limits.sockets"),
+        ({"limits": {"memory_mb": True}}, "limits.memory_mb"),
+        ({"stop_ms": 10**400}, "stop_ms"),
+        ({"stop_ms": float("inf")}, "stop_ms"),
+        ({"stop_ms": float("nan")}, "stop_ms"),
+        ({"settings": {}}, "settings"),
+        ({"settings": {"extra": {"cpus": 0}}}, "cpus|memoryKb"),
+    ],
+)
 def test_config_errors_name_the_key(tmp_path: Path, change: dict[str, Any], named: str) -> None:
     with pytest.raises(section.ConfigError, match=named):
         load(tmp_path, CONFIG | change)
 
 
-@pytest.mark.parametrize("text, named", [
-    ("[uwsgi]\nlisten = 'x'", "uwsgi.listen"), ("[uwsgi]\nlistn = 'x'", "uwsgi.listn"), ("[wsgi]", "wsgi"),
-    ("[admin]\nlisten = '10.0.0.1:1'", "admin.listen"), ("[admin]\ntoken_file = 'none'", "admin.token_file"),
-    ("[standing]\nprobe_ms = 1", "standing.probe_ms"), ("[standing]\nprobe = 1", "standing.probe"),
-    ("[standing]\ncalm_at = 0.9", "standing.calm_at"), ("[health]\nfull_status = 99", "health.full_status"),
-    ("[standing]\ngauge_fresh_ms = 6000", "standing.gauge_fresh_ms"), ("[agent]\nmaxconn = 3", "agent.maxconn"),
-    ("[tier]\nqueue = -1", "tier.queue"), ("[tier]\nleast_limit = 300", "tier.least_limit"),
-    ("[tier]\nknowledge_file = 'no/such/folder/x'", "tier.knowledge_file"),
-    ("[[tier.server]]\nname = 'a'", r"tier.server\[0\].address"), ("[[tier.server]]\nname = 'a b'", r"\[0\].name"),
-    ("[tier]\nserver = [{name = 'a', address = 'h:1'}, {name = 'a', address = 'h:2'}]", "name a is used"),
-    ("[[tier.server]]\nname = 'a'\naddress = 'h:1'\nprotocol = 'ftp'", r"tier.server\[0\].protocol"),
-    ("[uwsgi]\nbody_bytes = 0", "uwsgi.body_bytes"), ("x", "fronts.toml"), ("agent = 5", "agent"),
-])
+@pytest.mark.parametrize(
+    "text, named",
+    [
+        ("[uwsgi]\nlisten = 'x'", "uwsgi.listen"),
+        ("[uwsgi]\nlistn = 'x'", "uwsgi.listn"),
+        ("[wsgi]", "wsgi"),
+        ("[admin]\nlisten = '10.0.0.1:1'", "admin.listen"),
+        ("[admin]\ntoken_file = 'none'", "admin.token_file"),
+        ("[standing]\nprobe_ms = 1", "standing.probe_ms"),
+        ("[standing]\nprobe = 1", "standing.probe"),
+        ("[standing]\ncalm_at = 0.9", "standing.calm_at"),
+        ("[health]\nfull_status = 99", "health.full_status"),
+        ("[standing]\ngauge_fresh_ms = 6000", "standing.gauge_fresh_ms"),
+        ("[agent]\nmaxconn = 3", "agent.maxconn"),
+        ("[tier]\nqueue = -1", "tier.queue"),
+        ("[tier]\nleast_limit = 300", "tier.least_limit"),
+        ("[tier]\nknowledge_file = 'no/such/folder/x'", "tier.knowledge_file"),
+        ("[[tier.server]]\nname = 'a'", r"tier.server\[0\].address"),
+        ("[[tier.server]]\nname = 'a b'", r"\[0\].name"),
+        ("[tier]\nserver = [{name = 'a', address = 'h:1'}, {name = 'a', address = 'h:2'}]", "name a is used"),
+        ("[[tier.server]]\nname = 'a'\naddress = 'h:1'\nprotocol = 'ftp'", r"tier.server\[0\].protocol"),
+        ("[uwsgi]\nbody_bytes = 0", "uwsgi.body_bytes"),
+        ("x", "fronts.toml"),
+        ("agent = 5", "agent"),
+    ],
+)
 def test_errors_of_the_fronts_file_name_the_key(tmp_path: Path, text: str, named: str) -> None:
     with pytest.raises(section.ConfigError, match=named):
         load(tmp_path, CONFIG, text)
@@ -190,7 +318,12 @@
 
 def test_a_config_is_read_with_its_defaults(tmp_path: Path) -> None:
     c = load(tmp_path, CONFIG)
-    assert (c.listen, c.stop_ms, c.limits.sockets, c.uwsgi.listen) == (("127.0.0.1", 8443), 3000.0, 1024, None)
+    assert (c.listen, c.stop_ms, c.limits.sockets, c.uwsgi.listen) == (
+        ("127.0.0.1", 8443),
+        3000.0,
+        1024,
+        None,
+    )
     with pytest.raises(section.ConfigError, match="GW_CONFIG"):
         load(tmp_path, "{")
     with pytest.raises(section.ConfigError, match="GW_CONFIG"):
@@ -199,8 +332,16 @@
 
 def test_the_shipped_fronts_file_has_everything_off() -> None:
     got = config.read_fronts(config.FRONTS_FILE)
-    assert got == (config.UwsgiConfig(), config.ProbeConfig(), config.AdminConfig(), TierConfig(),
-                   settings.FleetConfig(), NamespacesConfig(), ForecastPolicy(), OutagePolicy())
+    assert got == (
+        config.UwsgiConfig(),
+        config.ProbeConfig(),
+        config.AdminConfig(),
+        TierConfig(),
+        settings.FleetConfig(),
+        NamespacesConfig(),
+        ForecastPolicy(),
+        OutagePolicy(),
+    )
 
 
 SERVER_KEYS = {"name", "address", "weight", "zone", "group", "protocol"}  # of the sample server and seat
@@ -208,15 +349,36 @@
 
 def test_the_shipped_fronts_file_names_every_key_with_its_default(tmp_path: Path) -> None:
     shipped = config.FRONTS_FILE.read_text()
-    off = {*SERVER_KEYS, "listen", "below", "token_file", "knowledge_file", "to", "every_ms", "servers", "pools",
-           "limit", "customer", "days"}
-    on = "\n".join(line.removeprefix("# ") if " = " in line and line[2:].split(" ")[0] not in off else line
-                   for line in shipped.splitlines())
+    off = {
+        *SERVER_KEYS,
+        "listen",
+        "below",
+        "token_file",
+        "knowledge_file",
+        "to",
+        "every_ms",
+        "servers",
+        "pools",
+        "limit",
+        "customer",
+        "days",
+    }
+    on = "\n".join(
+        line.removeprefix("# ") if " = " in line and line[2:].split(" ")[0] not in off else line
+        for line in shipped.splitlines()
+    )
     (tmp_path / "fronts.toml").write_text(on)
-    uwsgi_config, probes, _, tier, fleet, names, forecast, outage = config.read_fronts(tmp_path / "fronts.toml")
+    uwsgi_config, probes, _, tier, fleet, names, forecast, outage = config.read_fronts(
+        tmp_path / "fronts.toml"
+    )
     assert forecast == ForecastPolicy() and outage == OutagePolicy()
     assert (uwsgi_config, probes, tier, fleet, replace(names, grants=Grants())) == (
-        config.UwsgiConfig(), config.ProbeConfig(), TierConfig(), settings.FleetConfig(),
-        NamespacesConfig())
-    assert all(f"# {name} = " in shipped
-               for name in {**config.POLICY_BOUNDS, **TIER_BOUNDS, **settings.BOUNDS})
+        config.UwsgiConfig(),
+        config.ProbeConfig(),
+        TierConfig(),
+        settings.FleetConfig(),
+        NamespacesConfig(),
+    )
+    assert all(
+        f"# {name} = " in shipped for name in {**config.POLICY_BOUNDS, **TIER_BOUNDS, **settings.BOUNDS}
+    )
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -30,7 +30,9 @@
         self.world = World()
         self.reporter = Reporter(self.world.core, Policy(**policy), "n1")
         self.agent = AgentFront(self.world.core, self.reporter)
-        self.health = HealthFront(self.world.core, self.reporter, Codes(), LoadReport(self.world.core, self.reporter))
+        self.health = HealthFront(
+            self.world.core, self.reporter, Codes(), LoadReport(self.world.core, self.reporter)
+        )
 
     def connect(self, front: Any, *sent: bytes, address: Any = None) -> tuple[Any, Transport]:
         connection, transport = front.buildProtocol(address), Transport()
@@ -56,18 +58,29 @@
 
 def test_each_endpoint_has_its_own_question() -> None:
     p = Probes()
-    assert [p.get(path)[0] for path in ("/health", "/ready", "/startup", "/alive", "/other")] == [200] * 4 + [404]
+    assert [p.get(path)[0] for path in ("/health", "/ready", "/startup", "/alive", "/other")] == [200] * 4 + [
+        404
+    ]
     p.world.core.drain(4000)
     p.world.turn()
     assert [p.get(path)[0] for path in ("/health", "/ready", "/startup", "/alive")] == [503, 503, 200, 200]
     assert "x-envoy-immediate-health-check-fail: true" in p.get("/health")[1]
 
 
-@pytest.mark.parametrize("accept, is_json", [
-    ("", False), ("*/*", False), ("application/json", True), ("text/plain, application/json", True),
-    ("text/plain, application/json;q=0.5", False), ("application/json;q=0", False), ("application/*", True),
-    ("application/json;q=x", False), (",;,q=1", False),
-])
+@pytest.mark.parametrize(
+    "accept, is_json",
+    [
+        ("", False),
+        ("*/*", False),
+        ("application/json", True),
+        ("text/plain, application/json", True),
+        ("text/plain, application/json;q=0.5", False),
+        ("application/json;q=0", False),
+        ("application/*", True),
+        ("application/json;q=x", False),
+        (",;,q=1", False),
+    ],
+)
 def test_the_body_is_json_where_that_is_asked_for(accept: str, is_json: bool) -> None:
     assert wants_json(accept) is is_json
 
@@ -85,12 +98,19 @@
     assert transport.disconnecting
 
 
-@pytest.mark.parametrize("sent, code", [
-    (b"x" * 5000, 431), (b"GET / HTTP/1.1\r\n" + b"a: b\r\n" * 2000, 431), (b"GET /\r\n\r\n", 400),
-    (b"GET / SPDY/3\r\n\r\n", 400), (b"GET / HTTP/1.1\r\nnocolon\r\n\r\n", 400),
-    (b"GET / HTTP/1.1\r\nContent-Length: 1048576\r\n\r\n", 413),
-    (b"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 413), (b"\x16\x03\x01\x02\n\xff\n\n", 400),
-])
+@pytest.mark.parametrize(
+    "sent, code",
+    [
+        (b"x" * 5000, 431),
+        (b"GET / HTTP/1.1\r\n" + b"a: b\r\n" * 2000, 431),
+        (b"GET /\r\n\r\n", 400),
+        (b"GET / SPDY/3\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nnocolon\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nContent-Length: 1048576\r\n\r\n", 413),
+        (b"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 413),
+        (b"\x16\x03\x01\x02\n\xff\n\n", 400),
+    ],
+)
 def test_what_is_no_probe_gets_its_error_once_and_a_close_by_halves(sent: bytes, code: int) -> None:
     p = Probes()
     connection, transport = p.connect(p.health, sent)
@@ -201,9 +221,11 @@
 @sockets
 async def test_over_sockets_a_kernel_that_is_cut_off_and_an_operator_are_heard() -> None:
     async with running(kernel := Kernel(work=0.05)) as r:
+
         async def says(start: bytes) -> None:
             async def look() -> bool:
                 return (await exchange(r.agent)).startswith(start)
+
             await until(look)
 
         f = await FrontEnd.connect(r.port)
@@ -213,7 +235,9 @@
         assert status(await exchange(r.admin, put % (9, b'{"for": 1}'))) == 400
         assert status(await exchange(r.admin, put % (len(body), body))) == 200
         assert (await exchange(r.agent)).startswith(b"maint #maintenance: disk")
-        assert not (await f.ask("heartbeat"))["result"]["fit"]  # the platform's checks follow an operator, too
+        assert not (await f.ask("heartbeat"))["result"][
+            "fit"
+        ]  # the platform's checks follow an operator, too
         assert "result" in await f.ask("check")  # what comes all the same is served
         delete = b"DELETE /maintenance HTTP/1.0\r\nAuthorization: Bearer t0p\r\n\r\n"
         assert [status(await exchange(r.admin, delete)) for _ in range(2)] == [200, 409]
@@ -232,8 +256,10 @@
 async def test_a_reload_changes_what_probes_are_told() -> None:
     async with running(Kernel()) as r:
         fronts = r.fronts
-        fronts.write_text(fronts.read_text().replace("[health]", "[health]\ndraining_status = 429\nload_report = true")
-                          + "[standing]\nprobe_ms = 700\n")
+        fronts.write_text(
+            fronts.read_text().replace("[health]", "[health]\ndraining_status = 429\nload_report = true")
+            + "[standing]\nprobe_ms = 700\n"
+        )
         r.reload()
         await has(lambda: "configuration read again" in r.text())
         inputs = json.loads(body_of(await exchange(r.admin, b"GET /standing HTTP/1.0\r\n\r\n")))
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -123,7 +123,9 @@
 
 
 @pytest.mark.parametrize("came_about", [False, True])
-def test_after_an_outcome_that_is_not_known_the_register_is_read_before_anything_else(came_about: bool) -> None:
+def test_after_an_outcome_that_is_not_known_the_register_is_read_before_anything_else(
+    came_about: bool,
+) -> None:
     there = Desktop((True, True), (False, came_about))
     publisher, got = Publisher(there, there), list[Any]()  # type: ignore[arg-type]
     publisher.start()
@@ -187,7 +189,11 @@
         self.net.sent[self.me] += 1
         if seat not in self.net.silent and self.me not in self.net.silent and seat not in self.net.down:
             to = self.net.members[seat]
-            kinds: dict[Any, Any] = {Cast: to.casting.cast, Heard: to.casting.heard, Covered: to.casting.covered}
+            kinds: dict[Any, Any] = {
+                Cast: to.casting.cast,
+                Heard: to.casting.heard,
+                Covered: to.casting.covered,
+            }
             handler = kinds[type(message)]
             self.net.at(self.net.now + self.net.random.randint(200, 2_000), lambda: handler(self.me, message))
 
@@ -203,8 +209,9 @@
     def draft(self, customer: str, at: At) -> bytes | None:
         return self.had[1] if self.had[0] == at else None
 
-    def have(self, customer: str, at: At, gone: bool, draft: bytes | None, whence: str,
-             then: Callable[[str], None]) -> None:
+    def have(
+        self, customer: str, at: At, gone: bool, draft: bytes | None, whence: str, then: Callable[[str], None]
+    ) -> None:
         def got() -> None:
             self.had = max(self.had, (at, draft or self.net.members[whence].had[1]))
             then("")
@@ -280,8 +287,9 @@
     def has(self, customer: str) -> tuple[At, bool]:
         return self.there.get(customer, ((0, 0), False))
 
-    def have(self, customer: str, at: At, gone: bool, draft: bytes | None, whence: str,
-             then: Callable[[str], None]) -> None:
+    def have(
+        self, customer: str, at: At, gone: bool, draft: bytes | None, whence: str, then: Callable[[str], None]
+    ) -> None:
         self.there[customer] = at, gone
         self.comparing.noted(customer)
         then("")
@@ -429,17 +437,25 @@
     assert found.states > 5_000
 
 
-@pytest.mark.parametrize(("kind", "how"), [(Twice, "1 means"), (Forgetful, "was told, and is not|became two|means"),
-                                           (Early, "told|means")])
+@pytest.mark.parametrize(
+    ("kind", "how"),
+    [(Twice, "1 means"), (Forgetful, "was told, and is not|became two|means"), (Early, "told|means")],
+)
 def test_a_seeded_mistake_is_found_with_the_way_to_it(kind: type[Publisher], how: str) -> None:
     found = explore(Publishes(kind))
     assert found.broken is not None and re.search(how, found.broken), str(found)
     assert replay(Publishes(kind), found.way) == found.broken
 
 
-@pytest.mark.parametrize(("desk", "how"), [
-    (GoesBack, "went back"), (SaysItEarly, "means|told|no register|published as|was said"),
-    (ForgetsIds, "published as . and as|one submission became two"), (SaysAll, "was said to have")])
+@pytest.mark.parametrize(
+    ("desk", "how"),
+    [
+        (GoesBack, "went back"),
+        (SaysItEarly, "means|told|no register|published as|was said"),
+        (ForgetsIds, "published as . and as|one submission became two"),
+        (SaysAll, "was said to have"),
+    ],
+)
 def test_a_seeded_mistake_is_found(desk: type[Desk], how: str) -> None:
     found = check.search(range(40), desk=desk)
     assert found is not None and re.search(how, found[1]), found
--- a/tests/test_replacing.py
+++ b/tests/test_replacing.py
@@ -86,8 +86,14 @@
         second = await FrontEnd.connect(both.runner.port)
         repeat = second.send("submit", token=token, body=b"once")
         both.runner.processes[0].send_signal(signal.SIGTERM)
-        assert content(await asyncio.wait_for(asked, 10)) == content(await asyncio.wait_for(repeat, 10)) == b"did once"
-        assert content(await second.ask("submit", token=token, body=b"once")) == b"did once"  # also once it is gone
+        assert (
+            content(await asyncio.wait_for(asked, 10))
+            == content(await asyncio.wait_for(repeat, 10))
+            == b"did once"
+        )
+        assert (
+            content(await second.ask("submit", token=token, body=b"once")) == b"did once"
+        )  # also once it is gone
         assert both.ran() == [b"once"]
 
 
@@ -137,7 +143,9 @@
         began = time.monotonic()
         await both.replace()
         assert time.monotonic() - began < 6
-        for _ in range(40):  # the hung one has a queue of its own at the address: the kernel shares out between both
+        for _ in range(
+            40
+        ):  # the hung one has a queue of its own at the address: the kernel shares out between both
             f = await FrontEnd.connect(r.port)
             try:
                 refused = await asyncio.wait_for(f.send("submit", token=key()), 0.5)
@@ -194,7 +202,9 @@
 
 
 @sockets
-async def test_a_second_replacement_waits_for_the_first_and_sigterm_without_one_is_the_notice_to_leave() -> None:
+async def test_a_second_replacement_waits_for_the_first_and_sigterm_without_one_is_the_notice_to_leave() -> (
+    None
+):
     async with pair() as both:
         r = both.runner
         await both.replace()
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -43,15 +43,20 @@
 # ---- the plan ----
 
 
-@pytest.mark.parametrize("new, places, added, dropped, redefined", [
-    ((SAFE, KEYED), (0, 1), (), (), ()),
-    ((KEYED, SAFE), (1, 0), (), (), ()),
-    ((SAFE, KEYED, FAST), (0, 1, NEW), ("fast",), (), ()),
-    ((FAST, KEYED), (NEW, 1), ("fast",), ("read",), ()),
-    ((replace(SAFE, aim_ms=9), KEYED), (0, 1), (), (), ("read",)),
-    ((replace(KEYED, effect=api.Effect.SAFE), FAST), (1, NEW), ("fast",), ("read",), ("write",)),
-])
-def test_a_plan_says_where_each_class_was(new: Any, places: Any, added: Any, dropped: Any, redefined: Any) -> None:
+@pytest.mark.parametrize(
+    "new, places, added, dropped, redefined",
+    [
+        ((SAFE, KEYED), (0, 1), (), (), ()),
+        ((KEYED, SAFE), (1, 0), (), (), ()),
+        ((SAFE, KEYED, FAST), (0, 1, NEW), ("fast",), (), ()),
+        ((FAST, KEYED), (NEW, 1), ("fast",), ("read",), ()),
+        ((replace(SAFE, aim_ms=9), KEYED), (0, 1), (), (), ("read",)),
+        ((replace(KEYED, effect=api.Effect.SAFE), FAST), (1, NEW), ("fast",), ("read",), ("write",)),
+    ],
+)
+def test_a_plan_says_where_each_class_was(
+    new: Any, places: Any, added: Any, dropped: Any, redefined: Any
+) -> None:
     p = plan(settings(), classes(*new))
     assert (p.classes, p.added, p.dropped, p.redefined) == (places, added, dropped, redefined)
     assert p.settings.classes == new and not p.later
@@ -90,7 +95,9 @@
     assert started(b.step(0, [request(1), request(2)])) == [1]
     retune(b, 10, classes(replace(SAFE, aim_ms=50, deadline_ms=60), KEYED))
     for at in range(20, 400, 25):
-        assert not only(b.step(at, [api.Timer(0, (1.0,))]), api.Reject)  # by the new deadline it were long over
+        assert not only(
+            b.step(at, [api.Timer(0, (1.0,))]), api.Reject
+        )  # by the new deadline it were long over
     assert started(b.step(400, done(1))) == [2]
 
 
@@ -197,8 +204,15 @@
 # ---- the file ----
 
 CONFIG: dict[str, Any] = {
-    "name": "n1", "listen": "127.0.0.1:8443", "kernel": "127.0.0.1:7300", "console": "127.0.0.1:8444", "seed": "ab",
-    "stop_ms": 4000, "limits": {"cores": 1.0, "memory_mb": 80, "sockets": 512}, "settings": SETTINGS}
+    "name": "n1",
+    "listen": "127.0.0.1:8443",
+    "kernel": "127.0.0.1:7300",
+    "console": "127.0.0.1:8444",
+    "seed": "ab",
+    "stop_ms": 4000,
+    "limits": {"cores": 1.0, "memory_mb": 80, "sockets": 512},
+    "settings": SETTINGS,
+}
 
 
 def fleet(*seats: Seat) -> settings_of_fleet.FleetConfig:
@@ -212,8 +226,16 @@
         self.service = Service(self.load(), MemoryReactorClock())  # type: ignore[no-untyped-call]
 
     def load(self, running: Any = None) -> config.Config:
-        off = config.UwsgiConfig(), config.ProbeConfig(), config.AdminConfig(), TierConfig(), \
-            self.fleet, NamespacesConfig(), ForecastPolicy(), OutagePolicy()
+        off = (
+            config.UwsgiConfig(),
+            config.ProbeConfig(),
+            config.AdminConfig(),
+            TierConfig(),
+            self.fleet,
+            NamespacesConfig(),
+            ForecastPolicy(),
+            OutagePolicy(),
+        )
         return config.read(self.file, {}, off, running)
 
     def reload(self, text: str | bytes) -> bool:
@@ -246,8 +268,9 @@
     assert not r.reload(b"\xff\xfe" + whole.encode()) and not r.reload("[]") and not r.reload("null")
 
 
-@pytest.mark.parametrize("deadline", ["8000", None, True, [], {}, 0, -1, -0.0, float("nan"), float("inf"),
-                                      -float("inf"), 10**400])
+@pytest.mark.parametrize(
+    "deadline", ["8000", None, True, [], {}, 0, -1, -0.0, float("nan"), float("inf"), -float("inf"), 10**400]
+)
 def test_a_deadline_that_is_no_number_above_0_changes_nothing(deadline: Any) -> None:
     r = Running()
     for i in (0, 1):
@@ -257,7 +280,9 @@
 
 
 def paths(value: Any, here: tuple[Any, ...] = ()) -> Iterator[tuple[Any, ...]]:
-    for key, inner in value.items() if isinstance(value, dict) else enumerate(value) if isinstance(value, list) else ():
+    for key, inner in (
+        value.items() if isinstance(value, dict) else enumerate(value) if isinstance(value, list) else ()
+    ):
         if isinstance(key, str) and key not in config.MAY_BE_ABSENT and key != "windowMs":
             yield (*here, key)
         yield from paths(inner, (*here, key))
@@ -297,7 +322,8 @@
 
 
 def test_seats_of_a_fleet_may_be_reached_elsewhere_and_are_otherwise_for_the_next_start(
-        caplog: pytest.LogCaptureFixture) -> None:
+    caplog: pytest.LogCaptureFixture,
+) -> None:
     here, there = Seat("n1", ("127.0.0.1", 1)), Seat("n2", ("127.0.0.1", 2))
     running = Running(fleet(here, there))
     link = running.service.fleet
@@ -308,4 +334,7 @@
     running.fleet = fleet(here, Seat("n2", ("127.0.0.1", 4)), Seat("n3", ("127.0.0.1", 5)))
     with caplog.at_level("INFO"):
         running.reload(json.dumps(CONFIG))
-    assert "fleet: changed, for the next start" in caplog.text and link._dials["n2"].address == ("127.0.0.1", 3)
+    assert "fleet: changed, for the next start" in caplog.text and link._dials["n2"].address == (
+        "127.0.0.1",
+        3,
+    )
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -17,8 +17,11 @@
 from moorusher.tier.router import Cancel, End, Over, Send
 
 S = 1_000_000
-GRANTS = Grants({"acme": frozenset({"a1", "a2"}), "bolt": frozenset({"b1"})},
-                {"acme": {"shared": 0.5}, "bolt": {"shared": 0.25}}, {"shared": Pool("shared", ("p1",), 4)})
+GRANTS = Grants(
+    {"acme": frozenset({"a1", "a2"}), "bolt": frozenset({"b1"})},
+    {"acme": {"shared": 0.5}, "bolt": {"shared": 0.25}},
+    {"shared": Pool("shared", ("p1",), 4)},
+)
 POLICY = Policy(hedge=False, backoff_ms=0.0, most_backoff_ms=0.0, retry_floor_per_s=100.0, queue=0)
 
 
@@ -60,11 +63,20 @@
     assert sent(call(w, 4, way(hop("main", pool="shared"), customer="bolt"))) == ["p1"]
 
 
-@pytest.mark.parametrize(("end", "safe", "goes_on"), [
-    (End.UNREACHED, False, True), (End.TURNED_AWAY, False, True), (End.FAILED, True, True), (End.FAILED, False, False),
-    (End.ANSWERED, True, False), (End.STRAY, True, False)])
-def test_a_call_goes_on_to_the_next_hop_only_where_nothing_ran_or_it_may_run_twice(end: End, safe: bool,
-                                                                                  goes_on: bool) -> None:
+@pytest.mark.parametrize(
+    ("end", "safe", "goes_on"),
+    [
+        (End.UNREACHED, False, True),
+        (End.TURNED_AWAY, False, True),
+        (End.FAILED, True, True),
+        (End.FAILED, False, False),
+        (End.ANSWERED, True, False),
+        (End.STRAY, True, False),
+    ],
+)
+def test_a_call_goes_on_to_the_next_hop_only_where_nothing_ran_or_it_may_run_twice(
+    end: End, safe: bool, goes_on: bool
+) -> None:
     w = ways()
     first = attempt(call(w, 1, way(hop("main", "a1"), hop("spare", pool="shared")), safe))
     then = w.ended(1_000, first, end)
@@ -104,8 +116,17 @@
 
 
 def test_what_one_customers_calls_have_met_decides_nothing_for_anothers_nor_for_one_made_anew() -> None:
-    w = ways(policy=Policy(hedge=False, consecutive=2, most_ejected=1.0, panic=0.0, retry_share=0.0,
-                           retry_floor_per_s=0.0, queue=0))
+    w = ways(
+        policy=Policy(
+            hedge=False,
+            consecutive=2,
+            most_ejected=1.0,
+            panic=0.0,
+            retry_share=0.0,
+            retry_floor_per_s=0.0,
+            queue=0,
+        )
+    )
     mine, theirs = way(hop("main", pool="shared")), way(hop("main", pool="shared"), customer="bolt")
     for n in range(1, 6):
         effects = call(w, n, mine, now=n)
@@ -147,9 +168,14 @@
 
 def test_a_ruling_is_a_value_of_its_revision() -> None:
     customers = Customers()
-    draft = {"default": "main", "routes": {"main": {"servers": {"a1": 1}, "tries": 3, "fall_back": "spare"},
-                                           "spare": {"pool": "shared", "limit": 7}},
-             "rules": {"no": {"match": {"class": ["admin"]}, "refuse": "not here"}}}
+    draft = {
+        "default": "main",
+        "routes": {
+            "main": {"servers": {"a1": 1}, "tries": 3, "fall_back": "spare"},
+            "spare": {"pool": "shared", "limit": 7},
+        },
+        "rules": {"no": {"match": {"class": ["admin"]}, "refuse": "not here"}},
+    }
     found = customers.take("acme", (4, 2), json.dumps(draft).encode(), None)
     ruled = rule(found, Asked("check"))
     customers.delete("acme", (4, 3))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -27,11 +27,20 @@
     {},
     {"halting": api.Halting.DISCARD, "signal": api.SignalKind.WEIGHT, "tenants": ()},
     {"halting": api.Halting.FREEZE, "signal": api.SignalKind.FLOOR, "tells_gone": True},
-    {"below": api.Below.SHARED, "fair_calls": 1.5, "classes": (CALLING, replace(KEYED, may_call=True)),
-     "signal": api.SignalKind.ALLOWANCE},
+    {
+        "below": api.Below.SHARED,
+        "fair_calls": 1.5,
+        "classes": (CALLING, replace(KEYED, may_call=True)),
+        "signal": api.SignalKind.ALLOWANCE,
+    },
     {"below": api.Below.SHARED, "fair_calls": 0.4, "classes": (CALLING, UNSAFE), "share_answers_ms": 200.0},
-    {"below": api.Below.TIER, "classes": (CALLING, KEYED), "cold": True, "cold_speed": 0.2,
-     "warm_after_ms": 9000.0},
+    {
+        "below": api.Below.TIER,
+        "classes": (CALLING, KEYED),
+        "cold": True,
+        "cold_speed": 0.2,
+        "warm_after_ms": 9000.0,
+    },
     {"memory_kb": 400.0, "key_entry_kb": 30.0},
 ]
 
@@ -56,7 +65,9 @@
     later: list[api.Event] = []
     slow = 1.0
     while now < 17_000.0:
-        now += rng.choice([2.0, 5.0, 5.0, 10.0, 30.0]) if rng.random() > 0.01 or now > stop_at - 400.0 else 300.0
+        now += (
+            rng.choice([2.0, 5.0, 5.0, 10.0, 30.0]) if rng.random() > 0.01 or now > stop_at - 400.0 else 300.0
+        )
         if now > stop_at:
             break
         events, later = later, []
@@ -90,8 +101,15 @@
             waited = rng.choice([0.0, 5.0, 400.0])
             klass_i, subject = rng.randrange(len(s.classes)), rng.randrange(40)
             cls = s.classes[klass_i]
-            req = request(nxt, rng.randrange(2), klass_i, waited_ms=waited, caller=rng.randrange(3),
-                          cost_hint_ms=rng.choice([None, 30.0]), ttl_ms=rng.choice([None, 900.0]))
+            req = request(
+                nxt,
+                rng.randrange(2),
+                klass_i,
+                waited_ms=waited,
+                caller=rng.randrange(3),
+                cost_hint_ms=rng.choice([None, 30.0]),
+                ttl_ms=rng.choice([None, 900.0]),
+            )
             prior = first.get(subject)
             if cls.effect is api.Effect.KEYED:
                 if prior is not None and (prior in owed or entries.get(prior, 0.0) > now):
@@ -181,8 +199,14 @@
     """The order of a set or a table of names must not reach the actions: each server is a process of its own."""
     code = "from tests.test_rules import VARIANTS, drive; print([drive(3, v) for v in VARIANTS])"
     said = {
-        subprocess.run([sys.executable, "-c", code], env={**os.environ, "PYTHONHASHSEED": seed}, cwd=ROOT,
-                       check=True, capture_output=True, text=True).stdout
+        subprocess.run(
+            [sys.executable, "-c", code],
+            env={**os.environ, "PYTHONHASHSEED": seed},
+            cwd=ROOT,
+            check=True,
+            capture_output=True,
+            text=True,
+        ).stdout
         for seed in ("1", "2")
     }
     assert len(said) == 1
@@ -209,8 +233,12 @@
 
 def test_events_about_unknown_requests_are_ignored_and_the_clock_does_not_step_back() -> None:
     b = opened()
-    unknown: list[api.Event] = [api.RunEnded(9, api.Outcome.OK), api.CallNeeded(9),
-                                api.CallEnded(9, api.Outcome.OK), api.CallerGone(9)]
+    unknown: list[api.Event] = [
+        api.RunEnded(9, api.Outcome.OK),
+        api.CallNeeded(9),
+        api.CallEnded(9, api.Outcome.OK),
+        api.CallerGone(9),
+    ]
     assert b.step(5.0, unknown) == []
     with pytest.raises(ValueError, match="clock"):
         b.step(4.0, [])
@@ -236,8 +264,13 @@
     assert 0 <= held[True] < held[False]
 
 
-SHARED_BELOW = {"below": api.Below.SHARED, "classes": (CALLING,), "fair_calls": 0.3, "call_window_ms": 5000.0,
-                "abandoned_call_stays_ms": 200.0}
+SHARED_BELOW = {
+    "below": api.Below.SHARED,
+    "classes": (CALLING,),
+    "fair_calls": 0.3,
+    "call_window_ms": 5000.0,
+    "abandoned_call_stays_ms": 200.0,
+}
 
 
 def test_a_call_and_its_run_that_end_together_leave_nothing_in_hand_below() -> None:
@@ -294,6 +327,7 @@
 
 def test_a_refused_first_try_may_go_elsewhere_while_marked_retries_are_few() -> None:
     """In a large fleet others have room; once a fifth of what arrives are retries it is a retry storm."""
+
     def refusals(retry: bool, marked: bool) -> set[bool]:
         b = opened(cores=1, tenants=(Tenant(1.0),), retries_marked=marked)
         b.step(0.0, [request(i, is_retry=retry) for i in range(1, 60)])
@@ -315,7 +349,9 @@
 
 def test_scarce_calls_go_to_those_that_are_worth_nothing_without() -> None:
     """A crowded dependency: reads that could do without it took the calls that writes needed."""
-    b = opened(below=api.Below.SHARED, classes=(CALLING, replace(KEYED, may_call=True)), fair_calls=1.0, cores=3)
+    b = opened(
+        below=api.Below.SHARED, classes=(CALLING, replace(KEYED, may_call=True)), fair_calls=1.0, cores=3
+    )
     b.step(0.0, [request(1), request(2), request(3, klass=1)])
     assert only(b.step(10.0, [api.CallNeeded(1)]), api.Call)
     b.step(20.0, [api.CallNeeded(2), api.CallNeeded(3)])
@@ -324,12 +360,19 @@
     assert only(b.step(400.0, [api.Timer(0, (0.5,))]), api.SkipCall) == [api.SkipCall(2)]
 
 
-@pytest.mark.parametrize("changes", [
-    {"gauges": ()}, {"tenants": ()}, {"cores": 1}, {"peers": 1, "callers": 0}, {"tenants": (Tenant(0.0, "", 0.0),) * 2},
-    {"retry_after_max_ms": 0.0, "signal_heard_ms": 0.0, "signal": api.SignalKind.ALLOWANCE},
-    {"below": api.Below.SHARED, "fair_calls": 0.0, "classes": (CALLING, replace(KEYED, may_call=True))},
-    {"callers": 5000, "idle_connection_ms": 0.0},
-])
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"gauges": ()},
+        {"tenants": ()},
+        {"cores": 1},
+        {"peers": 1, "callers": 0},
+        {"tenants": (Tenant(0.0, "", 0.0),) * 2},
+        {"retry_after_max_ms": 0.0, "signal_heard_ms": 0.0, "signal": api.SignalKind.ALLOWANCE},
+        {"below": api.Below.SHARED, "fair_calls": 0.0, "classes": (CALLING, replace(KEYED, may_call=True))},
+        {"callers": 5000, "idle_connection_ms": 0.0},
+    ],
+)
 def test_bare_settings_and_unknown_callers_leave_nothing_unanswered(changes: dict[str, Any]) -> None:
     """Absent gauges, tenants or callers never seen, thousands of them: every request gets its one answer."""
     b = opened(**changes)
@@ -415,7 +458,8 @@
             offered[klass] += 1
             batch.append(request(i, klass=klass))
         kinds = {e.id: e.klass for e in batch if isinstance(e, api.Request)} | {
-            j.id: j.req.klass for j in b.jobs.values()}
+            j.id: j.req.klass for j in b.jobs.values()
+        }
         for r in started(b.step(now, batch)):
             running[r] = (now + 200.0, kinds[r])
     assert ran[1] > 0.85 * offered[1]
@@ -460,8 +504,14 @@
 
 def test_what_is_given_up_on_is_answered_at_once_wherever_it_stands() -> None:
     """Behind the head of a queue, or at a call, a worthless request waited for its due time to be answered."""
-    b = opened(cores=1, tenants=(Tenant(1.0),), below=api.Below.SHARED, fair_calls=0.0, classes=(CALLED,),
-               halting=api.Halting.DISCARD)
+    b = opened(
+        cores=1,
+        tenants=(Tenant(1.0),),
+        below=api.Below.SHARED,
+        fair_calls=0.0,
+        classes=(CALLED,),
+        halting=api.Halting.DISCARD,
+    )
     b.step(0.0, [request(1), request(2)])
     acts = b.step(5.0, [api.CallNeeded(1)])  # no call is free: it stands
     assert started(acts) == [2]
@@ -510,7 +560,8 @@
 
 @pytest.mark.parametrize("without, left_out", [(0.5, True), (0.0, False)])
 def test_a_call_that_is_out_too_long_is_left_out_while_the_rest_can_still_be_in_time(
-        without: float, left_out: bool) -> None:
+    without: float, left_out: bool
+) -> None:
     """A reply that never comes would else be waited for until the whole request is late, and worth nothing."""
     b = opened(below=api.Below.TIER, classes=(replace(CALLING, worth_without_call=without),))
     b.step(0.0, [request(1)])
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -105,7 +105,7 @@
 
 def test_an_erratic_tenant_is_taken_for_a_costly_one() -> None:
     b = opened(cores=1)
-    for i, (tenant, cost) in enumerate([(0, 20.), (1, 20.), (0, 20.), (1, 70.), (0, 20.), (1, 20.)], 1):
+    for i, (tenant, cost) in enumerate([(0, 20.0), (1, 20.0), (0, 20.0), (1, 70.0), (0, 20.0), (1, 20.0)], 1):
         at = b.now + 500.0
         b.step(at, [request(i, tenant), Timer(0)])
         b.step(at + cost, [RunEnded(i, Outcome.OK)])
@@ -147,8 +147,12 @@
 
 def busy_since(took: float, held: dict[int, int], **changes: Any) -> tuple[Balancer, list[float]]:
     """One run that took so long, then as many requests of each caller; what callers are told then."""
-    b = opened(cores=2, callers=3, classes=(PATIENT, RequestClass(aim_ms=1000, deadline_ms=4000)),
-               **{"signal": SignalKind.ALLOWANCE} | changes)
+    b = opened(
+        cores=2,
+        callers=3,
+        classes=(PATIENT, RequestClass(aim_ms=1000, deadline_ms=4000)),
+        **{"signal": SignalKind.ALLOWANCE} | changes,
+    )
     b.step(0.0, [request(1)])
     b.step(took, done(1))
     ids = iter(range(2, 1000))
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -21,8 +21,14 @@
 def flood(*, worth: float = 0.05, again: bool = False, seconds: int = 12, each: int = 1) -> dict[str, Any]:
     """Two cores, runs of 300 ms. The greedy tenant asks `each` requests every 50 ms, the modest one a request every
     500 ms (`again`: each of them a marked retry). What was served, refused and advised from second 3 on."""
-    b = opened(cores=2, classes=(QUICK, PATIENT), tenants=(Tenant(0.5), Tenant(0.5)), over_share_worth=worth,
-               retries_marked=True, retry_after_max_ms=1000.0)
+    b = opened(
+        cores=2,
+        classes=(QUICK, PATIENT),
+        tenants=(Tenant(0.5), Tenant(0.5)),
+        over_share_worth=worth,
+        retries_marked=True,
+        retry_after_max_ms=1000.0,
+    )
     asked: dict[int, tuple[int, int]] = {}
     rng = random.Random(1)  # a fixed order would lock step with the runs, and one class always come first
     ends: dict[int, float] = {}
@@ -79,8 +85,14 @@
 def slow_below(takes: float) -> dict[str, list[float]]:
     """Keyed work that must call a shared dependency, which takes 30 ms, and `takes` from second 5 to 13. The
     timeouts given, and how many calls ended or were given up, in the slow time."""
-    b = opened(cores=6, below=api.Below.SHARED, fair_calls=2.0, call_window_ms=5000.0, abandoned_call_stays_ms=200.0,
-               classes=(replace(KEYED, may_call=True, aim_ms=3000.0, deadline_ms=6000.0),))
+    b = opened(
+        cores=6,
+        below=api.Below.SHARED,
+        fair_calls=2.0,
+        call_window_ms=5000.0,
+        abandoned_call_stays_ms=200.0,
+        classes=(replace(KEYED, may_call=True, aim_ms=3000.0, deadline_ms=6000.0),),
+    )
     ends: list[tuple[float, int, float, bool]] = []
     seen: dict[str, list[float]] = {"timeouts": [], "ended": [], "given up": []}
     later: list[api.Event] = []
@@ -101,7 +113,9 @@
                 later.append(api.CallNeeded(a.id))
             elif isinstance(a, api.Call):
                 needs = takes if now >= 5000.0 else 30.0
-                ends.append((now + min(needs, a.timeout_ms), a.id, min(needs, a.timeout_ms), needs <= a.timeout_ms))
+                ends.append(
+                    (now + min(needs, a.timeout_ms), a.id, min(needs, a.timeout_ms), needs <= a.timeout_ms)
+                )
                 seen["timeouts"] += [a.timeout_ms] if slow else []
     return seen
 
@@ -123,8 +137,17 @@
     3 on 320 ms; those in its hands beyond the slots share them, and slow each other down. The share of the calls that
     ended from second 5 on. All that is asked is far over what the dependency can do then."""
     classes = (replace(KEYED, may_call=True, aim_ms=3000.0, deadline_ms=5000.0),)
-    fleet = [opened(cores=6, below=api.Below.SHARED, fair_calls=5.0, call_window_ms=5000.0, classes=classes,
-                    abandoned_call_stays_ms=200.0) for _ in range(servers)]
+    fleet = [
+        opened(
+            cores=6,
+            below=api.Below.SHARED,
+            fair_calls=5.0,
+            call_window_ms=5000.0,
+            classes=classes,
+            abandoned_call_stays_ms=200.0,
+        )
+        for _ in range(servers)
+    ]
     later: list[list[api.Event]] = [[] for _ in fleet]
     hands: dict[tuple[int, int], list[float]] = {}  # server and id: work left, since, until
     ended = given_up = 0
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -74,7 +74,9 @@
 @pytest.mark.parametrize("calls", [8, 40, 200])
 @pytest.mark.parametrize("others", [0, 3])
 @pytest.mark.parametrize("burst", [False, True])
-def test_the_sum_of_what_all_send_keeps_to_the_budget(processes: int, calls: int, others: int, burst: bool) -> None:
+def test_the_sum_of_what_all_send_keeps_to_the_budget(
+    processes: int, calls: int, others: int, burst: bool
+) -> None:
     """Demand is several times the budget; in a burst all ask in one moment, after a rest."""
     p = Processes(processes, calls, others, seed=processes + calls)
     for now in range(0, round(SLOW_S * S), 20 * MS):
@@ -106,8 +108,17 @@
 
 def test_probes_of_a_server_that_was_ejected_take_their_turns_too() -> None:
     runners = 30
-    policy = Policy(slow_start_s=SLOW_S, slow_start_calls=10, runners=runners, consecutive=1, most_ejected=1.0,
-                    hedge=False, retry_share=0.0, retry_floor_per_s=0.0, panic=0.0)
+    policy = Policy(
+        slow_start_s=SLOW_S,
+        slow_start_calls=10,
+        runners=runners,
+        consecutive=1,
+        most_ejected=1.0,
+        hedge=False,
+        retry_share=0.0,
+        retry_floor_per_s=0.0,
+        panic=0.0,
+    )
     probes = 0
     for i in range(runners):
         router = Router([NEW, Server("other", ("127.0.0.1", 1))], policy, f"r{i}", random.Random(i).random, 0)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -39,6 +39,7 @@
     @wraps(test)
     def run() -> None:
         asyncio.run(asyncio.wait_for(test(), 60))
+
     return run
 
 
@@ -49,6 +50,7 @@
 async def has(true: Callable[[], bool]) -> None:
     async def look() -> bool:
         return true()
+
     await until(look)
 
 
@@ -70,7 +72,9 @@
 async def test_a_run_that_never_ends_is_answered_when_it_is_due() -> None:
     async with running(kernel := Kernel(hang=True)) as r:
         f = await FrontEnd.connect(r.port)
-        free, keyed = await asyncio.gather(f.ask("check", budget=1500), f.ask("submit", budget=1500, token=key()))
+        free, keyed = await asyncio.gather(
+            f.ask("check", budget=1500), f.ask("submit", budget=1500, token=key())
+        )
         assert (free["error"]["code"], keyed["error"]["code"]) == (-32000, -32000)
         await has(lambda: kernel.heard["PREEMPT"] == 1)  # the free one is stopped, the keyed one runs on
         assert set(f.answers.values()) == {1}
@@ -93,11 +97,13 @@
 @sockets
 async def test_a_late_kernel_is_waited_for() -> None:
     async with running(kernel := Kernel(late=3600, state="EMPTY"), wait=False) as r:
+
         async def listens() -> bool:
             try:
                 return (await exchange(r.agent)).startswith(b"ready down #starting")
             except ConnectionError:
                 return False
+
         await until(listens)
         f = await FrontEnd.connect(r.port)
         assert (await f.ask("heartbeat"))["result"]["fit"] is False
@@ -158,12 +164,20 @@
 # ---- calls below ----
 
 
-@pytest.mark.parametrize("script, calls, served", [
-    ((200,), 1, True), ((503, 200), 2, True), ((409, 200), 2, True), (("reset",), 1, False), ((500,), 1, False),
-    ((504,), 1, False),
-])
-def test_a_keyed_call_is_made_again_only_after_a_proof(script: tuple[int | str, ...], calls: int,
-                                                       served: bool) -> None:
+@pytest.mark.parametrize(
+    "script, calls, served",
+    [
+        ((200,), 1, True),
+        ((503, 200), 2, True),
+        ((409, 200), 2, True),
+        (("reset",), 1, False),
+        ((500,), 1, False),
+        ((504,), 1, False),
+    ],
+)
+def test_a_keyed_call_is_made_again_only_after_a_proof(
+    script: tuple[int | str, ...], calls: int, served: bool
+) -> None:
     @sockets
     async def run() -> None:
         db = Database(*script)
@@ -173,15 +187,25 @@
             assert ("result" in got) is served
             assert db.calls == [b"ask x"] * calls
             assert list(kernel.io.values()) == ([b"reply"] if served else [])
+
     run()
 
 
-@pytest.mark.parametrize("script, calls, served", [
-    ((200,), 1, True), ((503, 200), 2, True), (("reset",), 1, False), (("cut",), 1, False), ((502,), 1, False),
-    ((504,), 1, False), (("hang",), 1, False),
-])
-def test_a_keyed_call_over_uwsgi_is_made_again_only_after_a_proof(script: tuple[int | str, ...], calls: int,
-                                                                  served: bool) -> None:
+@pytest.mark.parametrize(
+    "script, calls, served",
+    [
+        ((200,), 1, True),
+        ((503, 200), 2, True),
+        (("reset",), 1, False),
+        (("cut",), 1, False),
+        ((502,), 1, False),
+        ((504,), 1, False),
+        (("hang",), 1, False),
+    ],
+)
+def test_a_keyed_call_over_uwsgi_is_made_again_only_after_a_proof(
+    script: tuple[int | str, ...], calls: int, served: bool
+) -> None:
     @sockets
     async def run() -> None:
         peer = UwsgiPeer(*script)
@@ -193,6 +217,7 @@
             assert peer.calls == [b"ask x"] * calls
             assert peer.tokens == [f"{token}.1"] * calls  # so that the peer runs it once, whoever calls
             assert list(kernel.io.values()) == ([b"reply"] if served else [])
+
     run()
 
 
@@ -323,6 +348,7 @@
 
         async def gone() -> bool:
             return (await r.counters()).get("gone") == 1
+
         await until(gone)
         counters = await r.counters()
         assert counters["taken"] == 1 and len(kernel.runs) == 1
@@ -331,8 +357,10 @@
 @sockets
 async def test_uwsgi_statuses() -> None:
     async with running(Kernel(hang=True)) as r:
+
         async def got(**more: str) -> int:
             return status(await exchange(r.uwsgi, uwsgi_request(more.pop("klass", "check"), b"x", **more)))
+
         assert await got(klass="nothing") == 404
         assert await got(tenant="nobody") == 403
         assert await got(klass="submit") == 400  # no token
@@ -340,8 +368,9 @@
         assert await got(budget="1500") == 504
         assert status(await exchange(r.uwsgi, uwsgi_request("check", bytes(2049)))) == 413
         assert status(await exchange(r.uwsgi, build_packet({}, modifier1=5))) == 400
-        shed = await asyncio.gather(*(exchange(r.uwsgi, uwsgi_request("check", budget="1500"))
-                                      for _ in range(200)))
+        shed = await asyncio.gather(
+            *(exchange(r.uwsgi, uwsgi_request("check", budget="1500")) for _ in range(200))
+        )
         refused = [g for g in shed if status(g) == 503]
         assert refused and all(b"\r\nRetry-After: 1\r\n" in g for g in refused)
         assert {status(g) for g in shed} <= {503, 504}
@@ -372,16 +401,22 @@
             klass, body = ("submit" if i % 4 < 2 else "check"), f"{i // 2 if i % 4 < 2 else i}".encode()
             more = {"token": tokens.setdefault(body, key())} if klass == "submit" else {}
             if i % 2:
-                over["uwsgi"].append(asyncio.ensure_future(
-                    exchange(r.uwsgi, uwsgi_request(klass, body, budget="4000", **more))))
+                over["uwsgi"].append(
+                    asyncio.ensure_future(
+                        exchange(r.uwsgi, uwsgi_request(klass, body, budget="4000", **more))
+                    )
+                )
             else:
                 over["jsonrpc"].append(fronts[i // 2 % 8].send(klass, body=body, budget=4000, **more))
             await asyncio.sleep(start + (i + 1) / 88 - asyncio.get_running_loop().time())
         got: dict[str, list[Any]] = {
             name: await asyncio.wait_for(asyncio.gather(*asked, return_exceptions=True), WAIT)
-            for name, asked in over.items()}
-        lost = {"jsonrpc": sum(not isinstance(a, dict) for a in got["jsonrpc"]),
-                "uwsgi": sum(not isinstance(a, bytes) or not a.startswith(b"HTTP/1.1 ") for a in got["uwsgi"])}
+            for name, asked in over.items()
+        }
+        lost = {
+            "jsonrpc": sum(not isinstance(a, dict) for a in got["jsonrpc"]),
+            "uwsgi": sum(not isinstance(a, bytes) or not a.startswith(b"HTTP/1.1 ") for a in got["uwsgi"]),
+        }
         assert lost == {"jsonrpc": 0, "uwsgi": 0}
         keyed = [body for _, route, body in kernel.runs if route == "submit"]
         assert len(keyed) == len(set(keyed))  # no key ran twice
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -55,11 +55,14 @@
     assert ways == sum(map(len, TRANSITIONS.values()))
 
 
-@pytest.mark.parametrize("before, change", [
-    ({"draining": True}, {"draining": False}),  # a notice is not taken back
-    ({}, {"kernel_up": False}),  # a kernel that was heard was heard
-    ({}, {"speed": 0.5}),  # warm, then cold: a new kernel comes with a new runner
-])
+@pytest.mark.parametrize(
+    "before, change",
+    [
+        ({"draining": True}, {"draining": False}),  # a notice is not taken back
+        ({}, {"kernel_up": False}),  # a kernel that was heard was heard
+        ({}, {"speed": 0.5}),  # warm, then cold: a new kernel comes with a new runner
+    ],
+)
 def test_what_contradicts_itself_is_an_error(before: dict[str, Any], change: dict[str, Any]) -> None:
     t = tracker()
     t.report(replace(SEEN, **before))
@@ -98,8 +101,10 @@
         history.set(at, value)
         values.append((at, value))
     end = at + 123_457
-    exact = sum(v * max(0, min(b, end) - max(a, end - 3 * S))
-                for (a, v), (b, _) in zip(values, [*values[1:], (end, 0)], strict=True))
+    exact = sum(
+        v * max(0, min(b, end) - max(a, end - 3 * S))
+        for (a, v), (b, _) in zip(values, [*values[1:], (end, 0)], strict=True)
+    )
     # The oldest bucket lies on the edge: what was in it can be off by all that it held.
     assert abs(history.mean(end) * 3 * S - exact) <= 60 * BUCKET
 
@@ -112,8 +117,9 @@
     assert len(history._ring) == 61
 
 
-@pytest.mark.parametrize("grows, horizon_s, crosses", [
-    (0, 2.5, False), (1, 1.0, False), (4, 2.5, True), (8, 1.0, True)])
+@pytest.mark.parametrize(
+    "grows, horizon_s, crosses", [(0, 2.5, False), (1, 1.0, False), (4, 2.5, True), (8, 1.0, True)]
+)
 def test_a_crossing_is_forecast_from_the_trend(grows: int, horizon_s: float, crosses: bool) -> None:
     history = History(3 * S, T0)
     for tenth in range(20):  # two seconds from 3 on, `grows` more a second
@@ -141,7 +147,9 @@
 
 
 @given(st.integers(0, 40), st.integers(0, 40), st.integers(0, 5_000_000))
-def test_the_forecast_never_falls_below_what_is_measured_or_believed(count: int, floor: int, horizon: int) -> None:
+def test_the_forecast_never_falls_below_what_is_measured_or_believed(
+    count: int, floor: int, horizon: int
+) -> None:
     history = History(3 * S, T0)
     history.set(T0 + S, count)
     now = T0 + 5 * S
@@ -205,14 +213,18 @@
     assert "22% of full speed" in told[0.22].reason
 
 
-@pytest.mark.parametrize("gauge, running, unknown", [
-    (Gauge(T0, 0.02, 0.0), 40, "say 2% busy while 40 run"),  # stuck at idle: the own count stands
-    (Gauge(T0 - 9 * S, 0.9, 30.0), 40, "9.0 s old"),
-    (None, 40, "never told"),
-    (Gauge(T0, 0.9, 40.0), 40, ""),
-])
-def test_a_gauge_that_cannot_be_believed_is_said_and_hides_nothing(gauge: Gauge | None, running: int,
-                                                                    unknown: str) -> None:
+@pytest.mark.parametrize(
+    "gauge, running, unknown",
+    [
+        (Gauge(T0, 0.02, 0.0), 40, "say 2% busy while 40 run"),  # stuck at idle: the own count stands
+        (Gauge(T0 - 9 * S, 0.9, 30.0), 40, "9.0 s old"),
+        (None, 40, "never told"),
+        (Gauge(T0, 0.9, 40.0), 40, ""),
+    ],
+)
+def test_a_gauge_that_cannot_be_believed_is_said_and_hides_nothing(
+    gauge: Gauge | None, running: int, unknown: str
+) -> None:
     t = tracker()
     t.report(SEEN)
     t.crowd_is(T0, running)
@@ -316,10 +328,16 @@
 CALM, BETWEEN, CROWDED, FULL = weight.Zone
 
 
-@given(st.floats(0, 1), st.lists(st.tuples(st.integers(0, 4_000_000), st.sampled_from(weight.STEPS),
-                                           st.sampled_from(weight.Zone)), max_size=60))
+@given(
+    st.floats(0, 1),
+    st.lists(
+        st.tuples(st.integers(0, 4_000_000), st.sampled_from(weight.STEPS), st.sampled_from(weight.Zone)),
+        max_size=60,
+    ),
+)
 def test_weights_fall_by_one_step_a_horizon_or_to_nothing_and_rise_no_faster_than_the_pace(
-        phase: float, asked: list[tuple[int, int, weight.Zone]]) -> None:
+    phase: float, asked: list[tuple[int, int, weight.Zone]]
+) -> None:
     governor, at, before, lowered = weight.Governor(8 * S, phase), T0, 0, 0
     for gap, cap, zone in asked:
         at += gap
@@ -391,32 +409,52 @@
 
 
 def report(standing: Standing, weight: int = 0, **more: Any) -> Report:
-    base: dict[str, Any] = {"reason": "why", "routable": standing.routable, "changed": "", "pressure": 0.4,
-                            "crowd": 1.5, "forecast": 2.0, "survives": 5.0, "horizon_us": 2_500_000, "room": 8}
+    base: dict[str, Any] = {
+        "reason": "why",
+        "routable": standing.routable,
+        "changed": "",
+        "pressure": 0.4,
+        "crowd": 1.5,
+        "forecast": 2.0,
+        "survives": 5.0,
+        "horizon_us": 2_500_000,
+        "room": 8,
+    }
     return Report(standing, weight, **(base | more))
 
 
-@pytest.mark.parametrize("said, line, statuses", [
-    (report(Standing.STARTING), "ready down #starting: why", (503, 503, 503)),
-    (report(Standing.WARMING, 20), "ready up 20% #warming: why", (200, 200, 200)),
-    (report(Standing.SERVING, 100), "ready up 100% #serving: why", (200, 200, 200)),
-    (report(Standing.CROWDED, 10), "ready up 10% #crowded: why", (200, 200, 200)),
-    (report(Standing.CROWDED, 0), "ready up 0% #crowded: why", (503, 200, 200)),
-    (report(Standing.MAINTENANCE), "maint #maintenance: why", (503, 503, 200)),
-    (report(Standing.DRAINING), "drain #draining: why", (503, 503, 200)),
-    (report(Standing.FAILED), "ready fail #failed: why", (503, 503, 200)),
-])
+@pytest.mark.parametrize(
+    "said, line, statuses",
+    [
+        (report(Standing.STARTING), "ready down #starting: why", (503, 503, 503)),
+        (report(Standing.WARMING, 20), "ready up 20% #warming: why", (200, 200, 200)),
+        (report(Standing.SERVING, 100), "ready up 100% #serving: why", (200, 200, 200)),
+        (report(Standing.CROWDED, 10), "ready up 10% #crowded: why", (200, 200, 200)),
+        (report(Standing.CROWDED, 0), "ready up 0% #crowded: why", (503, 200, 200)),
+        (report(Standing.MAINTENANCE), "maint #maintenance: why", (503, 503, 200)),
+        (report(Standing.DRAINING), "drain #draining: why", (503, 503, 200)),
+        (report(Standing.FAILED), "ready fail #failed: why", (503, 503, 200)),
+    ],
+)
 def test_each_standing_in_each_protocol(said: Report, line: str, statuses: tuple[int, ...]) -> None:
     assert words.haproxy(said) == line
     up = said.standing is not Standing.STARTING
-    assert (words.routing(said, words.Codes()).status, words.readiness(said).status,
-            words.startup(said, up).status) == statuses
+    assert (
+        words.routing(said, words.Codes()).status,
+        words.readiness(said).status,
+        words.startup(said, up).status,
+    ) == statuses
 
 
 def test_codes_marks_and_bounds_of_the_words() -> None:
     codes = words.Codes(crowded=429, full=429, draining=200, maintenance=404)
     crowded = words.routing(report(Standing.CROWDED, 10), codes)
-    assert (crowded.status, crowded.retry_after_s, crowded.degraded, crowded.fail_now) == (429, 3, True, False)
+    assert (crowded.status, crowded.retry_after_s, crowded.degraded, crowded.fail_now) == (
+        429,
+        3,
+        True,
+        False,
+    )
     assert words.routing(report(Standing.DRAINING), codes) == words.Answer(200)
     assert words.routing(report(Standing.DRAINING), words.Codes()).fail_now
     assert words.haproxy(report(Standing.DRAINING), doors_closed=True).startswith("drain stopped #")
@@ -425,4 +463,5 @@
     assert "\n" not in evil and "\r" not in evil and len(evil) < 160
     assert words.orca(report(Standing.SERVING, 50), 0.25, None, 12.0, 0.5) == (
         "TEXT application_utilization=0.4, cpu_utilization=0.25, rps_fractional=12, eps=0.5, "
-        "named_metrics.weight=50, named_metrics.crowd_per_core=1.5")
+        "named_metrics.weight=50, named_metrics.crowd_per_core=1.5"
+    )
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -38,33 +38,52 @@
 TAKE_OVER = E.WELCOME, E.SYNCED, E.KERNEL_UP, E.GO
 
 
-@pytest.mark.parametrize("events, state, does, never", [
-    ((E.NOBODY,), S.SOLE, {P.LISTEN, P.TAKE_PLACE}, {P.UNSURE_FOR_A_WINDOW}),
-    ((E.DEAD,), S.SOLE, {P.LISTEN, P.UNSURE_FOR_A_WINDOW}, {P.SURE}),
-    (TAKE_OVER, S.SUCCESSOR, {P.JOIN, P.SAY_READY, P.TAKE_UP, P.TAKE_PLACE, P.SURE}, {P.LISTEN, P.UNSURE}),
-    ((E.KERNEL_UP, E.WELCOME, E.SYNCED, E.LOST), S.SOLE, {P.SURE, P.TAKE_UP, P.BURY}, {P.UNSURE_FOR_A_WINDOW}),
-    ((E.WELCOME, E.LOST), S.SOLE, {P.UNSURE_FOR_A_WINDOW, P.TAKE_UP, P.BURY}, {P.SURE}),
-    ((E.LOST, E.DEAD), S.SOLE, {P.UNSURE_FOR_A_WINDOW, P.LISTEN}, {P.SURE}),
-    ((E.WELCOME, E.SEVERED), S.LOOKING, {P.FORGET, P.LOOK}, {P.LISTEN, P.BURY}),
-    ((*TAKE_OVER, E.LOST), S.SOLE, {P.BURY}, {P.LISTEN, P.UNSURE}),
-    ((E.LATE,), S.BLIND, {P.UNSURE, P.LISTEN}, {P.TAKE_PLACE, P.SURE}),
-    ((E.LATE, E.WELCOME, E.SYNCED, E.KERNEL_UP, E.GO), S.SUCCESSOR, {P.SAY_READY, P.SURE, P.TAKE_PLACE}, {P.TAKE_UP}),
-    ((E.LATE, E.LOST, E.NOBODY), S.SOLE, {P.UNSURE_FOR_A_WINDOW, P.TAKE_PLACE}, {P.SURE}),
-    ((E.BUSY, E.BUSY), S.LOOKING, {P.LOOK}, {P.LISTEN}),
-    ((*TAKE_OVER, E.HELLO), S.SUCCESSOR, {P.BUSY}, {P.WELCOME}),
-    ((*TAKE_OVER, E.LOST, E.HELLO), S.HANDING, {P.WELCOME}, {P.BUSY}),
-    ((E.NOBODY, E.HELLO, E.LOST), S.SOLE, {P.FORGET}, {P.PAUSE, P.RESUME}),
-    ((E.NOBODY, E.HELLO, E.LATE), S.SOLE, {P.HANG_UP, P.FORGET}, {P.PAUSE}),
-    ((E.NOBODY, E.HELLO, E.TERM), S.HANDING, {P.LEAVE}, {P.FINISH}),
-    ((E.NOBODY, E.HELLO, E.READY), S.REPLACED, {P.PAUSE, P.SAY_GO}, {P.LEAVE}),
-    ((E.NOBODY, E.HELLO, E.READY, E.TERM), S.REPLACED, {P.FINISH}, {P.LEAVE}),
-    ((E.NOBODY, E.HELLO, E.READY, E.LOST), S.SOLE, {P.BURY, P.RESUME, P.TAKE_PLACE}, {P.LEAVE}),
-    ((E.NOBODY, E.TERM), S.SOLE, {P.LEAVE}, {P.FINISH}),
-    # Told to leave, it must not have the other one stop accepting for it.
-    ((E.LATE, E.WELCOME, E.SYNCED, E.TERM, E.KERNEL_UP), S.BLIND, {P.HANG_UP, P.LEAVE}, {P.SAY_READY}),
-])
-def test_each_course_has_its_stated_outcome(events: tuple[Event, ...], state: State, does: set[Step],
-                                            never: set[Step]) -> None:
+@pytest.mark.parametrize(
+    "events, state, does, never",
+    [
+        ((E.NOBODY,), S.SOLE, {P.LISTEN, P.TAKE_PLACE}, {P.UNSURE_FOR_A_WINDOW}),
+        ((E.DEAD,), S.SOLE, {P.LISTEN, P.UNSURE_FOR_A_WINDOW}, {P.SURE}),
+        (
+            TAKE_OVER,
+            S.SUCCESSOR,
+            {P.JOIN, P.SAY_READY, P.TAKE_UP, P.TAKE_PLACE, P.SURE},
+            {P.LISTEN, P.UNSURE},
+        ),
+        (
+            (E.KERNEL_UP, E.WELCOME, E.SYNCED, E.LOST),
+            S.SOLE,
+            {P.SURE, P.TAKE_UP, P.BURY},
+            {P.UNSURE_FOR_A_WINDOW},
+        ),
+        ((E.WELCOME, E.LOST), S.SOLE, {P.UNSURE_FOR_A_WINDOW, P.TAKE_UP, P.BURY}, {P.SURE}),
+        ((E.LOST, E.DEAD), S.SOLE, {P.UNSURE_FOR_A_WINDOW, P.LISTEN}, {P.SURE}),
+        ((E.WELCOME, E.SEVERED), S.LOOKING, {P.FORGET, P.LOOK}, {P.LISTEN, P.BURY}),
+        ((*TAKE_OVER, E.LOST), S.SOLE, {P.BURY}, {P.LISTEN, P.UNSURE}),
+        ((E.LATE,), S.BLIND, {P.UNSURE, P.LISTEN}, {P.TAKE_PLACE, P.SURE}),
+        (
+            (E.LATE, E.WELCOME, E.SYNCED, E.KERNEL_UP, E.GO),
+            S.SUCCESSOR,
+            {P.SAY_READY, P.SURE, P.TAKE_PLACE},
+            {P.TAKE_UP},
+        ),
+        ((E.LATE, E.LOST, E.NOBODY), S.SOLE, {P.UNSURE_FOR_A_WINDOW, P.TAKE_PLACE}, {P.SURE}),
+        ((E.BUSY, E.BUSY), S.LOOKING, {P.LOOK}, {P.LISTEN}),
+        ((*TAKE_OVER, E.HELLO), S.SUCCESSOR, {P.BUSY}, {P.WELCOME}),
+        ((*TAKE_OVER, E.LOST, E.HELLO), S.HANDING, {P.WELCOME}, {P.BUSY}),
+        ((E.NOBODY, E.HELLO, E.LOST), S.SOLE, {P.FORGET}, {P.PAUSE, P.RESUME}),
+        ((E.NOBODY, E.HELLO, E.LATE), S.SOLE, {P.HANG_UP, P.FORGET}, {P.PAUSE}),
+        ((E.NOBODY, E.HELLO, E.TERM), S.HANDING, {P.LEAVE}, {P.FINISH}),
+        ((E.NOBODY, E.HELLO, E.READY), S.REPLACED, {P.PAUSE, P.SAY_GO}, {P.LEAVE}),
+        ((E.NOBODY, E.HELLO, E.READY, E.TERM), S.REPLACED, {P.FINISH}, {P.LEAVE}),
+        ((E.NOBODY, E.HELLO, E.READY, E.LOST), S.SOLE, {P.BURY, P.RESUME, P.TAKE_PLACE}, {P.LEAVE}),
+        ((E.NOBODY, E.TERM), S.SOLE, {P.LEAVE}, {P.FINISH}),
+        # Told to leave, it must not have the other one stop accepting for it.
+        ((E.LATE, E.WELCOME, E.SYNCED, E.TERM, E.KERNEL_UP), S.BLIND, {P.HANG_UP, P.LEAVE}, {P.SAY_READY}),
+    ],
+)
+def test_each_course_has_its_stated_outcome(
+    events: tuple[Event, ...], state: State, does: set[Step], never: set[Step]
+) -> None:
     got, steps = after(*events)
     assert got is state and does <= set(steps) and not never & set(steps)
 
@@ -112,7 +131,11 @@
 def test_processes_of_one_runner_meet_and_others_do_not() -> None:
     here = path_for("/tmp/", "n1", ("127.0.0.1", 1))
     assert here == path_for("/tmp", "n1", ("127.0.0.1", 1))
-    assert here not in (path_for("/tmp", "n2", ("127.0.0.1", 1)), path_for("/tmp", "n1", ("127.0.0.1", 2)), None)
+    assert here not in (
+        path_for("/tmp", "n2", ("127.0.0.1", 1)),
+        path_for("/tmp", "n1", ("127.0.0.1", 2)),
+        None,
+    )
     assert path_for("/tmp/" + "x" * 80, "n1", ("127.0.0.1", 1)) is None
 
 
@@ -262,7 +285,9 @@
     new.core.take(Arrival("k-2", "write", b"other", token="k", memory_kb=10.0), new, 2)
     p.settle()  # both in one moment: the successor's goes first
     assert old.verdicts() == [(1, Verdict.REFUSED)] and p.runs() == {"k": 1}
-    assert old.core.take(Arrival("k-3", "write", b"x", token="k", memory_kb=10.0), old, 3) is Fault.BODY_DIFFERS
+    assert (
+        old.core.take(Arrival("k-3", "write", b"x", token="k", memory_kb=10.0), old, 3) is Fault.BODY_DIFFERS
+    )
 
 
 def test_keys_taken_over_stand_for_what_ran_and_unsure_ones_are_turned_away() -> None:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -24,7 +24,10 @@
         t = token()
         first = a.send("submit", token=t, body=b"one")
         await has(lambda: len(f.ran()) == 1)
-        again, third = b.send("submit", token=t, body=b"one"), (await f.front(2)).send("submit", token=t, body=b"one")
+        again, third = (
+            b.send("submit", token=t, body=b"one"),
+            (await f.front(2)).send("submit", token=t, body=b"one"),
+        )
         got = await asyncio.gather(first, again, third)
         assert [content(g) for g in got] == [b"did one"] * 3 and f.ran() == [b"one"]
         assert content(await (await f.front(3)).ask("submit", token=t, body=b"one")) == b"did one"
@@ -43,7 +46,9 @@
 
     async def all_said() -> bool:
         told = await f.runners[at].counters()
-        return bool(told["fleet: covered"] == n and told.get("refused", 0) == sum(a.done() for a in asked.values()))
+        return bool(
+            told["fleet: covered"] == n and told.get("refused", 0) == sum(a.done() for a in asked.values())
+        )
 
     await until(all_said)
     left = {t: a for t, a in asked.items() if not a.done()}
@@ -86,7 +91,9 @@
 
 
 @sockets
-async def test_what_a_killed_runner_held_is_run_elsewhere_without_being_asked_for_and_what_ran_is_not() -> None:
+async def test_what_a_killed_runner_held_is_run_elsewhere_without_being_asked_for_and_what_ran_is_not() -> (
+    None
+):
     async with fleet(work=0.5) as f:
         asked = await many(f, 10)
         quiet(asked)
@@ -96,7 +103,9 @@
         await has(lambda: held <= f.began(1, 2, 3))
         got = await ask_again(f, 2, asked)
         assert all(served(t, got[t]) for t in held)
-        assert all("error" in got[t] and not refused(got[t]) for t in began), "what may have run has a true ending"
+        assert all("error" in got[t] and not refused(got[t]) for t in began), (
+            "what may have run has a true ending"
+        )
         once(f, asked)
 
 
@@ -112,7 +121,9 @@
             assert served(t, await a), "its own callers hear, too"
         once(f, asked)
         again = await ask_again(f, 3, asked)
-        assert all(served(t, a) for t, a in again.items()), "its own end goes before the one that others said for it"
+        assert all(served(t, a) for t, a in again.items()), (
+            "its own end goes before the one that others said for it"
+        )
 
 
 @sockets
@@ -141,7 +152,9 @@
             assert served(t, again[t]) == (t in f.began(1, 2, 3))
             assert ("result" in here) == (t in began)
         f.cut_off(0, False)
-        assert all([served(t, a) for t, a in (await ask_again(f, 0, asked)).items()]), "both sides know it in the end"
+        assert all([served(t, a) for t, a in (await ask_again(f, 0, asked)).items()]), (
+            "both sides know it in the end"
+        )
         once(f, asked)
 
 
@@ -194,8 +207,9 @@
         assert kept and all(served(t, a) == (t not in lost) for t, a in got.items())
         front = await f.front(1 + second % 5)
         for t in set(asked) - kept:  # but for what a third had begun before the second was lost
-            assert not served(t, await front.ask("submit", token=t, body=t.encode())) or \
-                t in f.began(*({1, 2, 3, 4, 5} - {second}))
+            assert not served(t, await front.ask("submit", token=t, body=t.encode())) or t in f.began(
+                *({1, 2, 3, 4, 5} - {second})
+            )
         once(f, asked)
 
 
@@ -281,8 +295,14 @@
 @sockets
 async def test_rubbish_endless_frames_and_halves_of_one_do_no_harm() -> None:
     async with fleet(3, work=0.02) as f:
-        for sent in (b"GET / HTTP/1.1\r\n\r\n", b"\x7f\xff\xff\xff" + b"x" * 5000, b"\0\0\0\5\x91\xa1", b"\0\0\0\1\xc1",
-                     b"\0\0\0\2\x91\x01", os.urandom(3000)):
+        for sent in (
+            b"GET / HTTP/1.1\r\n\r\n",
+            b"\x7f\xff\xff\xff" + b"x" * 5000,
+            b"\0\0\0\5\x91\xa1",
+            b"\0\0\0\1\xc1",
+            b"\0\0\0\2\x91\x01",
+            os.urandom(3000),
+        ):
             reader, writer = await asyncio.open_connection(HOST, f.ports[0])
             writer.write(sent)
             with suppress(ConnectionError):
@@ -294,8 +314,11 @@
 @sockets
 async def test_a_runner_of_another_fleet_or_with_other_seats_is_refused_with_the_reason() -> None:
     async with fleet(3, work=0.02) as f:
-        for hello, why in ((Hello(VERSION, "g", "", "n1", 1), "another fleet"), (Hello(9, "f", "", "n1", 1), "version"),
-                           (Hello(VERSION, "f", "", "n1", 1), "other seats")):
+        for hello, why in (
+            (Hello(VERSION, "g", "", "n1", 1), "another fleet"),
+            (Hello(9, "f", "", "n1", 1), "version"),
+            (Hello(VERSION, "f", "", "n1", 1), "other seats"),
+        ):
             reader, writer = await asyncio.open_connection(HOST, f.ports[0])
             raw = encode([hello])
             writer.write(len(raw).to_bytes(4, "big") + raw)
@@ -312,7 +335,7 @@
             relay.cut_after, relay.delay = 20_000, 0.005
         tokens = [token() for _ in range(60)]
         for at in range(0, 60, 12):
-            await ask_again(f, at // 12 % 4, tokens[at:at + 12])
+            await ask_again(f, at // 12 % 4, tokens[at : at + 12])
         got = await ask_again(f, 3, tokens[:30]) | await ask_again(f, 2, tokens[30:])
         once(f, tokens)
         assert all(served(t, a) for t, a in got.items()), [a for t, a in got.items() if not served(t, a)]
@@ -344,4 +367,5 @@
 async def remembers(f: Fleet, i: int) -> None:
     async def does() -> bool:
         return bool((await f.runners[i].counters("fleet"))["remembers"])
+
     await until(does)
--- a/tests/test_tier.py
+++ b/tests/test_tier.py
@@ -89,7 +89,13 @@
     assert sum(Budget(0.0, 1.0, 0).take(now * S) for now in range(1)) == 1
     floor = Budget(0.0, 1.0, 0)
     assert sum(floor.take(i * S // 10) for i in range(1, 101)) in (10, 11)
-    assert [backoff_us(tries, 10, 250, 0.5) for tries in (1, 2, 5, 6, 99)] == [5000, 10000, 80000, 125000, 125000]
+    assert [backoff_us(tries, 10, 250, 0.5) for tries in (1, 2, 5, 6, 99)] == [
+        5000,
+        10000,
+        80000,
+        125000,
+        125000,
+    ]
 
 
 # ---- choice ----
@@ -103,7 +109,9 @@
     after = {r: [m.server.name for m in rank(f"r{r}", members[1:])][:10] for r in range(300)}
     for r, names in before.items():
         assert len(set(names) - set(after[r])) == ("s0" in names)
-    heavy = [Member(Server(f"s{i}", (HOST, 1), weight=4.0 if i == 0 else 1.0), Policy(), 0) for i in range(50)]
+    heavy = [
+        Member(Server(f"s{i}", (HOST, 1), weight=4.0 if i == 0 else 1.0), Policy(), 0) for i in range(50)
+    ]
     got = Counter(rank(f"r{r}", heavy)[0].server.name for r in range(1000))
     assert got["s0"] > 2 * 1000 / 53
 
@@ -138,7 +146,12 @@
 
 
 def test_a_keyed_call_is_tried_again_only_after_a_proof() -> None:
-    for end, again in ((End.TURNED_AWAY, True), (End.UNREACHED, True), (End.FAILED, False), (End.STRAY, False)):
+    for end, again in (
+        (End.TURNED_AWAY, True),
+        (End.UNREACHED, True),
+        (End.FAILED, False),
+        (End.STRAY, False),
+    ):
         r = router(hedge=False)
         (send,) = sends(r.call(0, 1, False, S))
         out = r.ended(MS, send.attempt, end)
@@ -177,8 +190,9 @@
     out = r.ended(wake + MS, second.attempt, End.ANSWERED)
     assert overs(out) == [(1000, End.ANSWERED)] and Cancel(first.attempt) in out
     assert r.ended(wake + 2 * MS, first.attempt, End.ANSWERED) == []  # it comes too late to count
-    assert r.counts.hedges == r.counts.hedges_won == 1 and keyed.attempt not in [e.attempt for e in out if isinstance(
-        e, Cancel)]
+    assert r.counts.hedges == r.counts.hedges_won == 1 and keyed.attempt not in [
+        e.attempt for e in out if isinstance(e, Cancel)
+    ]
 
 
 def test_what_finds_no_server_waits_by_due_time_and_a_full_queue_turns_away() -> None:
@@ -189,7 +203,8 @@
     (due_first,) = sends(r.ended(MS, first.attempt, End.ANSWERED))
     assert due_first.number == 3
     assert r.give_up(MS, 2) == [] and r.ended(2 * MS, due_first.attempt, End.ANSWERED) == [
-        Over(3, due_first.attempt, End.ANSWERED)]
+        Over(3, due_first.attempt, End.ANSWERED)
+    ]
     assert r.open == 0 and r._waiting == 0
 
 
@@ -278,7 +293,12 @@
     return [Below(f"s{i}", mood=moods[i] if i < len(moods) else None) for i in range(count)]
 
 
-FAULTS = {"hang": Mood("hang", 5), "slow": Mood("slow", 5, factor=15), "fail": Mood("fail", 5), "turn": Mood("turn", 5)}
+FAULTS = {
+    "hang": Mood("hang", 5),
+    "slow": Mood("slow", 5, factor=15),
+    "fail": Mood("fail", 5),
+    "turn": Mood("turn", 5),
+}
 
 
 @pytest.mark.parametrize("fault", FAULTS)
@@ -305,10 +325,15 @@
 
 
 @settings(max_examples=25, deadline=None)
-@given(st.integers(0, 10_000), st.lists(st.sampled_from(["hang", "slow", "fail", "turn", ""]), min_size=3, max_size=6))
+@given(
+    st.integers(0, 10_000),
+    st.lists(st.sampled_from(["hang", "slow", "fail", "turn", ""]), min_size=3, max_size=6),
+)
 def test_every_call_ends_once_nothing_is_left_and_no_key_runs_twice(seed: int, kinds: list[str]) -> None:
     moods = [Mood(kind, 0.5, 2) if kind else None for kind in kinds]
-    world = World(tier(*moods, count=len(moods)), "tier", seed, seconds=3, rate=80, policy=Policy(queue=4, eject_s=0.3))
+    world = World(
+        tier(*moods, count=len(moods)), "tier", seed, seconds=3, rate=80, policy=Policy(queue=4, eject_s=0.3)
+    )
     told = world.play()
     assert sum(told.ends.values()) == told.calls and told.twice == 0
     r = world.router
--- a/tests/test_tier_links.py
+++ b/tests/test_tier_links.py
@@ -53,7 +53,9 @@
     async with running(kernel := Kernel(calls=True), more=listed(*servers)) as r:
         f = await FrontEnd.connect(r.port)
         got = await some(f, 40)
-        assert all("result" in a for a in got) and set(kernel.io.values()) == {b"reply"} and not kernel.left_out
+        assert (
+            all("result" in a for a in got) and set(kernel.io.values()) == {b"reply"} and not kernel.left_out
+        )
         assert sum(len(s.calls) for s in servers) == 40 and all(s.calls for s in servers)
         api = json.loads(body_of(await exchange(r.admin, b"GET /servers HTTP/1.0\r\n\r\n")))
         assert sum(s["calls"] for s in api["servers"]) == 40 and api["open"] == 0
@@ -67,7 +69,9 @@
 @sockets
 async def test_one_that_fails_and_one_that_is_not_there_cost_no_safe_call() -> None:
     failing, gone, well = Database(500), Database(), Database()
-    more = listed(failing, gone, well, policy="hedge = false\nretry_share = 1.0\nmost_ejected = 0.7\npanic = 0.0")
+    more = listed(
+        failing, gone, well, policy="hedge = false\nretry_share = 1.0\nmost_ejected = 0.7\npanic = 0.0"
+    )
     gone.close()
     async with running(kernel := Kernel(calls=True), more=more) as r:
         f = await FrontEnd.connect(r.port)
@@ -108,17 +112,27 @@
     servers = [Database(), Database(), Database()]
     text = listed(*servers[:2])
     async with running(Kernel(calls=True), more=text) as r:
+
         async def api(method: bytes, path: bytes, body: bytes = b"") -> int:
-            return status(await exchange(r.admin, b"%s /servers%s HTTP/1.0\r\nAuthorization: Bearer t0p\r\n"
-                                         b"Content-Length: %d\r\n\r\n%s" % (method, path, len(body), body)))
+            return status(
+                await exchange(
+                    r.admin,
+                    b"%s /servers%s HTTP/1.0\r\nAuthorization: Bearer t0p\r\n"
+                    b"Content-Length: %d\r\n\r\n%s" % (method, path, len(body), body),
+                )
+            )
 
         servers[2].listen()
         f = await FrontEnd.connect(r.port)
         asked = [f.send("check") for _ in range(4)]
         put = b'{"address": "%s:%d"}' % (HOST.encode(), servers[2].port)
-        assert [await api(b"PUT", b"/s2", put), await api(b"PUT", b"/s2", b'{"address": 5}'),
-                await api(b"POST", b"/s0/drain"), await api(b"DELETE", b"/s1"), await api(b"DELETE", b"/none")] == [
-            200, 400, 200, 200, 404]
+        assert [
+            await api(b"PUT", b"/s2", put),
+            await api(b"PUT", b"/s2", b'{"address": 5}'),
+            await api(b"POST", b"/s0/drain"),
+            await api(b"DELETE", b"/s1"),
+            await api(b"DELETE", b"/none"),
+        ] == [200, 400, 200, 200, 404]
         await asyncio.gather(*asked)
         before = [len(s.calls) for s in servers]
         got = await some(f, 20)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -52,32 +52,48 @@
 def test_the_documented_reply_is_written() -> None:
     want = bytes.fromhex(
         "41000000 05000000 0c000000 0d01 03000000 0c01 c4913a5d 0901 0000000000407f40 4d000000"
-        "0d01 05000000 0101 1100 74776f2073657276657273206b6e6f776e")
-    got = wire.encode_reply(12, [(3, [api.Start(0x5D3A91C4), api.SetTimer(500.0, 77)]),
-                                 (5, [api.Log("two servers known")])])
+        "0d01 05000000 0101 1100 74776f2073657276657273206b6e6f776e"
+    )
+    got = wire.encode_reply(
+        12, [(3, [api.Start(0x5D3A91C4), api.SetTimer(500.0, 77)]), (5, [api.Log("two servers known")])]
+    )
     assert got == want
 
 
-@pytest.mark.parametrize("action, size", [
-    (api.Reject(1, 250.0, True), 15), (api.Fail(1), 6), (api.Stop(1), 6), (api.SkipCall(1), 6), (api.Forget(1), 6),
-    (api.ShareResult(1), 6), (api.Call(1, 5.0), 14), (api.Remember(1, 5.0), 14), (api.SetHealth(True, True), 4),
-    (api.Signal(0.5), 6), (api.TrimConnections(100.0), 10),
-])
+@pytest.mark.parametrize(
+    "action, size",
+    [
+        (api.Reject(1, 250.0, True), 15),
+        (api.Fail(1), 6),
+        (api.Stop(1), 6),
+        (api.SkipCall(1), 6),
+        (api.Forget(1), 6),
+        (api.ShareResult(1), 6),
+        (api.Call(1, 5.0), 14),
+        (api.Remember(1, 5.0), 14),
+        (api.SetHealth(True, True), 4),
+        (api.Signal(0.5), 6),
+        (api.TrimConnections(100.0), 10),
+    ],
+)
 def test_every_action_has_its_size(action: api.Action, size: int) -> None:
     assert len(wire.encode_action(action)) == size
 
 
-@pytest.mark.parametrize("bad", [
-    EXAMPLE[:-1],
-    frame(b"", 1),
-    frame(struct.pack("<HI", 265, 1), 2),
-    frame(struct.pack("<HIH", 265, 1, 999), 2),
-    frame(struct.pack("<HI", 259, 1), 1),
-    frame(struct.pack("<HI", 265, 1) + b"x", 1),
-    frame(struct.pack("<HI", 265, 1) + struct.pack("<HQI", 256, 1, 3) + b"{x}", 2),
-    frame(struct.pack("<HI", 265, 1) + struct.pack("<HQI", 256, 1, 900) + b"{}", 2),
-    frame(struct.pack("<HI", 265, 1) + struct.pack("<HIdB", 258, 1, 1.0, 17), 2),
-])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        EXAMPLE[:-1],
+        frame(b"", 1),
+        frame(struct.pack("<HI", 265, 1), 2),
+        frame(struct.pack("<HIH", 265, 1, 999), 2),
+        frame(struct.pack("<HI", 259, 1), 1),
+        frame(struct.pack("<HI", 265, 1) + b"x", 1),
+        frame(struct.pack("<HI", 265, 1) + struct.pack("<HQI", 256, 1, 3) + b"{x}", 2),
+        frame(struct.pack("<HI", 265, 1) + struct.pack("<HQI", 256, 1, 900) + b"{}", 2),
+        frame(struct.pack("<HI", 265, 1) + struct.pack("<HIdB", 258, 1, 1.0, 17), 2),
+    ],
+)
 def test_malformed_frames_are_refused(bad: bytes) -> None:
     with pytest.raises(ValueError):
         wire.decode_batch(bad)
@@ -89,10 +105,16 @@
     assert s.signal is api.SignalKind.FLOOR and s.below is api.Below.OFF and s.tenants == ()
 
 
-@pytest.mark.parametrize("key, value, said", [
-    ("cpus", None, "cpus"), ("cpus", "six", "cpus"), ("memoryKb", 0, "memory_kb"), ("halt", "maybe", "halt"),
-    ("memoryKb", True, "memoryKb"),
-])
+@pytest.mark.parametrize(
+    "key, value, said",
+    [
+        ("cpus", None, "cpus"),
+        ("cpus", "six", "cpus"),
+        ("memoryKb", 0, "memory_kb"),
+        ("halt", "maybe", "halt"),
+        ("memoryKb", True, "memoryKb"),
+    ],
+)
 def test_a_bad_setting_is_named(key: str, value: object, said: str) -> None:
     setup = {**SETUP, "extra": {**SETUP["extra"], key: value}}  # type: ignore[dict-item]
     with pytest.raises(ValueError, match=said):
@@ -128,8 +150,11 @@
 
 
 def test_an_exception_in_the_module_is_said_as_fatal() -> None:
-    wrong_class = struct.pack("<HI", 265, 0) + b"\x01\x01" + struct.pack("<IdHIdHBIfQdf", 1, 0, 1, 0, 0, 0, 9, 0,
-                                                                       0, 0, 0, 8)
+    wrong_class = (
+        struct.pack("<HI", 265, 0)
+        + b"\x01\x01"
+        + struct.pack("<IdHIdHBIfQdf", 1, 0, 1, 0, 0, 0, 9, 0, 0, 0, 0, 8)
+    )
     code, out = talk(frame(start_record(), 2) + frame(wrong_class, 2, seq=2))
     assert code != 0
     assert b"klass 9" in out
@@ -159,15 +184,20 @@
     setup = {**SETUP, "extra": {**SETUP["extra"], "passesDeadline": True}}  # type: ignore[dict-item]
     assert wire.parse_settings(json.dumps(setup).encode()).passes_deadline
     record = struct.pack("<HIdHIdHBIfQdf", 257, 9, 0.0, 1, 0, 40.0, 0, 0, 0, 0.5, 0, 0.0, 20.0)
-    (_, events), = wire.decode_batch(frame(struct.pack("<HI", 265, 0) + record, 2)).groups
+    ((_, events),) = wire.decode_batch(frame(struct.pack("<HI", 265, 0) + record, 2)).groups
     assert isinstance(events[0], api.Request)
     assert (events[0].ttl_ms, events[0].waited_ms) == (0.0, 40.0)
 
 
-@pytest.mark.parametrize("key, listed, item", [
-    ("classCalls", [True, "yes"], "classCalls.1"), ("worthWithout", ["half"], "worthWithout.0"),
-    ("gauges", ["cpu_busy", 3], "gauges.1"), ("classCalls", [1], "classCalls.0"),
-])
+@pytest.mark.parametrize(
+    "key, listed, item",
+    [
+        ("classCalls", [True, "yes"], "classCalls.1"),
+        ("worthWithout", ["half"], "worthWithout.0"),
+        ("gauges", ["cpu_busy", 3], "gauges.1"),
+        ("classCalls", [1], "classCalls.0"),
+    ],
+)
 def test_lists_of_settings_are_checked_item_by_item(key: str, listed: list[object], item: str) -> None:
     setup = {**SETUP, "extra": {**SETUP["extra"], key: listed}}  # type: ignore[dict-item]
     with pytest.raises(wire.WireError, match=f"extra.{item}: expected"):
