Service in four files by job; idle connections below keep to the spare descriptors

Behaviour as it was but for one thing.

That one: 32 connections to the database were kept without a call whatever the limit on descriptors; with 60 descriptors those alone are more than the 20 that clients leave. A quarter of the spare ones now, 32 with 512 as before. A test in test_retune.py holds it, failing before.

--- /dev/null
+++ b/moorusher/leaving.py
@@ -0,0 +1,117 @@
+"""How a runner goes: the notice, the time in which it still serves, its last answers, its end."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+from peattack.balance import SERVE_ON
+
+from .core.clock import MS
+
+if TYPE_CHECKING:
+    from .service import Service
+
+log = logging.getLogger("moorusher")
+
+QUIET = 250 * MS  # without a word from any front end, before the connections that are left are closed
+LAST = 60 * MS  # before the time at which it would be killed, the program is gone in any case
+FLUSH_S = 0.03  # for what was written last to go out
+# A replaced process is killed so long after SIGTERM: its longest deadline, at most the first, and the second.
+REPLACED_MOST_MS, REPLACED_MORE_MS = 3_000.0, 700.0
+CLIENT_DOORS = ("listen", "uwsgi")  # health and administration stay open to the end
+
+
+class Departure:
+    """One runner's, or that of one process of it where another serves on."""
+
+    def __init__(self, service: Service) -> None:
+        self._service = service
+        self._ended = False
+        self._heard = 0  # when something last came, or was owed
+
+    def leave(self) -> None:
+        """The notice to leave, for the runner as a whole."""
+        service, core = self._service, self._service.core
+        if core.leaving:
+            return
+        stop_ms = service.config.stop_ms
+        log.info("leaving within %.0f ms", stop_ms)
+        core.drain(stop_ms)
+        if service.announcer is not None:
+            service.announcer.stop()
+        # Front ends learn of it seconds late, and whoever takes over is cold: the doors stay open for a while.
+        on = min(core.settings.drain_grace_ms, SERVE_ON * stop_ms)
+        core.alarms.at(core.clock.now + round(on * MS), self._close_doors)
+        self._leave_within(stop_ms)
+
+    def finish(self) -> None:
+        """Another process serves on: what was read is answered, and nobody is told to keep away."""
+        core = self._service.core
+        if core.leaving:
+            return
+        longest = max(c.deadline_ms for c in core.settings.classes)
+        left = min(longest, REPLACED_MOST_MS) + REPLACED_MORE_MS
+        log.info("replaced: ends within %.0f ms", left)
+        core.drain(left, replaced=True)
+        self._leave_within(left)
+
+    def _leave_within(self, ms: float) -> None:
+        core = self._service.core
+        self._heard = core.clock.now
+        core.settled = self._settled
+        core.alarms.at(core.clock.now + round(ms * MS) - LAST, self.end)
+        self._look_again()
+
+    def _look_again(self) -> None:
+        core = self._service.core
+        core.alarms.at(core.clock.now + QUIET, self._look_again)
+
+    def _close_doors(self) -> None:
+        service = self._service
+        self._heard = service.clock.now
+        service.reporter.close_doors()
+        service.front.leave()
+        service.serving = False
+        for label in CLIENT_DOORS:
+            service.listeners.close(label)
+
+    def _connections(self) -> list[Any]:
+        return [*self._service.front.connections, *self._service.uwsgi.connections]
+
+    def _settled(self) -> None:
+        """Once all is answered, and front ends have closed their connections or say nothing more on them."""
+        service, core = self._service, self._service.core
+        open_doors = service.listeners.accepting() & set(CLIENT_DOORS)
+        runs = core.replaced and len(core.runs)  # their results go to the one that serves on
+        if core.owed or open_doors or runs or (service.fleet is not None and service.fleet.busy):
+            self._heard = core.clock.now
+            return
+        heard = max((c.active for c in service.front.connections), default=0)
+        left = self._connections()
+        reading = any(c.reading for c in left)  # a message that has begun may still become a request
+        if not left or (not reading and core.clock.now - max(self._heard, heard) >= QUIET):
+            self.end()
+
+    def end(self) -> None:
+        """What has come until now is answered, then everything closes."""
+        if self._ended:
+            return
+        self._ended = True
+        service = self._service
+        if service.keeper is not None:
+            service.keeper.stop()
+        if not service.core.replaced:
+            self._close_doors()
+        connections = self._connections()
+        for connection in connections:
+            connection.read_rest()  # a request that came in this moment is not closed over
+        service.core.answer_all()
+        for connection in connections:
+            connection.close()  # what is written goes out first
+        if service.succession is not None:
+            service.succession.close()
+        if service.fleet is not None:
+            service.fleet.close()
+        service.kernel.close()
+        service.reactor.callLater(FLUSH_S, service.reactor.stop)
--- a/moorusher/links/database.py
+++ b/moorusher/links/database.py
@@ -124,7 +124,7 @@
     """All connections to one database, and the calls that are out on them."""
 
     def __init__(self, reactor: Any, address: Address, most_idle: int = MOST_IDLE) -> None:
-        self.reactor, self.address, self._most_idle = reactor, address, most_idle
+        self.reactor, self.address, self.most_idle = reactor, address, most_idle
         self.core: Decider  # set by the owner
         self._idle: deque[DatabaseConnection] = deque()  # oldest first; the newest is used first
         self._dialling: dict[int, _Dial] = {}
@@ -180,7 +180,7 @@
 
     def keep(self, most_idle: int = MOST_IDLE) -> None:
         """So many connections without a call, from now on."""
-        self._most_idle = most_idle
+        self.most_idle = most_idle
         while len(self._idle) > most_idle:
             self._idle.popleft().transport.loseConnection()
 
@@ -198,7 +198,7 @@
     def spare(self, connection: DatabaseConnection) -> None:
         connection.idle_since = self.core.clock.now
         self._idle.append(connection)
-        if len(self._idle) > self._most_idle:
+        if len(self._idle) > self.most_idle:
             self._idle.popleft().transport.loseConnection()
         self._watch()
 
--- a/moorusher/links/succession.py
+++ b/moorusher/links/succession.py
@@ -48,7 +48,7 @@
         self, handed: dict[str, int]
     ) -> dict[str, int]: ...  # of sockets, by label, those at its addresses
     def accept(self, handed: dict[str, int]) -> None: ...  # on these, and on others of its own
-    def listeners(self) -> dict[str, int]: ...
+    def handed_over(self) -> dict[str, int]: ...
     def pause(self, shared: set[str]) -> None: ...
     def resume(self) -> None: ...
     def leave(self) -> None: ...
@@ -431,7 +431,7 @@
             self._take_place()
         elif step is Step.WELCOME and peer is not None:
             claims.peer, claims.first = peer, False
-            listeners = self._owner.listeners()
+            listeners = self._owner.handed_over()
             for fd in listeners.values():
                 peer.transport.sendFileDescriptor(fd)
             peer.say(
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -23,8 +23,9 @@
 from moorusher.fleet.policy import Seat
 from moorusher.forecast.policy import Policy as ForecastPolicy
 from moorusher.fronts.jsonrpc import END_FAULTS, MOST_FAULTS, MOST_OPEN
+from moorusher.links.database import MOST_IDLE, DatabasePool
 from moorusher.outage.policy import Policy as OutagePolicy
-from moorusher.service import Service
+from moorusher.service import IDLE_CALLS_SHARE, Service
 from peattack import Balancer
 from peattack import interface as api
 
@@ -220,9 +221,10 @@
 
 
 class Running:
-    def __init__(self, fleet: settings_of_fleet.FleetConfig | None = None) -> None:
+    def __init__(self, fleet: settings_of_fleet.FleetConfig | None = None, **more: Any) -> None:
         self.fleet = fleet or settings_of_fleet.FleetConfig()
-        self.file = json.dumps(CONFIG).encode()
+        self.config = CONFIG | more
+        self.file = json.dumps(self.config).encode()
         self.service = Service(self.load(), MemoryReactorClock())  # type: ignore[no-untyped-call]
 
     def load(self, running: Any = None) -> config.Config:
@@ -261,6 +263,14 @@
     assert core.keys.most_bytes < 20_000_000 and r.service.front.places.most < 128
 
 
+def test_connections_below_that_are_kept_without_a_call_follow_the_descriptors() -> None:
+    r = Running(db="127.0.0.1:7700")
+    below = r.service.below
+    assert isinstance(below, DatabasePool) and below.most_idle == MOST_IDLE
+    assert r.reload(json.dumps(r.config | {"limits": {"cores": 1.0, "memory_mb": 80, "sockets": 60}}))
+    assert below.most_idle == 60 // 3 // IDLE_CALLS_SHARE
+
+
 def test_a_file_cut_at_any_byte_changes_nothing() -> None:
     whole = json.dumps(CONFIG | {"stop_ms": 5000, "kernel": "127.0.0.1:1"})
     r = Running()
