With few descriptors, calls below are bounded by those that clients leave

Cause: 43 places for clients left 21, and calls below, up to 4 a core of the kernel, were bounded by none of them; ruled out are the places (they keep to their number but for a turn's accepts).

Change: calls are made on as many connections as the spare descriptors leave after the fixed ones, the console's and the idle ones; one more was never made, which is a proof, and the module tries again. At least 40 are spare, at most half: front ends may open the other half. Nothing changes from 480 on.

--- a/moorusher/links/database.py
+++ b/moorusher/links/database.py
@@ -18,6 +18,7 @@
 SETTLE = 20 * MS  # after a reply, for what should not follow it
 IDLE = 7 * SECOND  # the other side closes after 10 s: a call must not cross that close
 MOST_IDLE = 32
+MOST_OPEN = 1024
 
 
 def ending_of(status: int, headers: dict[bytes, bytes]) -> Ending:
@@ -125,6 +126,7 @@
 
     def __init__(self, reactor: Any, address: Address, most_idle: int = MOST_IDLE) -> None:
         self.reactor, self.address, self.most_idle = reactor, address, most_idle
+        self.most_open = MOST_OPEN  # connections that carry or are made for a call
         self.core: Decider  # set by the owner
         self._idle: deque[DatabaseConnection] = deque()  # oldest first; the newest is used first
         self._dialling: dict[int, _Dial] = {}
@@ -150,6 +152,9 @@
         return next((c for c in reversed(self._idle) if c.idle_since <= latest), None)
 
     def dial(self, number: int, asked: Asked) -> None:
+        """On a fresh connection; where none may be made, nothing was sent."""
+        if len(self._busy) + len(self._dialling) >= self.most_open:
+            return self.over(number, Ending.CALL_NOT_CONNECTED, b"")
         dial = self._dialling[number] = _Dial(self, number, asked)
         dial.dial(self.address)
 
--- a/moorusher/service.py
+++ b/moorusher/service.py
@@ -33,13 +33,17 @@
 log = logging.getLogger("moorusher")
 
 # Descriptors for the calls below, the links, the listening sockets, the console and the interpreter.
-SPARE_SOCKETS = 160
+SPARE_SOCKETS, LEAST_SPARE = 160, 40
 IDLE_CALLS_SHARE = 4  # one in so many of them is for connections below that are kept without a call
+FIXED_SOCKETS = (
+    14  # of them: the interpreter's and the loop's, listening sockets, the kernel and the announce service
+)
 LISTEN_AGAIN, LISTEN_WITHIN = (
     100 * MS,
     4 * SECOND,
 )  # where an address is not free; a new process says yes in 6 s
 LEAST_PLACES = 16  # for clients, whatever else there is
+LEAST_CONSOLE = 8
 CONSOLE_SHARE = 6  # one in so many of them is the console's: two processes may have one
 
 
@@ -147,9 +151,7 @@
         if config.console is not None:  # first: it tells operators what is still missing
             from .fronts.console import Console
 
-            self.console = Console(
-                self.core, self.reporter, max(8, self._spare // CONSOLE_SHARE), lambda: self.serving
-            )
+            self.console = Console(self.core, self.reporter, self._console_places(), lambda: self.serving)
             self.listeners.adopt(listener(config.console), self.console)
         doors = self.listeners.doors
         doors["listen"] = config.listen, self.front
@@ -326,7 +328,8 @@
     def size(self, limits: Limits) -> None:
         """How many places and keys there are follows the limits. What is open stays open."""
         sockets = descriptors(limits.sockets)
-        self._spare = min(SPARE_SOCKETS, sockets // 3)
+        # Front ends open at most half of the descriptors, so half are theirs in any case.
+        self._spare = min(SPARE_SOCKETS, max(sockets // 3, LEAST_SPARE), sockets // 2)
         self._most = max(LEAST_PLACES, sockets - self._spare)
         if self.config.uwsgi.listen is not None:
             self._most //= 2  # the two fronts share the descriptors
@@ -335,7 +338,13 @@
 
     def _keep_idle_calls(self) -> None:
         if isinstance(self.below, DatabasePool):
-            self.below.keep(min(MOST_IDLE, self._spare // IDLE_CALLS_SHARE))
+            idle = min(MOST_IDLE, self._spare // IDLE_CALLS_SHARE)
+            self.below.keep(idle)
+            console = 0 if self.config.console is None else self._console_places()
+            self.below.most_open = max(1, self._spare - FIXED_SOCKETS - console - idle)
+
+    def _console_places(self) -> int:
+        return max(LEAST_CONSOLE, self._spare // CONSOLE_SHARE)
 
     def place(self) -> None:
         """Give the fronts their places, beside those of another process."""
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -97,6 +97,20 @@
     assert len(pool.dialled) == 3 and pool.dialled[-1].address == ("127.0.0.1", 2)
 
 
+def test_a_call_beyond_the_descriptors_was_never_made_and_finds_room_later() -> None:
+    pool = Pool(World())
+    pool.most_open = 2
+    for number in (1, 2, 3):
+        pool.call(number, asked(number))
+    assert pool.ends == [(3, Ending.CALL_NOT_CONNECTED)] and len(pool.dialled) == 2
+    connection, _ = pool.up()
+    pool.call(4, asked(4))
+    assert pool.ends[1:] == [(4, Ending.CALL_NOT_CONNECTED)], "the call that is out counts as the dial did"
+    connection.dataReceived(REPLY)
+    pool.call(5, asked(5))
+    assert len(pool.dialled) == 3 and pool.ends[2:] == [(2, Ending.CALL_ANSWERED)]
+
+
 def test_a_spare_database_connection_is_closed_before_the_other_side_does() -> None:
     pool = Pool(world := World())
     pool.call(1, asked(1))
