--- a/moorusher/check/duties.py
+++ b/moorusher/check/duties.py
@@ -16,10 +16,10 @@
 from ..duties.errors import DutyError
 from ..duties.fence import Fence, Verdict, judge
 from ..duties.journal import LastingKeeper
-from ..duties.office import Office, Reading
+from ..duties.ownership import Ownership, Stage
+from ..duties.participant import Participant, Reading
 from ..duties.policy import Policy
 from ..duties.post import Intent, Life, Post, Settle, key_of
-from ..duties.tour import Stage, Tour
 from ..fleet.journal import Whose, pack, read
 from ..fleet.keeper import NEVER
 from ..fleet.node import Node
@@ -53,14 +53,14 @@
 class Worker:
     """Tries one effect after the other, of a kind drawn anew each time."""
 
-    def __init__(self, process: DutyProcess, tour: Tour) -> None:
-        self.process, self.tour = process, tour
-        self.facts = process.world.facts[tour.name]
-        self.stopped, self.state = False, tour.state
-        tour.settled = self._settled
+    def __init__(self, process: DutyProcess, ownership: Ownership) -> None:
+        self.process, self.ownership = process, ownership
+        self.facts = process.world.facts[ownership.name]
+        self.stopped, self.state = False, ownership.state
+        ownership.settled = self._settled
 
     def start(self) -> None:
-        self.facts.owners[self.tour.post.born, self.tour.post.term].add(self.process.number)
+        self.facts.owners[self.ownership.post.born, self.ownership.post.term].add(self.process.number)
         self._soon()
 
     def wind_up(self) -> None:
@@ -80,7 +80,7 @@
         if kind < 0.4:
             self._state()
         elif kind < 0.7:
-            self.tour.do(Fenced("r", b"x"), self._over)
+            self.ownership.do(Fenced("r", b"x"), self._over)
         else:
             self._job()
         self._soon()
@@ -95,7 +95,7 @@
                 self.facts.acknowledged.append((token, self.process.sim.now))
                 self.facts.effects.append(self.process.sim.now)
 
-        self.tour.do(OnFleet(state), made)
+        self.ownership.do(OnFleet(state), made)
 
     def _job(self) -> None:
         world = self.process.world
@@ -110,7 +110,7 @@
                 self.facts.told_done.append(what)
             self._over(outcome)
 
-        self.tour.do(Once("s", what, settle), made)
+        self.ownership.do(Once("s", what, settle), made)
 
     def _over(self, outcome: Outcome) -> None:
         if isinstance(outcome, Made):
@@ -127,10 +127,10 @@
         super().__init__(sim, seat, number, inc, remembers, make)
         assert isinstance(sim, DutySimulation)
         self.world = sim
-        self.office = sim.office(self.node, self, sim.policy, remembers, sim.keeper)
-        self.office.keeper.notes = self.office.shelf.notes = sim.lasting
+        self.participant = sim.participant(self.node, self, sim.policy, remembers, sim.keeper)
+        self.participant.keeper.notes = self.participant.shelf.notes = sim.lasting
         for name in sim.names:
-            self.office.want(name, "test")
+            self.participant.want(name, "test")
         self._wait: list[Callable[[], None]] = []
         self._write_on = b""
 
@@ -146,7 +146,7 @@
 
     def _save(self) -> None:
         waiting, self._wait = self._wait, []
-        self._write_on = pack(self.office.keeper.unsaved(self.sim.now)) or b"\0"
+        self._write_on = pack(self.participant.keeper.unsaved(self.sim.now)) or b"\0"
 
         def written() -> None:
             if self._write_on != b"\0":
@@ -164,8 +164,8 @@
 
     # ---- office.Host ----
 
-    def work(self, tour: Tour) -> Worker | None:
-        return Worker(self, tour)
+    def work(self, ownership: Ownership) -> Worker | None:
+        return Worker(self, ownership)
 
     def perform(self, to: str, duty: str, fence: Fence, body: bytes, then: Callable[[Told], None]) -> None:
         facts = self.world.facts[duty]
@@ -233,7 +233,7 @@
         duties: int = 6,
         lasting: bool = False,
         compares: bool = True,
-        office: type[Office] = Office,
+        participant: type[Participant] = Participant,
         keeper: type[LastingKeeper] = LastingKeeper,
         policy: Policy = POLICY,
         amnesia: bool = True,
@@ -241,7 +241,7 @@
     ) -> None:
         self.names = [f"duty-{i}" for i in range(duties)]
         self.facts: dict[str, Facts] = {name: Facts() for name in self.names}
-        self.office, self.keeper, self.policy = office, keeper, policy
+        self.participant, self.keeper, self.policy = participant, keeper, policy
         self.lasting, self.compares = lasting, compares
         self.tokens = self.jobs = 0
         self.reads: list[str] = []
@@ -261,10 +261,10 @@
             image = read(self.lasting_disks[seat], self.lasting_whose[seat])
             self.lasting_disks[seat] = self.lasting_disks[seat][: image.good]
             if image.remembers:
-                made.office.keeper.recall(self.now, image)
+                made.participant.keeper.recall(self.now, image)
             else:
                 self.lasting_disks[seat] = pack([self.lasting_whose[seat]])
-        self.at(self.now, made, made.office.start)
+        self.at(self.now, made, made.participant.start)
         return made
 
     def _end(self, process: Process) -> None:
@@ -293,7 +293,7 @@
                             f"{name}: read at n{seat}, asked for at {began}: {missing[:3]} missing"
                         )
 
-            process.office.read(name, got)
+            process.participant.read(name, got)
 
         self.at(round(at * SECOND), None, ask)
 
@@ -335,12 +335,14 @@
             if p.alive
             and isinstance(p, DutyProcess)
             and p.node.me in self.seats.keepers(key)
-            and p.office.keeper.votes_for(key)
+            and p.participant.keeper.votes_for(key)
         ]
         if len(keepers) < 2:
             return None  # a majority has forgotten at once: an operator must say how it goes on
         slots = [
-            s for p in keepers if (s := p.office.keeper.slots.get(key)) is not None and s.ballot is not None
+            s
+            for p in keepers
+            if (s := p.participant.keeper.slots.get(key)) is not None and s.ballot is not None
         ]
         if not slots:
             return (
@@ -351,14 +353,14 @@
         post: Post = _post(max(slots, key=lambda s: s.ballot or NEVER).value)
         if post.life == Life.ASIDE.value:
             return None
-        tours = [
-            p.office.tours[key]
+        ownerships = [
+            p.participant.ownerships[key]
             for p in self.processes
-            if isinstance(p, DutyProcess) and p.alive and key in p.office.tours
+            if isinstance(p, DutyProcess) and p.alive and key in p.participant.ownerships
         ]
-        at_work = [t for t in tours if t.stage is Stage.HELD and t.post.term == post.term]
+        at_work = [t for t in ownerships if t.stage is Stage.HELD and t.post.term == post.term]
         if len(at_work) != 1:
-            return f"{len(at_work)} at work on {post}; tours: {[(t.owner, t.stage.value, t.post.term) for t in tours]}"
+            return f"{len(at_work)} at work on {post}; {[(o.owner, o.stage.value, o.post.term) for o in ownerships]}"
         there = tokens(at_work[0].state)
         lost = [t for t, _ in facts.acknowledged if t not in there]
         return f"acknowledged and gone: {lost[:5]}" if lost else None
--- a/moorusher/check/forecasts.py
+++ b/moorusher/check/forecasts.py
@@ -9,12 +9,13 @@
 
 from collections import Counter
 from collections.abc import Callable, Mapping
+from functools import partial
 from typing import Any
 
 from ..duties import pieces
-from ..duties.office import Worker
+from ..duties.ownership import Ownership
+from ..duties.participant import Worker
 from ..duties.post import key_of
-from ..duties.tour import Tour
 from ..fleet.keeper import NEVER
 from ..fleet.node import Node
 from ..forecast.demand import BUCKET_MS, HOUR_BUCKETS, Key, unpack_key
@@ -44,7 +45,7 @@
         super().__init__(sim, seat, number, inc, remembers, make)
         assert isinstance(sim, ForecastSimulation)
         self.whole = sim
-        self.member = sim.member(self.office, self, POLICY)
+        self.member = sim.member(self.participant, self, POLICY)
         sim.at(sim.now, self, self.member.start)
         sim.at(sim.now, self, self._asked)
 
@@ -59,24 +60,24 @@
         self.member.tally.count(now_ms, key, asked=1, worth=1.0)
         self.whole.truth[route, self.member.zone, now_ms // HOUR_MS] += 1
 
-    def work(self, tour: Tour) -> Worker | None:  # type: ignore[override]
-        return self.member.work(tour)
+    def work(self, ownership: Ownership) -> Worker | None:  # type: ignore[override]
+        return self.member.work(ownership)
 
     # ---- forecasting.member.Host, forecaster.Host ----
 
     def unix_ms(self) -> int:
         return BEGAN_MS + self.sim.now * FAST // MS
 
-    def worker(self, tour: Tour) -> Forecaster:
+    def worker(self, ownership: Ownership) -> Forecaster:
         return self.whole.forecaster(
-            tour, self, POLICY, {f"n{i}": f"z{i % 2}" for i in range(self.sim.course.seats)}
+            ownership, self, POLICY, {f"n{i}": f"z{i % 2}" for i in range(self.sim.course.seats)}
         )
 
     def say(self, seat: str, message: Any) -> None:
         self.member.say(seat, message)
 
     def at(self, when: int, action: Callable[[], None]) -> None:
-        self.office.at(when, action)
+        self.participant.at(when, action)
 
     def ended(self, worker: Forecaster) -> None:
         self.member.ended(worker)
@@ -122,10 +123,12 @@
             if p.alive
             and isinstance(p, DutyProcess)
             and p.node.me in self.seats.keepers(key)
-            and p.office.keeper.votes_for(key)
+            and p.participant.keeper.votes_for(key)
         ]
         slots = [
-            s for p in keepers if (s := p.office.keeper.slots.get(key)) is not None and s.ballot is not None
+            s
+            for p in keepers
+            if (s := p.participant.keeper.slots.get(key)) is not None and s.ballot is not None
         ]
         if len(keepers) < 2 or not slots:
             return None
@@ -134,8 +137,7 @@
             state
             for p in keepers
             if post.versions
-            and (state := pieces.whole(post.versions[0], lambda name, p=p: p.office.shelf.find(key, name)))  # type: ignore[misc]
-            is not None
+            and (state := pieces.whole(post.versions[0], partial(p.participant.shelf.find, key))) is not None
         ]
         return Ledger.unpack(states[0], {}) if states else None
 
--- a/moorusher/check/outage_seeds.py
+++ b/moorusher/check/outage_seeds.py
@@ -15,7 +15,7 @@
 from ..fleet.keeper import Keeper
 from ..fleet.node import Node
 from ..fleet.seats import majority
-from ..outage.desk import Desk, Waited
+from ..outage.coordinator import OutageCoordinator, Waited
 from ..outage.machine import Doing, Own
 from ..outage.policy import Policy
 from ..outage.roster import Ask, Stage
@@ -85,7 +85,7 @@
         if process.alive and isinstance(process, OutageProcess):
 
             def ask() -> None:
-                process.desk.wait(self.id, f"n{self.seat}", 2 * SECOND, told)
+                process.coordinator.wait(self.id, f"n{self.seat}", 2 * SECOND, told)
 
             self.world.at(self.world.now, process, ask)
         self.world.at(self.world.now + 3 * SECOND, None, again)
@@ -123,11 +123,11 @@
         assert isinstance(sim, OutageSimulation)
         self.world = sim
         self.starts, self.born = sim.machines[seat].starts, sim.now
-        self.desk = sim.desk(self.node, self, sim.policy, remembers, sim.keeper)
+        self.coordinator = sim.coordinator(self.node, self, sim.policy, remembers, sim.keeper)
         self.doing, self.since = Doing.SERVES, 0
         self._wait: list[Callable[[], None]] = []
 
-    # ---- outage.desk.Host ----
+    # ---- outage.coordinator.Host ----
 
     def unix_s(self) -> float:
         return 1e9 + (self.sim.now + self.world.skews[self.seat]) / 1e6
@@ -135,7 +135,14 @@
     def own(self) -> Own:
         drained = self.doing is Doing.DRAINS and self.sim.now - self.since >= self.world.drain_us
         return Own(
-            "", 0, True, str(self.starts), "s", drained, warm=self.warm, whole=self.desk.keeper.remembers
+            "",
+            0,
+            True,
+            str(self.starts),
+            "s",
+            drained,
+            warm=self.warm,
+            whole=self.coordinator.keeper.remembers,
         )
 
     @property
@@ -163,7 +170,7 @@
 
 
 class OutageSimulation(Simulation):
-    """`desk` and `keeper` are the real ones, or those with a seeded mistake."""
+    """`coordinator` and `keeper` are the real ones, or those with a seeded mistake."""
 
     def __init__(
         self,
@@ -172,14 +179,14 @@
         policy: Policy = POLICY,
         load: float = 0.4,
         asks: int = 3,
-        desk: type[Desk] = Desk,
+        coordinator: type[OutageCoordinator] = OutageCoordinator,
         keeper: type[Keeper] = Keeper,
         process: type[OutageProcess] = OutageProcess,
     ) -> None:
         """`load`: of each member's core."""
         self.machines = [Machine() for _ in range(course.seats)]
         self.skews = [0] * course.seats
-        self.policy, self.load, self.desk, self.keeper = policy, round(load * 100), desk, keeper
+        self.policy, self.load, self.coordinator, self.keeper = policy, round(load * 100), coordinator, keeper
         self.drain_us = 300 * MS
         self.most_told, self.limit = 0, policy.most
         self.stuck: set[int] = set()  # told, and nobody there who begins
@@ -197,7 +204,7 @@
     def born(self, seat: int, remembers: bool, inc: int = 0) -> Process:
         made = super().born(seat, remembers, inc)
         assert isinstance(made, OutageProcess)
-        self.at(self.now, made, made.desk.start)
+        self.at(self.now, made, made.coordinator.start)
         return made
 
     # ---- operators ----
@@ -232,7 +239,7 @@
                 return
             process = self.processes[which[0] if bound else r.randrange(seats)]
             if process.alive and isinstance(process, OutageProcess):
-                self.at(self.now, process, lambda: process.desk.ask(ask, lambda got: None))
+                self.at(self.now, process, lambda: process.coordinator.ask(ask, lambda got: None))
             self.at(self.now + 3 * SECOND, None, send)
 
         def scripts() -> None:
@@ -255,10 +262,15 @@
             self.at(round((at + r.uniform(0, 8)) * SECOND), None, lambda: self._withdraw(id))
 
     def _known(self, id: str) -> bool:
-        return any(p.desk.roster.ask(id) is not None or p.desk.roster.is_over(id) for p in self._there())
+        return any(
+            p.coordinator.roster.ask(id) is not None or p.coordinator.roster.is_over(id)
+            for p in self._there()
+        )
 
     def _waits(self, id: str, seat: str) -> bool:
-        return any((ask := p.desk.roster.ask(id)) is not None and seat in ask.waiting for p in self._there())
+        return any(
+            (ask := p.coordinator.roster.ask(id)) is not None and seat in ask.waiting for p in self._there()
+        )
 
     def _there(self) -> list[OutageProcess]:
         return [p for p in self.processes if p.alive and isinstance(p, OutageProcess)]
@@ -267,7 +279,9 @@
         self.withdrawn.add(id)
         if there := self._there():
             process = self.random.choice(there)
-            self.at(self.now, process, lambda: process.desk.cancel(id, [], "operator", lambda got: None))
+            self.at(
+                self.now, process, lambda: process.coordinator.cancel(id, [], "operator", lambda got: None)
+            )
 
     # ---- machines ----
 
@@ -320,8 +334,10 @@
                 self._begin_again(seat, self.now + round(min(lasts, 2) * SECOND), 0)
         elif kind == "limit":  # a lower one in one file, under whatever is granted
             if process.alive and isinstance(process, OutageProcess):
-                process.desk.follow(Policy(**{**_figures(self.policy), "most": 1}))
-                self.at(self.now + round(lasts * SECOND), process, lambda: process.desk.follow(self.policy))
+                process.coordinator.follow(Policy(**{**_figures(self.policy), "most": 1}))
+                self.at(
+                    self.now + round(lasts * SECOND), process, lambda: process.coordinator.follow(self.policy)
+                )
         else:
             if kind == "clock":
                 self.skews[seat] -= 3600 * SECOND
@@ -347,20 +363,25 @@
         there = self._there()
         if not there:
             return
-        keepers = [p for p in there if p.node.me in p.desk.keepers]
-        blank = [p for p in keepers if not p.desk.keeper.remembers]
-        if len(keepers) == len(there[0].desk.keepers) and len(keepers) - len(blank) < majority(len(keepers)):
+        keepers = [p for p in there if p.node.me in p.coordinator.keepers]
+        blank = [p for p in keepers if not p.coordinator.keeper.remembers]
+        if len(keepers) == len(there[0].coordinator.keepers) and len(keepers) - len(blank) < majority(
+            len(keepers)
+        ):
             # Too many have forgotten. Once nobody works on anything, a person says that what is left counts.
             for i, machine in enumerate(self.machines):
                 machine.told = False
                 self.stuck.discard(i)
             for script in self.scripts:
                 script.over = True
-            if all(not m.down for m in self.machines) and blank[0].desk.registers.begin(lost=True) is None:
+            if (
+                all(not m.down for m in self.machines)
+                and blank[0].coordinator.registers.begin(lost=True) is None
+            ):
                 self.forgot += 1
             return
-        desk = there[0].desk
-        for turn in desk.roster.turns:
+        coordinator = there[0].coordinator
+        for turn in coordinator.roster.turns:
             seat = int(turn.seat[1:])
             waits = self.machines[seat].told and seat not in self.stuck
             waits = waits or any(s.there and s.seat == seat and s.id == turn.ask for s in self.scripts)
@@ -368,18 +389,18 @@
             if turn.at in (Stage.OUT, Stage.ASIDE) and not waits:
                 self.machines[seat].told = False
                 self.stuck.discard(seat)
-                desk.over(turn.seat, "operator", lambda got: None)
-        for ask in desk.roster.asks:
+                coordinator.over(turn.seat, "operator", lambda got: None)
+        for ask in coordinator.roster.asks:
             for seat_name, _ in ask.held:
-                desk.resume(seat_name, lambda got: None)
+                coordinator.resume(seat_name, lambda got: None)
 
     def _all_over(self) -> bool:
-        return all(not p.desk.roster.asks for p in self._there()) and all(
+        return all(not p.coordinator.roster.asks for p in self._there()) and all(
             self._known(id) for id in self.asked
         )
 
     def _unfinished(self) -> str | None:
-        last = max((p.desk.roster for p in self._there()), key=lambda r: r.number)
+        last = max((p.coordinator.roster for p in self._there()), key=lambda r: r.number)
         for id in self.asked:
             if (ask := last.ask(id)) is not None:
                 return f"{id} is not over: {ask}, {last.turns}"
--- a/moorusher/check/publishing.py
+++ b/moorusher/check/publishing.py
@@ -10,23 +10,24 @@
 
 from collections import defaultdict
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import msgspec
 
 from ..duties import pieces
-from ..duties.office import Worker
+from ..duties.ownership import Ownership
+from ..duties.participant import Worker
 from ..duties.post import Life, key_of
-from ..duties.tour import Tour
 from ..fleet.keeper import NEVER
 from ..fleet.node import Node
 from ..namespaces.document import Namespace, read
 from ..namespaces.errors import NamespaceError
 from ..namespaces.policy import Bounds, Granted
 from ..namespaces.revisions import Book, Submission, unpack
-from ..publishing.desk import GONE, Desk, Error
 from ..publishing.messages import At
 from ..publishing.publisher import duty_of
+from ..publishing.replica import GONE, Error, Replica
 from .duties import DutyProcess, DutySimulation, _post
 from .fleets import MS, SECOND, Course, Simulation
 
@@ -49,14 +50,14 @@
         assert isinstance(sim, PublishSimulation)
         self.whole = sim
         self.born_at = sim.now
-        self.desk = sim.desk(self.office, self, 100)
+        self.replica = sim.replica(self.participant, self, 100)
 
-    def work(self, tour: Tour) -> Worker | None:  # type: ignore[override]
-        return self.desk.work(tour)
+    def work(self, ownership: Ownership) -> Worker | None:  # type: ignore[override]
+        return self.replica.work(ownership)
 
     def begin(self) -> None:
         stored = self.whole.stored[self.seat]
-        self.desk.start([(c, at, d) for c, (at, d) in stored.items()], 2_000 * MS)
+        self.replica.start([(c, at, d) for c, (at, d) in stored.items()], 2_000 * MS)
 
     # ---- desk.Host ----
 
@@ -91,18 +92,18 @@
 
 
 class PublishSimulation(DutySimulation):
-    """`desk` is the real one, or one with a seeded mistake."""
+    """`replica` is the real one, or one with a seeded mistake."""
 
     def __init__(
         self,
         seed: int,
         course: Course | None = None,
         lasting: bool = False,
-        desk: type[Desk] = Desk,
+        replica: type[Replica] = Replica,
         submissions: int = 30,
         deletions: int = 2,
     ) -> None:
-        self.desk = desk
+        self.replica = replica
         self.stored: list[dict[str, tuple[At, bytes | None]]] = [{} for _ in range((course or COURSE).seats)]
         self.drafts: defaultdict[Draft, set[bytes]] = defaultdict(
             set
@@ -148,14 +149,16 @@
             self.told.append((customer, got, id, draft, self.now))
             self._means(customer, got, draft)
             began = self.now
-            return process.desk.everywhere(
+            return process.replica.everywhere(
                 customer, got, lambda lacking: self._everywhere(customer, got, lacking, began)
             )
 
         self._somebody(
             self.random.randrange(self.course.seats),
             at,
-            lambda p: p.desk.submit(Submission(customer, id, expects, "x", draft), lambda got: over(p, got)),
+            lambda p: p.replica.submit(
+                Submission(customer, id, expects, "x", draft), lambda got: over(p, got)
+            ),
         )
 
     def _delete(self, customer: str, at: float) -> None:
@@ -163,7 +166,9 @@
             if not isinstance(got, Exception):
                 self.told.append((customer, got, "", b"", self.now))
 
-        self._somebody(self.random.randrange(self.course.seats), at, lambda p: p.desk.delete(customer, over))
+        self._somebody(
+            self.random.randrange(self.course.seats), at, lambda p: p.replica.delete(customer, over)
+        )
 
     # ---- what is seen ----
 
@@ -174,11 +179,11 @@
             self.found.append(f"{customer} {at} means {sorted(self.drafts[customer, at])}")
 
     def had(self, process: PublishProcess, customer: str) -> None:
-        at = process.desk.customers.at(customer)
+        at = process.replica.customers.at(customer)
         if at < self.last.get((process.number, customer), (0, 0)):
             self.found.append(f"process {process.number} went back to {at} of {customer}")
         self.last[process.number, customer] = at
-        found = process.desk.customers.of(customer)
+        found = process.replica.customers.of(customer)
         if found is not None:
             self._means(customer, at, found.draft)
 
@@ -191,10 +196,10 @@
                 and p.alive
                 and p.node.me not in lacking
                 and p.born_at < began
-                and p.desk.customers.at(customer) < at
+                and p.replica.customers.at(customer) < at
             ):
                 self.found.append(
-                    f"n{p.seat} was said to have {at} of {customer}, and has {p.desk.customers.at(customer)}"
+                    f"n{p.seat} was said to have {at} of {customer}, and has {p.replica.customers.at(customer)}"
                 )
 
     # ---- the whole ----
@@ -214,11 +219,15 @@
             if name == customer and id and numbers.setdefault((born, id), number) != number:
                 return f"{id} was published as {numbers[born, id]} and as {number}"
         live = [p for p in self.processes if p.alive and isinstance(p, PublishProcess)]
-        keepers = [p for p in live if p.node.me in self.seats.keepers(key) and p.office.keeper.votes_for(key)]
+        keepers = [
+            p for p in live if p.node.me in self.seats.keepers(key) and p.participant.keeper.votes_for(key)
+        ]
         if len(keepers) < 2:
             return None
         slots = [
-            s for p in keepers if (s := p.office.keeper.slots.get(key)) is not None and s.ballot is not None
+            s
+            for p in keepers
+            if (s := p.participant.keeper.slots.get(key)) is not None and s.ballot is not None
         ]
         told = [(at, draft) for name, at, _, draft, _ in self.told if name == customer]
         if not slots:
@@ -239,7 +248,7 @@
             else [
                 state
                 for p in keepers
-                if (state := pieces.whole(post.versions[0], lambda name, p=p: p.office.shelf.find(key, name)))  # type: ignore[misc]
+                if (state := pieces.whole(post.versions[0], partial(p.participant.shelf.find, key)))
                 is not None
             ]
         )
@@ -267,7 +276,9 @@
 
     def _all_have(self, live: list[PublishProcess], customer: str, at: At) -> str | None:
         behind = {
-            p.node.me: p.desk.customers.at(customer) for p in live if p.desk.customers.at(customer) != at
+            p.node.me: p.replica.customers.at(customer)
+            for p in live
+            if p.replica.customers.at(customer) != at
         }
         return f"{at} is there, and {behind} have not come to it" if behind else None
 
--- a/moorusher/core/actions.py
+++ b/moorusher/core/actions.py
@@ -54,7 +54,7 @@
         if request is None or request.stage is not Stage.HELD:
             core.events.append(api.RunEnded(action.id, api.Outcome.MOOT))
             core.touch()
-        elif request.key is not None and core.care.begins(request):
+        elif request.key is not None and core.coordinator.begins(request):
             request.stage = Stage.BEGINNING
         else:
             core.command(request)
--- a/moorusher/core/care.py
+++ b/moorusher/core/coordination.py
@@ -11,7 +11,7 @@
 from .requests import Request
 
 
-class Care(Protocol):
+class KeyCoordinator(Protocol):
     """What the core asks of a fleet about keyed requests."""
 
     def hold_back(self, request: Request) -> bool:
@@ -21,7 +21,7 @@
         """True where others must know first: `begun`, `given` or `not_begun` follows."""
 
 
-class NoCare:
+class NoCoordinator:
     """One runner by itself."""
 
     def hold_back(self, request: Request) -> bool:
--- a/moorusher/core/decide.py
+++ b/moorusher/core/decide.py
@@ -12,9 +12,9 @@
 from .actions import Actions
 from .answer import Answer, Cause, Reply, Verdict
 from .call import Calls, OpenCalls
-from .care import Care, NoCare
 from .claims import Claims
 from .clock import MS, Alarms, Clock
+from .coordination import KeyCoordinator, NoCoordinator
 from .counters import Counters
 from .demand import Demand
 from .endings import OUTCOMES, Ending
@@ -56,7 +56,7 @@
         self.claims = Claims(
             self.keys, self.table, clock, alarms, self.counters, self._claimed, self.turn_away, self.shared
         )
-        self.care: Care = NoCare()
+        self.coordinator: KeyCoordinator = NoCoordinator()
         self.others = Others(self)
         self.routes: Routes = NoRoutes()
         self.demand = Demand()
@@ -194,7 +194,7 @@
 
     def _claimed(self, request: Request) -> None:
         """No other process of this runner has its key: are there runners that may?"""
-        if not self.care.hold_back(request):
+        if not self.coordinator.hold_back(request):
             self.hand_on(request)
 
     def hand_on(self, request: Request) -> None:
@@ -446,7 +446,7 @@
         self.turn_over()
         for request in [r for r in self.table.by_number.values() if r.reply is not None]:
             alone = request.key is None or isinstance(
-                self.care, NoCare
+                self.coordinator, NoCoordinator
             )  # else other runners may go on with it
             never_ran = request.stage is Stage.HELD and request.repeats is None and alone
             self.answer(
--- a/moorusher/core/others.py
+++ b/moorusher/core/others.py
@@ -1,5 +1,5 @@
 """What becomes of requests where other runners have a word on their keys: granted here, joined with a try of another,
-given away, taken up. Answers to what the core has asked by `care.Care`; it decides nothing of a key itself.
+given away, taken up. Answers to what the core has asked its `KeyCoordinator`; nothing is decided of a key here.
 """
 
 from __future__ import annotations
--- a/moorusher/duties/effects.py
+++ b/moorusher/duties/effects.py
@@ -1,5 +1,5 @@
-"""The kinds of effect that there are. An owner does something by handing one of these to its `Tour`: each states how an
-owner of before is kept from doing harm with it, and there is no other way out.
+"""The kinds of effect that there are. An owner does something by handing one of these to its `Ownership`: each states
+how an owner of before is kept from doing harm with it, and there is no other way out.
 """
 
 from __future__ import annotations
--- a/moorusher/duties/tour.py
+++ b/moorusher/duties/ownership.py
@@ -86,11 +86,11 @@
     def asked(
         self, to: str, duty: str, intent: Intent, then: Callable[[Told], None]
     ) -> None: ...  # and closed
-    def started(self, tour: Tour) -> None: ...
-    def ended(self, tour: Tour, why: DutyError | None) -> None: ...
+    def started(self, ownership: Ownership) -> None: ...
+    def ended(self, ownership: Ownership, why: DutyError | None) -> None: ...
 
 
-class Tour:
+class Ownership:
     def __init__(self, host: Host, key: Key, post: Post, hold: Hold | None) -> None:
         self.host, self.key, self.post = host, key, post
         self.owner = host.owner
--- a/moorusher/duties/office.py
+++ b/moorusher/duties/participant.py
@@ -26,6 +26,7 @@
 from .journal import LastingKeeper
 from .library import Library
 from .messages import Declined, Fetch, Fetched, Keep, Kept, Named, Offer, Passed
+from .ownership import Ownership
 from .pieces import Shelf
 from .policy import Policy
 from .post import (
@@ -45,7 +46,6 @@
 )
 from .spread import Steady, mean, too_many
 from .tending import Tending
-from .tour import Tour
 
 FOREVER = 1 << 60  # us
 LOOK = 500 * MS
@@ -64,7 +64,7 @@
     ) -> None: ...
     def intend(self, to: str, duty: str, intent: Intent, then: Callable[[Told], None]) -> None: ...
     def asked(self, to: str, duty: str, intent: Intent, then: Callable[[Told], None]) -> None: ...
-    def work(self, tour: Tour) -> Worker | None: ...  # who does what such a duty is for
+    def work(self, ownership: Ownership) -> Worker | None: ...  # who does what such a duty is for
 
 
 class Worker(Protocol):
@@ -82,8 +82,8 @@
     age_us: int
 
 
-class Office:
-    tour = Tour
+class Participant:
+    ownership = Ownership
 
     def __init__(
         self,
@@ -123,7 +123,7 @@
             Steady(steady, steady * MOST_STEADY),
             round(2 * policy.patience_ms * MS),
         )
-        self.tours: dict[Key, Tour] = {}
+        self.ownerships: dict[Key, Ownership] = {}
         self._workers: dict[Key, Worker] = {}
         self._accepting: set[Key] = set()
         self._unfit_since: int | None = None
@@ -173,7 +173,7 @@
         return self._host.fit()
 
     def has(self) -> int:
-        return len(self.tours) + len(self._accepting)
+        return len(self.ownerships) + len(self._accepting)
 
     def durable(self, then: Callable[[], None]) -> None:
         self.node.durable(then, LASTING)
@@ -222,50 +222,53 @@
         elif now - self._unfit_since >= round(self.policy.patience_ms * MS):
             self.leave()
         for key in self.tending.owned_by(self.owner):
-            if key not in self.tours and key not in self._accepting:
+            if key not in self.ownerships and key not in self._accepting:
                 self._mine(key)
         for name, kind in self._wanted:
             self._see_that_there_is(name, kind)
         if now - self._told >= TELL:
             self._told = now
             alive = sum(p.life != Life.GONE.value for p in self.tending.posts.values())
-            self.node.duties = len(self.tours), alive
+            self.node.duties = len(self.ownerships), alive
 
     def woke(self) -> None:
         """This process was stopped: what it has may be another's by now."""
         self.count("duties: looked after a pause")
-        for i, tour in enumerate(list(self.tours.values())):
-            self.at(self.clock() + i // 16 * 10 * MS, tour.check)
+        for i, ownership in enumerate(list(self.ownerships.values())):
+            self.at(self.clock() + i // 16 * 10 * MS, ownership.check)
 
     def leave(self) -> None:
         """What it has goes to others."""
-        for key in list(self.tours):
+        for key in list(self.ownerships):
             self.give_up(key)
 
     def give_up(self, key: Key, to: str = "") -> None:
-        tour = self.tours.get(key)
-        if tour is None or not tour.is_open:
+        ownership = self.ownerships.get(key)
+        if ownership is None or not ownership.is_open:
             return
         if not to:
             to = next((s for s in self.tending.able(key) if s != self.me), "")
         if (worker := self._workers.get(key)) is not None:
             worker.wind_up()
-        tour.give_up(to)
+        ownership.give_up(to)
 
     def _even_out(self, now: int) -> None:
         """One that has far more than the others gives up some, a few in a minute."""
-        if len(self.tours) <= too_many(0.0):
+        if len(self.ownerships) <= too_many(0.0):
             return
         seen = self.tending.seen()
         fair = mean(seen, self.tending.copies)
-        if len(self.tours) <= too_many(fair) or now - self._moved < 60_000 * MS / self.policy.moves_a_minute:
+        if (
+            len(self.ownerships) <= too_many(fair)
+            or now - self._moved < 60_000 * MS / self.policy.moves_a_minute
+        ):
             return
         others = {
             m.seat: m.has for m in seen if m.fit and m.steady and m.seat != self.me and m.has + 1 < fair
         }
-        for key in self.tours:
+        for key in self.ownerships:
             to = next((s for s in self.tending.able(key) if s in others), None)
-            if to is not None and self.tours[key].is_open:
+            if to is not None and self.ownerships[key].is_open:
                 self._moved = now
                 self.count("duties: moved to one that has fewer")
                 return self.give_up(key, to)
@@ -302,8 +305,8 @@
     # ---- offers ----
 
     def _offered(self, seat: str, m: Offer) -> None:
-        tour = self.tours.get(m.key)
-        if m.key in self._accepting or (tour is not None and tour.post.term > m.term):
+        ownership = self.ownerships.get(m.key)
+        if m.key in self._accepting or (ownership is not None and ownership.post.term > m.term):
             return
         seen = self.tending.seen()
         if not self.fit() or (not m.pressing and self.has() >= too_many(mean(seen, self.tending.copies))):
@@ -328,7 +331,7 @@
                 if post is not None and post.life == Life.ASIDE.value:
                     self.count("duties: put aside")
                 return None
-            if (there := self.tours.get(key)) is not None:
+            if (there := self.ownerships.get(key)) is not None:
                 if there.post.term == post.term:
                     return None
                 there.superseded(post)
@@ -336,26 +339,26 @@
             before = change.before if isinstance(change, Accept) else None
             if before is not None and before.seat != self.me:
                 self.say(before.seat, Passed(key, post.born, post.term, self.owner))
-            self.tours[key] = self.tour(self, key, post, done.hold)
+            self.ownerships[key] = self.ownership(self, key, post, done.hold)
             return None
 
         self.change(key, change, None, accepted)
 
     def _passed(self, seat: str, m: Passed) -> None:
-        tour = self.tours.get(m.key)
-        if tour is not None and (m.born, m.term) > (tour.post.born, tour.post.term):
-            tour.check()
+        ownership = self.ownerships.get(m.key)
+        if ownership is not None and (m.born, m.term) > (ownership.post.born, ownership.post.term):
+            ownership.check()
 
-    def started(self, tour: Tour) -> None:
-        worker = self._host.work(tour)
+    def started(self, ownership: Ownership) -> None:
+        worker = self._host.work(ownership)
         if worker is not None:
-            self._workers[tour.key] = worker
+            self._workers[ownership.key] = worker
             worker.start()
 
-    def ended(self, tour: Tour, why: DutyError | None) -> None:
-        if self.tours.get(tour.key) is tour:
-            del self.tours[tour.key]
-        if (worker := self._workers.pop(tour.key, None)) is not None:
+    def ended(self, ownership: Ownership, why: DutyError | None) -> None:
+        if self.ownerships.get(ownership.key) is ownership:
+            del self.ownerships[ownership.key]
+        if (worker := self._workers.pop(ownership.key, None)) is not None:
             worker.stop(why)
 
     # ---- for all, at any member ----
@@ -441,8 +444,8 @@
     def known(self, name: str) -> Reading | DutyError:
         """What is known here without asking anybody; not for more than a look."""
         key = key_of(name)
-        if (tour := self.tours.get(key)) is not None:
-            return Reading(tour.post, tour.state, 0)
+        if (ownership := self.ownerships.get(key)) is not None:
+            return Reading(ownership.post, ownership.state, 0)
         post = self.tending.posts.get(key)
         if post is None or post.life == Life.GONE.value:
             return Unknown(name)
--- a/moorusher/duties/report.py
+++ b/moorusher/duties/report.py
@@ -13,8 +13,8 @@
 from ..fleet.member import MS
 from .effects import Fenced, LatestState, Made, OnFleet, Outcome
 from .errors import DutyError
+from .ownership import Ownership
 from .policy import Report
-from .tour import Tour
 
 KIND = "report"
 NOTED = 5  # reports between two of the duty's own states
@@ -32,22 +32,22 @@
 class Reporting:
     def __init__(
         self,
-        tour: Tour,
+        ownership: Ownership,
         report: Report,
         at: Callable[[int, Callable[[], None]], None],
         clock: Callable[[], int],
         fleet: Callable[[], dict[str, Any]],
     ) -> None:
-        self.tour, self._report, self._at, self._clock, self._fleet = tour, report, at, clock, fleet
+        self.ownership, self._report, self._at, self._clock, self._fleet = ownership, report, at, clock, fleet
         self._stopped = self._open = False
-        self.told = msgspec.json.decode(tour.state, type=Told) if tour.state else Told()
+        self.told = msgspec.json.decode(ownership.state, type=Told) if ownership.state else Told()
 
     def start(self) -> None:
         self._tell()
 
     def wind_up(self) -> None:
         """A report may be under way: it counts in the state that is handed on."""
-        self.tour.do(LatestState(lambda: _json.encode(self.told)), lambda outcome: None)
+        self.ownership.do(LatestState(lambda: _json.encode(self.told)), lambda outcome: None)
 
     def stop(self, why: DutyError | None) -> None:
         self._stopped = True
@@ -59,11 +59,11 @@
         if not self._open:  # the last one has not come through yet: this one says what that would
             self._open = True
             body = _json.encode(self._fleet() | {"reports": self.told.reports + 1})
-            self.tour.do(Fenced("{}:{}".format(*self._report.to), body), self._over)
+            self.ownership.do(Fenced("{}:{}".format(*self._report.to), body), self._over)
 
     def _over(self, outcome: Outcome) -> None:
         self._open = False
         if isinstance(outcome, Made):
             self.told = Told(self.told.reports + 1)
             if self.told.reports % NOTED == 0:
-                self.tour.do(OnFleet(_json.encode(self.told)), lambda outcome: None)
+                self.ownership.do(OnFleet(_json.encode(self.told)), lambda outcome: None)
--- a/moorusher/duties/tending.py
+++ b/moorusher/duties/tending.py
@@ -73,7 +73,7 @@
     def past(self, owner: Owner) -> bool:
         """It is lost, as far as is known here."""
         if owner.seat == self.host.owner.seat:
-            return owner.inc < self.host.owner.inc and owner.inc != self.members.own.told.elder
+            return owner.inc < self.host.owner.inc and owner.inc != self.members.own.told.predecessor
         member = self.members.by_seat.get(owner.seat)
         return member is None or member.past(owner.inc)
 
--- a/moorusher/fleet/left.py
+++ b/moorusher/fleet/left.py
@@ -50,7 +50,7 @@
         for owner in sorted(self._recalled, key=lambda o: (o.seat, o.inc)):
             member = self.node.members.by_seat.get(owner.seat)
             if owner == self.node.owner or (
-                member is not None and member.up and owner.inc in (member.inc, member.told.elder)
+                member is not None and member.up and owner.inc in (member.inc, member.told.predecessor)
             ):
                 continue
             if owner in self._by_owner:
--- a/moorusher/fleet/member.py
+++ b/moorusher/fleet/member.py
@@ -57,7 +57,7 @@
 
     def past(self, inc: int) -> bool:
         """That process of the seat is lost, as far as is known."""
-        return self.state is State.DEAD or (inc not in (self.inc, self.told.elder) and inc < self.inc)
+        return self.state is State.DEAD or (inc not in (self.inc, self.told.predecessor) and inc < self.inc)
 
     @property
     def fit(self) -> bool:
@@ -179,8 +179,8 @@
         self._spread(member)
         if state is State.DEAD and was is not State.DEAD:
             self._host.died(member.seat, member.inc)
-            if member.told.elder:
-                self._host.died(member.seat, member.told.elder)
+            if member.told.predecessor:
+                self._host.died(member.seat, member.told.predecessor)
 
     def heard(self, seat: str, inc: int) -> None:
         """Anything at all has come from it, in this life of it."""
@@ -194,7 +194,9 @@
 
     def _reborn(self, member: Member, inc: int, now: int) -> None:
         was, member.inc, member.refused = member.inc, inc, False
-        self._told(member, Word(elder=was if member.state is not State.DEAD else 0))  # until it says itself
+        self._told(
+            member, Word(predecessor=was if member.state is not State.DEAD else 0)
+        )  # until it says itself
 
     def tell(self, told: Word) -> None:
         """Of this member itself, where it has changed."""
@@ -204,9 +206,9 @@
             self._spread(self.own)
 
     def _told(self, member: Member, told: Word) -> None:
-        elder, member.told = member.told.elder, told
-        if elder and told.elder != elder:
-            self._host.died(member.seat, elder)
+        predecessor, member.told = member.told.predecessor, told
+        if predecessor and told.predecessor != predecessor:
+            self._host.died(member.seat, predecessor)
 
     # ---- news ----
 
--- a/moorusher/fleet/messages.py
+++ b/moorusher/fleet/messages.py
@@ -157,7 +157,7 @@
 
     fit: bool = False  # to take work over
     cores: int = 0
-    elder: int = 0  # the process that it replaces, while that one lives
+    predecessor: int = 0  # the process that it replaces, while that one lives
     duties: int = 0
     keeps: int = 0  # registers of duties
     weight: int = 0  # percent of its full capacity, as balancers are told; 0: no new requests
--- a/moorusher/fleet/node.py
+++ b/moorusher/fleet/node.py
@@ -563,11 +563,11 @@
 
     # ---- what is told ----
 
-    def tell(self, elder: int = 0, cores: int = 0) -> None:
-        """Of this runner, where it has changed. `elder`: the process that this one replaces, while that one lives."""
+    def tell(self, predecessor: int = 0, cores: int = 0) -> None:
+        """Of this runner, where it has changed. `predecessor`: the process that it replaces, while that one lives."""
         whole = SHARED not in self.spaces or self.spaces[SHARED].keeper.remembers
         self.members.tell(
-            Word(self.host.fit(), cores, elder, *self.duties, *self.capacity, whole, self.lasting)
+            Word(self.host.fit(), cores, predecessor, *self.duties, *self.capacity, whole, self.lasting)
         )
 
     @property
--- a/moorusher/forecasting/forecaster.py
+++ b/moorusher/forecasting/forecaster.py
@@ -13,7 +13,7 @@
 
 from ..duties.effects import Fenced, Made, OnFleet, Outcome
 from ..duties.errors import DutyError
-from ..duties.tour import Tour
+from ..duties.ownership import Ownership
 from ..fleet.member import MS
 from ..forecast.demand import BUCKET_MS, HOUR_BUCKETS, pack_key, unpack_key
 from ..forecast.hints import Hints, Need, hints
@@ -53,13 +53,13 @@
 
 
 class Forecaster:
-    """`duties.office.Worker`."""
+    """`duties.participant.Worker`."""
 
     make = Ledger
 
-    def __init__(self, tour: Tour, host: Host, policy: Policy, seats: Mapping[str, str]) -> None:
+    def __init__(self, ownership: Ownership, host: Host, policy: Policy, seats: Mapping[str, str]) -> None:
         """`seats`: of the fleet, with their zones."""
-        self.tour, self.host, self.policy, self.seats = tour, host, policy, seats
+        self.ownership, self.host, self.policy, self.seats = ownership, host, policy, seats
         self.ledger = self.make(seats, policy.routes)
         self.wrong: ForecastError | None = None  # why nothing is forecast; counts are kept all the same, but
         self.unreadable = False  # for these
@@ -72,7 +72,7 @@
 
     def start(self) -> None:
         try:
-            self.ledger = self.make.unpack(self.tour.state, self.seats, self.policy.routes)
+            self.ledger = self.make.unpack(self.ownership.state, self.seats, self.policy.routes)
         except ValueError as exc:
             self.wrong, self.unreadable = Unreadable(f"the counts can't be read: {exc}"), True
             self.host.count("forecast: state not read")
@@ -130,7 +130,7 @@
             for seat, serial, told in kept:
                 self.host.say(seat, Took(serial, told))
 
-        self.tour.do(OnFleet(self.ledger.pack()), over)
+        self.ownership.do(OnFleet(self.ledger.pack()), over)
 
     def load(self, past: list[Past], then: Callable[[ForecastError | DutyError | None], None]) -> None:
         """`then(None)` once a majority has it."""
@@ -149,7 +149,7 @@
         for one in past:
             self.ledger.load(pack_key(one.key), one.first, one.asked, one.core_us, one.worth)
         self.week, self._hour = None, 0
-        return self.tour.do(
+        return self.ownership.do(
             OnFleet(self.ledger.pack()), lambda outcome: then(None if isinstance(outcome, Made) else outcome)
         )
 
@@ -199,7 +199,7 @@
         }
         self.hints = hints(needs, hour, scaling, self.host.unix_ms(), untold, self.host.running())
         if scaling.to is not None:
-            self.tour.do(Fenced("{}:{}".format(*scaling.to), _json.encode(self.hints)), self._hinted)
+            self.ownership.do(Fenced("{}:{}".format(*scaling.to), _json.encode(self.hints)), self._hinted)
 
     def _need(self, name: str, i: int, hour: int, scaling: Scaling) -> Need:
         series = self.ledger.series.get(name)
@@ -242,7 +242,7 @@
             )
         return {
             "first_hour": week.first,
-            "term": self.tour.post.term,
+            "term": self.ownership.post.term,
             "routes": routes,
             "untold": {
                 label(name): why
--- a/moorusher/forecasting/member.py
+++ b/moorusher/forecasting/member.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from ..duties.errors import DutyError, NoMajority
-from ..duties.office import Office, Reading
-from ..duties.tour import Tour
+from ..duties.ownership import Ownership
+from ..duties.participant import Participant, Reading
 from ..fleet.member import MS
 from ..fleet.messages import For
 from ..forecast.demand import Tally
@@ -31,36 +31,38 @@
 
 class Host(Protocol):
     def unix_ms(self) -> int: ...
-    def worker(self, tour: Tour) -> Forecaster: ...
+    def worker(self, ownership: Ownership) -> Forecaster: ...
 
 
 class Member:
-    def __init__(self, office: Office, host: Host, policy: Policy) -> None:
-        self.office, self._host, self.policy = office, host, policy
-        self.zone = office.node.seats.by_name[office.me].zone
-        self.tally = Tally(office.me, office.owner.inc, self.zone, host.unix_ms(), policy.routes)
+    def __init__(self, participant: Participant, host: Host, policy: Policy) -> None:
+        self.participant, self._host, self.policy = participant, host, policy
+        self.zone = participant.node.seats.by_name[participant.me].zone
+        self.tally = Tally(participant.me, participant.owner.inc, self.zone, host.unix_ms(), policy.routes)
         self.forecaster: Forecaster | None = None
-        self._serial = office.owner.inc  # answers to an earlier process of this seat are none to this one
+        self._serial = (
+            participant.owner.inc
+        )  # answers to an earlier process of this seat are none to this one
         self._asked: dict[int, Then] = {}
         self._whom, self._unanswered = "", 0  # who has the duty, as last heard
         self._look_at = 0
-        office.node.parts[PART] = self._heard
-        office.want(NAME, KIND)
+        participant.node.parts[PART] = self._heard
+        participant.want(NAME, KIND)
 
     def start(self) -> None:
         self._tick()
 
     def say(self, seat: str, message: Any) -> None:
-        if seat == self.office.me:
-            self.office.at(self.office.clock(), lambda: self._told_of(seat, message))
+        if seat == self.participant.me:
+            self.participant.at(self.participant.clock(), lambda: self._told_of(seat, message))
         else:
-            self.office.node.send(seat, For(PART, messages.encode(message)))
+            self.participant.node.send(seat, For(PART, messages.encode(message)))
 
     def _heard(self, seat: str, body: bytes) -> None:
         try:
             message = messages.decode(body)
         except msgspec.MsgspecError:
-            self.office.count("forecast: a message that can't be read")
+            self.participant.count("forecast: a message that can't be read")
             return
         self._told_of(seat, message)
 
@@ -85,7 +87,7 @@
     # ---- counts ----
 
     def _tick(self) -> None:
-        self.office.at(self.office.clock() + round(self.policy.report_ms * MS), self._tick)
+        self.participant.at(self.participant.clock() + round(self.policy.report_ms * MS), self._tick)
         self.tally.tick(self._host.unix_ms())
         self.tell()
 
@@ -97,13 +99,13 @@
             return
         if self._unanswered >= UNANSWERED:
             self._whom = ""
-        whom = self.office.me if self.forecaster is not None else self._whom or self._known()
+        whom = self.participant.me if self.forecaster is not None else self._whom or self._known()
         if whom:
             self._unanswered += 1
             self._serial += 1
             self.say(whom, Report(self._serial, parts))
-        elif self.office.clock() >= self._look_at:
-            self._look_at = self.office.clock() + round(LOOK * (1 + 2 * self.office.node.random()))
+        elif self.participant.clock() >= self._look_at:
+            self._look_at = self.participant.clock() + round(LOOK * (1 + 2 * self.participant.node.random()))
             self._owner(self._found)
 
     def _found(self, owner: str | DutyError) -> None:
@@ -112,9 +114,9 @@
 
     def _known(self) -> str:
         """By the news of its register, where this member keeps it."""
-        known = self.office.known(NAME)
+        known = self.participant.known(NAME)
         owner = None if isinstance(known, DutyError) else known.post.owner
-        return "" if owner is None or not self.office.node.is_up(owner.seat) else owner.seat
+        return "" if owner is None or not self.participant.node.is_up(owner.seat) else owner.seat
 
     def _owner(self, then: Callable[[str | DutyError], None]) -> None:
         def read(got: Reading | DutyError) -> None:
@@ -124,8 +126,8 @@
             return then(NoMajority(NAME) if owner is None else owner.seat)
 
         if self.forecaster is not None:
-            return then(self.office.me)
-        return self.office.read(NAME, read, state=False)
+            return then(self.participant.me)
+        return self.participant.read(NAME, read, state=False)
 
     # ---- to be asked ----
 
@@ -150,7 +152,7 @@
                 if self._asked.pop(serial, None) is not None:
                     then(NotYet(f"{owner} has the forecast, and does not answer"))
 
-            self.office.at(self.office.clock() + ANSWER, late)
+            self.participant.at(self.participant.clock() + ANSWER, late)
             return self.say(owner, make(serial))
 
         return self._owner(found)
@@ -158,7 +160,7 @@
     def _tell(self, m: Ask) -> Told:
         try:
             if self.forecaster is None:
-                raise NotYet(f"{self.office.me} has not got the forecast")
+                raise NotYet(f"{self.participant.me} has not got the forecast")
             body = msgspec.json.encode(self.forecaster.told(m.customer))
         except ForecastError as exc:
             return Told(m.serial, b"", type(exc).__name__, str(exc))
@@ -176,13 +178,13 @@
             )
 
         if self.forecaster is None:
-            return done(NotYet(f"{self.office.me} has not got the forecast"))
+            return done(NotYet(f"{self.participant.me} has not got the forecast"))
         return self.forecaster.load(m.past, done)
 
     # ---- as an owner ----
 
-    def work(self, tour: Tour) -> Forecaster:
-        self.forecaster = self._host.worker(tour)
+    def work(self, ownership: Ownership) -> Forecaster:
+        self.forecaster = self._host.worker(ownership)
         return self.forecaster
 
     def ended(self, worker: Forecaster) -> None:
--- a/moorusher/lab/duties.py
+++ b/moorusher/lab/duties.py
@@ -20,8 +20,8 @@
 from ..check.fleets import SECOND, Course
 from ..duties.effects import Fenced, Outcome
 from ..duties.fence import Fence
-from ..duties.office import Office
-from ..duties.tour import Tour
+from ..duties.ownership import Ownership
+from ..duties.participant import Participant
 from .experiment import Experiment, Plot, Result
 from .load import Kind
 from .receiver import Book, Receiver
@@ -34,7 +34,7 @@
 EVERY_MS = 20
 
 
-class LeaseTour(Tour):
+class LeaseOwnership(Ownership):
     """As with leases: for so long after the last majority it acts without asking one."""
 
     confirmed = counted = 0
@@ -49,14 +49,16 @@
         return super()._fenced(effect, then)
 
 
-class LeaseOffice(Office):
-    tour = LeaseTour
+class LeaseParticipant(Participant):
+    ownership = LeaseOwnership
 
 
 def out_of_order(seed: int, leases: bool) -> tuple[int, int]:
     """Effects of an earlier term that came to count after one of a later; all effects."""
     course = Course(seats=5, keys=0, faults=10, kinds=("stop", "stop", "cut", "one way", "kill"))
-    sim = DutySimulation(seed, course, compares=not leases, office=LeaseOffice if leases else Office)
+    sim = DutySimulation(
+        seed, course, compares=not leases, participant=LeaseParticipant if leases else Participant
+    )
     sim.play()
     wrong = total = 0
     for facts in sim.facts.values():
@@ -66,7 +68,7 @@
 
 
 class Idle(DutyProcess):
-    def work(self, tour: Tour) -> None:
+    def work(self, ownership: Ownership) -> None:
         return None
 
 
@@ -75,27 +77,27 @@
     up, given = (8.0, 8.0) if seats <= 100 else (30.0, 20.0)
     sim = DutySimulation(seed, Course(seats=seats, keys=0, faults=0, lost=0.0, doubled=0.0), 0, process=Idle)
     sim.run(round(up * SECOND))
-    offices = [p.office for p in sim.processes if isinstance(p, DutyProcess)]
+    participants = [p.participant for p in sim.processes if isinstance(p, DutyProcess)]
     for i in range(duties):
         at = sim.now + round(i / duties * 5 * SECOND)
-        sim.at(at, None, lambda i=i: offices[i % seats].create(f"d{i}", "idle", lambda got: None))  # type: ignore[misc]
+        sim.at(at, None, lambda i=i: participants[i % seats].create(f"d{i}", "idle", lambda got: None))  # type: ignore[misc]
     sim.run(sim.now + round(given * SECOND))
-    has = [len(o.tours) for o in offices]
+    has = [len(o.ownerships) for o in participants]
     before, began = sim.history.messages, sim.now
     sim.run(sim.now + 5 * SECOND)
     rate = (sim.history.messages - before) / 5 / seats
     for process in sim.processes[: seats // 5]:
         process.alive = False
     lost = sim.now
-    live = offices[seats // 5 :]
+    live = participants[seats // 5 :]
     wanted = sum(
         len([s for s in o.keepers(k) if int(s[1:]) >= seats // 5]) >= 2
-        for o in offices[:1]
-        for k in {k for one in offices for k in one.tending.posts}
+        for o in participants[:1]
+        for k in {k for one in participants for k in one.tending.posts}
     )
-    while sum(len(o.tours) for o in live) < wanted and sim.now < lost + 30 * SECOND:
+    while sum(len(o.ownerships) for o in live) < wanted and sim.now < lost + 30 * SECOND:
         sim.run(sim.now + SECOND // 10)
-    after = [len(o.tours) for o in live]
+    after = [len(o.ownerships) for o in live]
     return {
         "owned": sum(has),
         "largest over mean": max(has) / (duties / seats),
--- a/moorusher/lab/outage.py
+++ b/moorusher/lab/outage.py
@@ -411,8 +411,8 @@
     sim.run(3_000_000)
     ask = Ask("all", "patch", "me", 1.0, 0.0, together=True, waiting=tuple(f"n{i}" for i in range(seats)))
     sim.asked["all"] = set(ask.waiting)
-    desk = sim.processes[0].desk  # type: ignore[attr-defined]
-    sim.at(sim.now, sim.processes[0], lambda: desk.ask(ask, lambda got: None))
+    coordinator = sim.processes[0].coordinator  # type: ignore[attr-defined]
+    sim.at(sim.now, sim.processes[0], lambda: coordinator.ask(ask, lambda got: None))
     before = sim.history.messages
     sim.run(13_000_000)
     return (sim.history.messages - before) / 10 / seats
--- a/moorusher/links/duties.py
+++ b/moorusher/links/duties.py
@@ -11,12 +11,12 @@
 from ..duties.effects import Told
 from ..duties.errors import DutyError
 from ..duties.fence import Fence
-from ..duties.office import Office, Reading, Worker
+from ..duties.ownership import Ownership
+from ..duties.participant import Participant, Reading, Worker
 from ..duties.policy import Policy
 from ..duties.post import Intent, Life, Post, Settle, key_of
 from ..duties.report import KIND as REPORT
 from ..duties.report import Reporting
-from ..duties.tour import Tour
 from ..fleet.journal import Image, Whose
 from ..fleet.registers import LASTING
 from .disk import Disk, opened
@@ -47,24 +47,24 @@
             )
             if inc > fleet.node.owner.inc:
                 fleet.node.raised(inc)
-        self.office = Office(fleet.node, self, policy)
+        self.participant = Participant(fleet.node, self, policy)
         if folder is not None:
-            self.office.shelf.notes = True
+            self.participant.shelf.notes = True
             disk = fleet.disks[LASTING] = Disk(
-                fleet.reactor, folder, self.office.keeper, fleet.now, fleet.count
+                fleet.reactor, folder, self.participant.keeper, fleet.now, fleet.count
             )
             if not folder.size:
                 disk.fails(why)
         for report in policy.reports:
-            self.office.want(report.name, REPORT)
+            self.participant.want(report.name, REPORT)
 
     def start(self) -> None:
         """Before the fleet's own start, which asks others for what is not here."""
         if self._image is not None:
-            self.office.keeper.recall(self.core.clock.now, self._image)
-            self.office.recalled()
+            self.participant.keeper.recall(self.core.clock.now, self._image)
+            self.participant.recalled()
             self._image = None
-        self.office.start()
+        self.participant.start()
 
     # ---- for the office ----
 
@@ -80,16 +80,16 @@
     def asked(self, to: str, duty: str, intent: Intent, then: Callable[[Told], None]) -> None:
         self._receivers.asked(to, duty, intent, then)
 
-    def work(self, tour: Tour) -> Worker | None:
-        log.info("duties: %s is this runner's, in term %d", tour.name, tour.post.term)
-        report = next((r for r in self.policy.reports if r.name == tour.name), None)
-        if tour.post.kind == REPORT and report is not None:
-            return Reporting(tour, report, self.office.at, self.office.clock, self._members)
-        does = {NAMESPACE: self.namespaces, FORECAST: self.forecast}.get(tour.post.kind)
+    def work(self, ownership: Ownership) -> Worker | None:
+        log.info("duties: %s is this runner's, in term %d", ownership.name, ownership.post.term)
+        report = next((r for r in self.policy.reports if r.name == ownership.name), None)
+        if ownership.post.kind == REPORT and report is not None:
+            return Reporting(ownership, report, self.participant.at, self.participant.clock, self._members)
+        does = {NAMESPACE: self.namespaces, FORECAST: self.forecast}.get(ownership.post.kind)
         if does is not None:
-            worker: Worker = does.work(tour)
+            worker: Worker = does.work(ownership)
             return worker
-        log.warning("duties: nothing in this runner's settings says what %s is for", tour.name)
+        log.warning("duties: nothing in this runner's settings says what %s is for", ownership.name)
         return None
 
     def _members(self) -> dict[str, Any]:
@@ -106,13 +106,16 @@
     def listed(self) -> list[dict[str, Any]]:
         """What is known here without asking others: duties that this runner has, or whose registers it keeps."""
         self.core.touch()
-        posts = {**self.office.tending.posts, **{key: t.post for key, t in self.office.tours.items()}}
+        posts = {
+            **self.participant.tending.posts,
+            **{key: t.post for key, t in self.participant.ownerships.items()},
+        }
         shown = sorted((p for p in posts.values() if p.life != Life.GONE.value), key=lambda p: p.name)
         return [self._told(p) for p in shown[:MOST_SHOWN]]
 
     def _told(self, post: Post) -> dict[str, Any]:
-        tour = self.office.tours.get(key_of(post.name))
-        mine = tour is not None and tour.post.at == post.at
+        ownership = self.participant.ownerships.get(key_of(post.name))
+        mine = ownership is not None and ownership.post.at == post.at
         return {
             "name": post.name,
             "kind": post.kind,
@@ -135,11 +138,11 @@
                 for i in post.intents
             ],
             "here": None
-            if tour is None or not mine
+            if ownership is None or not mine
             else {
-                "stage": tour.stage.value,
-                "for_ms": (self.core.clock.now - tour.since) / MS,
-                "trouble": None if tour.told is None else str(tour.told),
+                "stage": ownership.stage.value,
+                "for_ms": (self.core.clock.now - ownership.since) / MS,
+                "trouble": None if ownership.told is None else str(ownership.told),
             },
         }
 
@@ -153,11 +156,13 @@
             return then(self._told(reading.post) | {"state": state, "current": True})
 
         self.core.touch()
-        self.office.read(name, got)
+        self.participant.read(name, got)
 
     def resume(self, name: str, then: Callable[[dict[str, Any] | DutyError], None]) -> None:
         self.core.touch()
-        self.office.resume(name, lambda got: then(got if isinstance(got, DutyError) else self._told(got)))
+        self.participant.resume(
+            name, lambda got: then(got if isinstance(got, DutyError) else self._told(got))
+        )
 
     def settle(
         self, name: str, number: int, how: str, then: Callable[[dict[str, Any] | DutyError], None]
@@ -165,6 +170,6 @@
         """`how`: what the operator has found; the intent is closed either way."""
         self.core.touch()
         log.warning("duties: an operator says of %d of %s that it is %s", number, name, how)
-        self.office.settle(
+        self.participant.settle(
             name, number, lambda got: then(got if isinstance(got, DutyError) else self._told(got))
         )
--- a/moorusher/links/fleet.py
+++ b/moorusher/links/fleet.py
@@ -32,7 +32,7 @@
 
 
 class FleetLink(HeldWork):
-    """Carries out one node's part: `fleet.node.Host` towards the fleet, `core.care.Care` towards the core."""
+    """Carries out one node's part: `fleet.node.Host` towards the fleet, `KeyCoordinator` towards the core."""
 
     def __init__(
         self,
@@ -75,14 +75,14 @@
         self._hearing: Peer | None = None
         self._flush: list[Peer] = []
         self._woken: int | None = None
-        self.elder = 0  # the process of this seat that this one replaces
+        self.predecessor = 0  # the process of this seat that this one replaces
         self._away = False  # what is held here is for others to take
         self.closed = False
         if config.duties.on:
             from .duties import DutyLink
 
             self.duties = DutyLink(self, config.duties)
-        core.care = self
+        core.coordinator = self
         core.keys.told.append(self)
 
     def start(self) -> None:
@@ -98,7 +98,7 @@
             self.forecast.start()
         if self.outage is not None:
             self.outage.start()
-        self.node.tell(self.elder, self.core.settings.cores)
+        self.node.tell(self.predecessor, self.core.settings.cores)
         self.node.start()
         self._look()
 
@@ -214,10 +214,10 @@
 
     def _look(self) -> None:
         core = self.core
-        elder = self.elder if core.claims.first and core.claims.peer is not None else 0
+        predecessor = self.predecessor if core.claims.first and core.claims.peer is not None else 0
         if self.outage is not None:
             self.outage.look()
-        self.node.tell(elder, core.settings.cores)
+        self.node.tell(predecessor, core.settings.cores)
         gone = core.link_since is not None and core.clock.now - core.link_since >= KERNEL_GONE
         if core.draining or (gone and core.ready) or (self.outage is not None and self.outage.away):
             if not self._away:
@@ -227,7 +227,7 @@
             self._away = True
             self.node.leave()
             if self.duties is not None:
-                self.duties.office.leave()
+                self.duties.participant.leave()
         else:
             self._away = False
         if not self.closed:
@@ -289,7 +289,7 @@
 
     @property
     def busy(self) -> bool:
-        return bool(self.node.pending or (self.duties is not None and self.duties.office.tours))
+        return bool(self.node.pending or (self.duties is not None and self.duties.participant.ownerships))
 
     # ---- for the node: `Host` ----
 
--- a/moorusher/links/forecast.py
+++ b/moorusher/links/forecast.py
@@ -13,7 +13,7 @@
 from ..core.demand import Demand
 from ..core.requests import Request
 from ..duties.errors import DutyError
-from ..duties.tour import Tour
+from ..duties.ownership import Ownership
 from ..fleet.member import MS
 from ..forecast.demand import Key
 from ..forecast.ledger import Series
@@ -56,7 +56,7 @@
     def __init__(self, duties: DutyLink, policy: Policy, reactor: Any) -> None:
         self.duties, self.policy, self.core, self._reactor = duties, policy, duties.core, reactor
         self._pool = Pool(0, 1, name="forecast")
-        self.member = Member(duties.office, self, policy)
+        self.member = Member(duties.participant, self, policy)
         duties.forecast = self
         duties.fleet.forecast = self
         self.core.demand = Counting(self)
@@ -77,12 +77,12 @@
     def unix_ms(self) -> int:
         return time.time_ns() // 1_000_000
 
-    def work(self, tour: Tour) -> Forecaster:
-        return self.member.work(tour)
+    def work(self, ownership: Ownership) -> Forecaster:
+        return self.member.work(ownership)
 
-    def worker(self, tour: Tour) -> Forecaster:
+    def worker(self, ownership: Ownership) -> Forecaster:
         seats = {name: seat.zone for name, seat in self.duties.fleet.node.seats.by_name.items()}
-        return Forecaster(tour, self, self.policy, seats)
+        return Forecaster(ownership, self, self.policy, seats)
 
     def say(self, seat: str, message: Any) -> None:
         self.member.say(seat, message)
@@ -91,10 +91,10 @@
         self.core.counters.add(name)
 
     def at(self, when: int, action: Callable[[], None]) -> None:
-        self.duties.office.at(when, action)
+        self.duties.participant.at(when, action)
 
     def clock(self) -> int:
-        return self.duties.office.clock()
+        return self.duties.participant.clock()
 
     def ended(self, worker: Forecaster) -> None:
         self.member.ended(worker)
--- a/moorusher/links/namespaces.py
+++ b/moorusher/links/namespaces.py
@@ -20,16 +20,16 @@
 from ..core.clock import MS
 from ..core.requests import Arrival
 from ..duties.errors import DutyError
-from ..duties.tour import Tour
+from ..duties.ownership import Ownership
 from ..namespaces.customers import Revision
 from ..namespaces.document import Namespace, read
 from ..namespaces.errors import NamespaceError, NoSuchCustomer
 from ..namespaces.policy import Bounds, Granted
 from ..namespaces.revisions import Book, Submission, difference
 from ..namespaces.rules import Asked
-from ..publishing.desk import GONE, Desk, Error
 from ..publishing.messages import At
 from ..publishing.publisher import Publisher
+from ..publishing.replica import GONE, Error, Replica
 from ..routing.way import Ruling, rule
 from .duties import DutyLink
 from .revisions import Store
@@ -69,13 +69,13 @@
 
 
 class NamespaceLink:
-    """`publishing.desk.Host` towards the fleet, `core.routes.Routes` towards the core."""
+    """`publishing.replica.Host` towards the fleet, `core.routes.Routes` towards the core."""
 
     def __init__(self, duties: DutyLink, config: NamespacesConfig, reactor: Any) -> None:
         self.duties, self.config, self.core = duties, config, duties.core
         self._reactor = reactor
         self._pool = Pool(0, 1, name="drafts")
-        self.desk = Desk(duties.office, self, config.most)
+        self.replica = Replica(duties.participant, self, config.most)
         self.ready = True  # until it asks others: nothing is served before that
         journal = duties.fleet.config.journal
         self.store = (
@@ -94,7 +94,7 @@
         stored = [] if self.store is None else self.store.open()
         if stored:
             log.info("namespaces: %d customers' rules found on disk", len(stored))
-        self.desk.start(stored, round(self.config.start_ms * MS))
+        self.replica.start(stored, round(self.config.start_ms * MS))
 
     def close(self) -> None:
         if self.store is not None:
@@ -109,7 +109,7 @@
     def rule(self, arrival: Arrival, tenant: str | None) -> Ruling | None:
         if tenant is None or tenant not in self.config.customers:
             return None
-        revision = self.desk.customers.of(tenant)
+        revision = self.replica.customers.of(tenant)
         if revision is None:
             return None
         return rule(revision, asked_of(arrival))
@@ -121,7 +121,7 @@
         customer = arrival.tenant
         if at is None or customer is None:
             return then(None)
-        return self.desk.revision(
+        return self.replica.revision(
             customer,
             at,
             lambda found: then(rule(found, asked_of(arrival)) if isinstance(found, Revision) else found),
@@ -177,25 +177,25 @@
 
     def became_ready(self) -> None:
         self.ready = True
-        log.info("namespaces: %d customers' rules are known here", len(self.desk.customers))
-        if not self.desk.others() and len(self.duties.fleet.node.seats.names) > 1:
+        log.info("namespaces: %d customers' rules are known here", len(self.replica.customers))
+        if not self.replica.others() and len(self.duties.fleet.node.seats.names) > 1:
             log.warning(
                 "namespaces: no other runner was heard of: who is not known here gets the platform's default, "
                 "and rules may be older than elsewhere, until one is"
             )
 
     def changed(self, customer: str) -> None:
-        log.info("namespaces: %s is at %s here", customer, self.desk.customers.at(customer))
+        log.info("namespaces: %s is at %s here", customer, self.replica.customers.at(customer))
 
-    def work(self, tour: Tour) -> Publisher:
-        return self.desk.work(tour)
+    def work(self, ownership: Ownership) -> Publisher:
+        return self.replica.work(ownership)
 
     # ---- for operators ----
 
     def listed(self) -> dict[str, Any]:
         self.core.touch()
-        desk = self.desk
-        node = desk.office.node
+        replica = self.replica
+        node = replica.participant.node
         up = sum(m.up for m in node.members.by_seat.values())
         return {
             "ready": self.ready,
@@ -207,7 +207,7 @@
         }
 
     def _told(self, customer: str) -> dict[str, Any]:
-        at, gone = self.desk.has(customer)
+        at, gone = self.replica.has(customer)
         return {
             "customer": customer,
             "born": at[0],
@@ -237,7 +237,7 @@
                     "current": True,
                     "born": born,
                     "number": book.number,
-                    "here": self.desk.customers.at(customer)[1],
+                    "here": self.replica.customers.at(customer)[1],
                     "draft": None if now is None else now.draft.decode(),
                     "revisions": [
                         {
@@ -256,7 +256,7 @@
             )
 
         if self._known(customer, then):
-            self.desk.book(customer, got)
+            self.replica.book(customer, got)
 
     def publish(self, submission: Submission, wait: bool, then: Told) -> None:
         def over(got: At | Error) -> None:
@@ -265,7 +265,7 @@
             self._tell(submission.customer, got, wait, then)
 
         if self._known(submission.customer, then):
-            self.desk.submit(submission, over)
+            self.replica.submit(submission, over)
 
     def delete(self, customer: str, wait: bool, then: Told) -> None:
         def over(got: At | Error) -> None:
@@ -274,7 +274,7 @@
             self._tell(customer, got, wait, then)
 
         if self._known(customer, then):
-            self.desk.delete(customer, over)
+            self.replica.delete(customer, over)
 
     def _tell(self, customer: str, at: At, wait: bool, then: Told) -> None:
         deleted = at[1] == GONE
@@ -298,13 +298,13 @@
                 | {"complete": not here, "lacking": lacking, "took_ms": (self.core.clock.now - began) / MS}
             )
 
-        return self.desk.everywhere(customer, at, everywhere)
+        return self.replica.everywhere(customer, at, everywhere)
 
     def explain(self, customer: str, asked: Asked, then: Told) -> None:
         """Which rule decides for such a request at this runner, and what its calls would do now."""
         if not self._known(customer, then):
             return
-        revision = self.desk.customers.of(customer)
+        revision = self.replica.customers.of(customer)
         if revision is None:
             return then({"customer": customer, "revision": 0, "decides": "the platform's default"})
         ruling = rule(revision, asked)
--- a/moorusher/links/outage.py
+++ b/moorusher/links/outage.py
@@ -14,7 +14,7 @@
 from ..core.decide import Decider
 from ..fleet.journal import Image, Whose
 from ..fleet.registers import SHARED
-from ..outage.desk import Desk, Waited
+from ..outage.coordinator import OutageCoordinator, Waited
 from ..outage.errors import NoSuchSeat, NotHere, OutageError
 from ..outage.gauge import Gauge
 from ..outage.machine import Doing, Own
@@ -47,7 +47,7 @@
 
 
 class OutageLink:
-    """`outage.desk.Host`, and what the administration API asks."""
+    """`outage.coordinator.Host`, and what the administration API asks."""
 
     def __init__(self, fleet: FleetLink, policy: Policy, reporter: Reporter) -> None:
         self.fleet, self.policy, self.reporter = fleet, policy, reporter
@@ -68,10 +68,12 @@
             )
             if inc > fleet.node.owner.inc:
                 fleet.node.raised(inc)
-        self.desk = Desk(fleet.node, self, policy)
+        self.coordinator = OutageCoordinator(fleet.node, self, policy)
         if folder is not None:
-            self.desk.keeper.notes = fleet.node.lasting = True
-            disk = fleet.disks[SHARED] = Disk(fleet.reactor, folder, self.desk.keeper, fleet.now, fleet.count)
+            self.coordinator.keeper.notes = fleet.node.lasting = True
+            disk = fleet.disks[SHARED] = Disk(
+                fleet.reactor, folder, self.coordinator.keeper, fleet.now, fleet.count
+            )
             if not folder.size:
                 disk.fails(why)
         fleet.outage = self
@@ -79,14 +81,14 @@
     def start(self) -> None:
         """Before the fleet's own start, which asks others for what is not here."""
         if self._image is not None:
-            self.desk.keeper.recall(self.core.clock.now, self._image)
+            self.coordinator.keeper.recall(self.core.clock.now, self._image)
             self._image = None
-        self.desk.start()
+        self.coordinator.start()
 
     def follow(self, policy: Policy) -> None:
         """Other bounds: at once, for what is granted from now on."""
         self.policy = policy
-        self.desk.follow(policy)
+        self.coordinator.follow(policy)
 
     def look(self) -> None:
         """What is told to the others of this runner."""
@@ -106,7 +108,7 @@
         return Own(
             "",
             0,
-            not self.fleet.elder,
+            not self.fleet.predecessor,
             self.mark,
             self._digest(),
             self.away and self._drained(),
@@ -186,27 +188,27 @@
             seats,
             bound=self.mark if bound else "",
         )
-        return self.desk.ask(ask, self._then(then))
+        return self.coordinator.ask(ask, self._then(then))
 
     def cancel(self, id: str, seats: Sequence[str], by: str, then: Told) -> None:
         self.core.touch()
-        self.desk.cancel(id, list(seats), by, self._then(then))
+        self.coordinator.cancel(id, list(seats), by, self._then(then))
 
     def hold(self, why: str, then: Told) -> None:
         self.core.touch()
-        self.desk.hold(why, self._then(then))
+        self.coordinator.hold(why, self._then(then))
 
     def resume(self, seat: str, then: Told) -> None:
         self.core.touch()
-        self.desk.resume(seat, self._then(then))
+        self.coordinator.resume(seat, self._then(then))
 
     def over(self, seat: str, by: str, then: Told) -> None:
         self.core.touch()
-        self.desk.over(seat, by, self._then(then))
+        self.coordinator.over(seat, by, self._then(then))
 
     def show(self, then: Told) -> None:
         self.core.touch()
-        self.desk.read(lambda roster, current: then(self._told(roster, current)))
+        self.coordinator.read(lambda roster, current: then(self._told(roster, current)))
 
     def wait(self, id: str, seat: str, for_s: float, then: Told) -> Callable[[], None]:
         """What is returned says that whoever asked has gone. Raises NotHere."""
@@ -216,21 +218,21 @@
         def waited(got: Waited) -> None:
             then({"id": id, "seat": seat, "word": got.word, "note": got.note})
 
-        return self.desk.wait(id, seat, round(min(for_s, MOST_WAIT_S) * 1e6), waited)
+        return self.coordinator.wait(id, seat, round(min(for_s, MOST_WAIT_S) * 1e6), waited)
 
     def _then(self, then: Told) -> Callable[[Roster | OutageError], None]:
         return lambda got: then(got if isinstance(got, OutageError) else self._told(got, True))
 
     def _told(self, roster: Roster, current: bool) -> dict[str, Any]:
-        now_s, desk = self.unix_s(), self.desk
-        step, seats = desk.shown(), self.fleet.node.seats.by_name
+        now_s, coordinator = self.unix_s(), self.coordinator
+        step, seats = coordinator.shown(), self.fleet.node.seats.by_name
         when = foretold(roster, step.order, {n: s.zone for n, s in seats.items()}, self.policy, now_s)
         return {
             "seat": self.fleet.name,
             "number": roster.number,
             "hold": roster.hold,
             "current": current,
-            "age_ms": None if desk.known < 0 else (self.core.clock.now - desk.known) / MS,
+            "age_ms": None if coordinator.known < 0 else (self.core.clock.now - coordinator.known) / MS,
             "limits": {
                 "most": self.policy.most,
                 "most_zone": self.policy.most_zone,
--- a/moorusher/links/succession.py
+++ b/moorusher/links/succession.py
@@ -508,7 +508,7 @@
 
     def _tell(self) -> None:
         """What this process takes, to the one that is to keep within what is left."""
-        if self.peer is None or not self.life.elder:
+        if self.peer is None or not self.life.predecessor:
             return
         load = self._owner.load()
         if load != self._told:
--- a/moorusher/links/work.py
+++ b/moorusher/links/work.py
@@ -26,8 +26,8 @@
 
 
 class HeldWork:
-    """The part of `fleet.tenure.Host` about work, and `core.care.Care`. `alone`: what no majority answers for is
-    run all the same."""
+    """The part of `fleet.tenure.Host` about work, and the core's `KeyCoordinator`. `alone`: what no majority answers
+    for is run all the same."""
 
     node: Node
     rules: Any  # customers' namespaces, where there are some
@@ -41,7 +41,7 @@
     def count(self, name: str) -> None:
         self.core.counters.add(name)
 
-    # ---- for the core: `Care` and `keys.Told` ----
+    # ---- for the core: `KeyCoordinator` and `keys.Told` ----
 
     def hold_back(self, request: Request) -> bool:
         entry = None if request.key is None else self.core.keys.of_try(request.number)
--- a/moorusher/outage/desk.py
+++ b/moorusher/outage/coordinator.py
@@ -69,7 +69,7 @@
 Told = Callable[[Roster | OutageError], None]
 
 
-class Desk:
+class OutageCoordinator:
     def __init__(
         self, node: Node, host: Host, policy: Policy, remembers: bool = False, keeper: type[Keeper] = Keeper
     ) -> None:
--- a/moorusher/publishing/publisher.py
+++ b/moorusher/publishing/publisher.py
@@ -12,7 +12,7 @@
 
 from ..duties.effects import Made, OnFleet, Outcome
 from ..duties.errors import Busy, DutyError, NoMajority
-from ..duties.tour import Tour
+from ..duties.ownership import Ownership
 from ..namespaces.errors import NamespaceError
 from ..namespaces.policy import Bounds
 from ..namespaces.revisions import Book, Submission, drafted, pack, published, unpack
@@ -38,12 +38,12 @@
 
 
 class Publisher:
-    """`duties.office.Worker` of one customer."""
+    """`duties.participant.Worker` of one customer."""
 
-    def __init__(self, tour: Tour, host: Host) -> None:
-        self.tour, self.host = tour, host
-        self.customer = tour.name.removeprefix(PREFIX)
-        self.born = tour.post.born
+    def __init__(self, ownership: Ownership, host: Host) -> None:
+        self.ownership, self.host = ownership, host
+        self.customer = ownership.name.removeprefix(PREFIX)
+        self.born = ownership.post.born
         self._book: Book | None = None
         self._waiting: deque[tuple[Submission, Answer]] = deque()
         self._stopped: DutyError | None = None
@@ -52,7 +52,7 @@
     def start(self) -> None:
         """What the owner before has published may not have come to all: it is told anew."""
         try:
-            self._book = unpack(self.tour.state, self.customer)
+            self._book = unpack(self.ownership.state, self.customer)
         except ValueError:
             return
         if (entry := self._book.current) is not None:
@@ -69,7 +69,7 @@
             then(why or self._given_up())
 
     def _given_up(self) -> Busy:
-        return Busy(f"{self.tour.name}: it is being given to another")
+        return Busy(f"{self.ownership.name}: it is being given to another")
 
     # ---- one after the other ----
 
@@ -78,7 +78,7 @@
         if self._over or s.customer != self.customer:
             return then(self._stopped or self._given_up())
         if len(self._waiting) >= MOST_WAITING:
-            return then(Busy(f"{self.tour.name}: {MOST_WAITING} submissions wait already"))
+            return then(Busy(f"{self.ownership.name}: {MOST_WAITING} submissions wait already"))
         self._waiting.append((s, then))
         if len(self._waiting) == 1:
             self._first()
@@ -136,7 +136,7 @@
                 self._book = None  # it may come about yet: what is there is read before anything else
             return self._done(outcome)
 
-        return self.tour.do(OnFleet(pack(made)), over)
+        return self.ownership.do(OnFleet(pack(made)), over)
 
     def _done(self, got: At | NamespaceError | DutyError) -> None:
         if self._over:
--- a/moorusher/publishing/desk.py
+++ b/moorusher/publishing/replica.py
@@ -14,9 +14,9 @@
 
 from ..duties.errors import ERRORS as DUTY_ERRORS
 from ..duties.errors import Busy, DutyError, NoMajority, Superseded, Unknown
-from ..duties.office import Office, Reading
+from ..duties.ownership import Ownership
+from ..duties.participant import Participant, Reading
 from ..duties.post import Life, Post
-from ..duties.tour import Tour
 from ..fleet.member import MS, State
 from ..fleet.messages import For
 from ..namespaces.customers import Customers, Revision, Stale
@@ -89,11 +89,11 @@
     reading: bool = False
 
 
-class Desk:
-    def __init__(self, office: Office, host: Host, most: int) -> None:
-        self.office, self._host = office, host
+class Replica:
+    def __init__(self, participant: Participant, host: Host, most: int) -> None:
+        self.participant, self._host = participant, host
         self.customers = Customers(most)
-        node = office.node
+        node = participant.node
         node.parts[PART] = self._heard
         self.casting = Casting(self, node.seats.names, node.owner.inc)
         self.comparing = Comparing(self, len(node.seats.names))
@@ -117,31 +117,31 @@
 
     @property
     def me(self) -> str:
-        return self.office.me
+        return self.participant.me
 
     def at(self, when: int, action: Callable[[], None]) -> None:
-        self.office.at(when, action)
+        self.participant.at(when, action)
 
     def clock(self) -> int:
-        return self.office.clock()
+        return self.participant.clock()
 
     def count(self, name: str) -> None:
-        self.office.count(name)
+        self.participant.count(name)
 
     def random(self) -> float:
-        return self.office.node.random()
+        return self.participant.node.random()
 
     def say(self, seat: str, message: Any) -> None:
         if seat == self.me:
             self.at(self.clock(), lambda: self._handlers[type(message)](seat, message))
         else:
-            self.office.node.send(seat, For(PART, messages.encode(message)))
+            self.participant.node.send(seat, For(PART, messages.encode(message)))
 
     def others(self) -> list[str]:
-        return [s for s, m in self.office.node.members.by_seat.items() if m.up and s != self.me]
+        return [s for s, m in self.participant.node.members.by_seat.items() if m.up and s != self.me]
 
     def state_of(self, seat: str) -> str:
-        return WHY_STATE.get(self.office.node.members.by_seat[seat].state, "alive")
+        return WHY_STATE.get(self.participant.node.members.by_seat[seat].state, "alive")
 
     def has(self, customer: str) -> tuple[At, bool]:
         return self.customers.at(customer), self.customers.gone(customer)
@@ -256,13 +256,13 @@
 
     # ---- as an owner ----
 
-    def work(self, tour: Tour) -> Publisher:
-        made = self.publishers[tour.name] = Publisher(tour, self)
+    def work(self, ownership: Ownership) -> Publisher:
+        made = self.publishers[ownership.name] = Publisher(ownership, self)
         return made
 
     def ended(self, publisher: Publisher) -> None:
-        if self.publishers.get(publisher.tour.name) is publisher:
-            del self.publishers[publisher.tour.name]
+        if self.publishers.get(publisher.ownership.name) is publisher:
+            del self.publishers[publisher.ownership.name]
 
     def check(self, customer: str, draft: bytes, then: Callable[[NamespaceError | None], None]) -> None:
         granted = self._host.granted(customer)
@@ -335,7 +335,7 @@
             if isinstance(got, Unknown):
                 if not w.created:
                     w.created = True
-                    return self.office.create(name, KIND, lambda made: later(0))
+                    return self.participant.create(name, KIND, lambda made: later(0))
                 return later(LOOK_AGAIN)
             if isinstance(got, DutyError):
                 w.told = got
@@ -347,7 +347,7 @@
             w.told = Busy(f"{name}: nobody has it at this time ({Life(post.life).name.lower()})")
             return later(LOOK_AGAIN)
 
-        self.office.read(name, looked, state=False)
+        self.participant.read(name, looked, state=False)
 
     def _was_submitted(self, seat: str, m: Submitted) -> None:
         w = self._submitted.get(m.serial)
@@ -375,7 +375,7 @@
 
         def had(why: str) -> None:
             if why:  # then nobody was asked
-                seats = list(self.office.node.members.by_seat)[:MOST_LACKING]
+                seats = list(self.participant.node.members.by_seat)[:MOST_LACKING]
                 return then({seat: why if seat == self.me else "not asked" for seat in seats})
             return self.casting.begin(
                 customer,
@@ -422,7 +422,7 @@
             )
             return then(at)
 
-        self.office.remove(duty_of(customer), removed)
+        self.participant.remove(duty_of(customer), removed)
 
     def book(self, customer: str, then: Callable[[tuple[int, Book] | DutyError], None]) -> None:
         """As a majority has it now, with its incarnation. What its owner has given up does not come about after it."""
@@ -436,7 +436,7 @@
             except ValueError as exc:
                 return then(error_of("Damaged", str(exc)))  # type: ignore[arg-type]
 
-        self.office.read(name, read, closed=duty_of(customer) in self.publishers)
+        self.participant.read(name, read, closed=duty_of(customer) in self.publishers)
 
     def revision(self, customer: str, at: At, then: Callable[[Revision | Error], None]) -> None:
         """That very one, current or not: for work that another runner has read under it."""
--- a/moorusher/service.py
+++ b/moorusher/service.py
@@ -302,7 +302,7 @@
 
     def follows(self, incarnation: int) -> None:
         if self.fleet is not None:
-            self.fleet.elder = incarnation
+            self.fleet.predecessor = incarnation
 
     def _fit(self) -> bool:
         return self.reporter.fit
--- a/moorusher/succession/role.py
+++ b/moorusher/succession/role.py
@@ -138,7 +138,7 @@
         return steps
 
     @property
-    def elder(self) -> bool:
+    def predecessor(self) -> bool:
         """The other one, if there is one, has come later."""
         return self.state in (S.SOLE, S.HANDING, S.REPLACED)
 
--- a/tests/test_care.py
+++ b/tests/test_coordination.py
@@ -11,7 +11,7 @@
 from .test_core import World
 
 
-class Care:
+class KeyCoordinator:
     """Others that say nothing until the test does."""
 
     def __init__(self) -> None:
@@ -29,25 +29,25 @@
         return True
 
 
-def world() -> tuple[World, Care]:
-    w, care = World(), Care()
-    w.core.care = care
-    return w, care
+def world() -> tuple[World, KeyCoordinator]:
+    w, coordinator = World(), KeyCoordinator()
+    w.core.coordinator = coordinator
+    return w, coordinator
 
 
-def started(w: World, care: Care, rid: str = "a", tag: int = 1) -> Request:
+def started(w: World, coordinator: KeyCoordinator, rid: str = "a", tag: int = 1) -> Request:
     request = w.take(rid, tag)
     w.core.others.granted(request)
     w.turn()
-    assert care.beginning == [request] and w.runs() == []
+    assert coordinator.beginning == [request] and w.runs() == []
     return request
 
 
 def test_nothing_is_commanded_before_others_know_that_it_may_run() -> None:
-    w, care = world()
+    w, coordinator = world()
     request = w.take("a", 1)
     w.turn()
-    assert care.held == [request] and care.beginning == [] and w.runs() == []
+    assert coordinator.held == [request] and coordinator.beginning == [] and w.runs() == []
     w.core.others.granted(request)
     w.turn()
     assert w.runs() == []
@@ -61,15 +61,15 @@
 
 
 def test_a_request_without_a_key_waits_for_nobody() -> None:
-    w, care = world()
+    w, coordinator = world()
     w.take("a", 1, "read", None)
     w.turn()
-    assert w.runs() == ["a"] and care.held == [] == care.beginning
+    assert w.runs() == ["a"] and coordinator.held == [] == coordinator.beginning
 
 
 def test_what_nobody_waits_for_any_more_is_not_commanded_and_its_key_is_free() -> None:
-    w, care = world()
-    request = started(w, care)
+    w, coordinator = world()
+    request = started(w, coordinator)
     w.core.gone(request)
     w.turn()
     w.core.others.begun(request)
@@ -78,8 +78,8 @@
 
 
 def test_what_could_not_be_told_to_others_never_runs_here_and_is_no_promise_for_them() -> None:
-    w, care = world()
-    request = started(w, care)
+    w, coordinator = world()
+    request = started(w, coordinator)
     w.core.others.not_begun(request, "nobody answers")
     w.core.others.begun(request)
     w.turn()
@@ -106,8 +106,8 @@
 
 
 def test_work_that_others_took_and_never_end_is_answered_once_when_it_is_due() -> None:
-    w, care = world()
-    w.core.others.given(started(w, care))
+    w, coordinator = world()
+    w.core.others.given(started(w, coordinator))
     w.turn()
     w.wait(2_900)
     assert w.verdicts() == []
@@ -116,8 +116,8 @@
 
 
 def test_work_that_nobody_goes_on_with_is_refused_as_it_never_ran() -> None:
-    w, care = world()
-    request = started(w, care)
+    w, coordinator = world()
+    request = started(w, coordinator)
     w.core.others.given(request)
     assert request.key is not None
     w.core.others.none_ran(request.key)
@@ -126,14 +126,14 @@
 
 
 def test_work_taken_up_runs_here_and_its_result_goes_to_those_who_wait_for_it() -> None:
-    w, care = world()
+    w, coordinator = world()
     repeat = w.take("b", 2)
     w.core.others.joined(repeat)
     w.turn()
     assert repeat.repeats is not None and w.runs() == []
     taken = w.core.others.take_up(Arrival("a", "write", b"x", token="t", memory_kb=10.0), w, 1)
     w.turn()
-    assert isinstance(taken, Request) and care.beginning == [taken]
+    assert isinstance(taken, Request) and coordinator.beginning == [taken]
     w.core.others.begun(taken)
     w.turn()
     assert w.runs() == ["a"]
--- a/tests/test_core_shape.py
+++ b/tests/test_core_shape.py
@@ -15,7 +15,7 @@
     "watch",
     "answer",
     "call",
-    "care",
+    "coordination",
     "claims",
     "clock",
     "counters",
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -19,13 +19,14 @@
 from moorusher.check.registers import Limits
 from moorusher.check.terms import Terms
 from moorusher.config_fleet import read_fleet
-from moorusher.duties import tour as tour_module
+from moorusher.duties import ownership as ownership_module
 from moorusher.duties.effects import Effect, Once, OnFleet
 from moorusher.duties.errors import ERRORS, DutyError, Forgotten, NoMajority, OverBudget, Superseded, Unknown
 from moorusher.duties.fence import Fence, Verdict, judge
 from moorusher.duties.library import Library
 from moorusher.duties.messages import Fetched, Offer
-from moorusher.duties.office import Office, Reading
+from moorusher.duties.ownership import Ownership
+from moorusher.duties.participant import Participant, Reading
 from moorusher.duties.pieces import PIECE, Shelf, cut, digest, order, whole
 from moorusher.duties.policy import Policy
 from moorusher.duties.post import (
@@ -51,7 +52,6 @@
 )
 from moorusher.duties.spread import Seen, Steady, mean, room, too_many
 from moorusher.duties.spread import order as turn
-from moorusher.duties.tour import Tour
 from moorusher.fleet.member import State
 from moorusher.fleet.messages import Word
 from moorusher.fleet.registers import Registers
@@ -350,20 +350,20 @@
 # ---- cases, one by one ----
 
 
-def settled(seats: int = 3, duties: int = 1, **how: Any) -> tuple[DutySimulation, DutyProcess, Tour]:
+def settled(seats: int = 3, duties: int = 1, **how: Any) -> tuple[DutySimulation, DutyProcess, Ownership]:
     """A fleet in which the first duty has an owner, and nothing else happens."""
     sim = DutySimulation(1, Course(seats=seats, keys=0, faults=0, lost=0, doubled=0), duties, **how)
     sim.run(2 * SECOND)
     for p in sim.processes:
         assert isinstance(p, DutyProcess)
-        if (tour := p.office.tours.get(key_of("duty-0"))) is not None:
-            return sim, p, tour
+        if (ownership := p.participant.ownerships.get(key_of("duty-0"))) is not None:
+            return sim, p, ownership
     raise AssertionError("nobody has it")
 
 
-def answers(sim: DutySimulation, tour: Tour, effect: Effect, s: float = 3.0) -> Any:
+def answers(sim: DutySimulation, ownership: Ownership, effect: Effect, s: float = 3.0) -> Any:
     got: list[Any] = []
-    tour.do(effect, got.append)
+    ownership.do(effect, got.append)
     sim.run(sim.now + round(s * SECOND))
     assert len(got) == 1
     return got[0]
@@ -373,15 +373,15 @@
 def test_any_number_may_look_at_a_register_and_hinder_nobody(closed: bool) -> None:
     """Each of five members looks every 5 ms, while the owner changes it again and again. Where each look asks for a
     promise, they beat each other, and the owner too."""
-    sim, _, tour = settled(seats=5)
+    sim, _, ownership = settled(seats=5)
     got: dict[str, list[Any]] = {"looks": [], "changes": []}
 
     def look(p: DutyProcess) -> None:
-        p.office.read("duty-0", got["looks"].append, state=False, closed=closed)
+        p.participant.read("duty-0", got["looks"].append, state=False, closed=closed)
         sim.at(sim.now + 5_000, p, lambda: look(p))
 
     def change() -> None:
-        tour.do(OnFleet(b"s"), changed)
+        ownership.do(OnFleet(b"s"), changed)
 
     def changed(outcome: Any) -> None:
         got["changes"].append(outcome)
@@ -402,32 +402,32 @@
 
 
 def test_without_a_majority_nothing_new_is_done_and_what_was_known_is_still_told() -> None:
-    sim, owner, tour = settled()
-    state = tour.state
+    sim, owner, ownership = settled()
+    state = ownership.state
     for p in sim.processes:
         if p is not owner:
             p.stopped_until = sim.now + 4 * SECOND
-    assert isinstance(answers(sim, tour, OnFleet(b"new"), 2.5), NoMajority)
-    known = owner.office.known("duty-0")
+    assert isinstance(answers(sim, ownership, OnFleet(b"new"), 2.5), NoMajority)
+    known = owner.participant.known("duty-0")
     assert isinstance(known, Reading) and known.state is not None and known.state.startswith(state)
     got: list[Any] = []
-    owner.office.read("duty-0", got.append)
+    owner.participant.read("duty-0", got.append)
     sim.run(sim.now + SECOND)
     assert isinstance(got[0], NoMajority), "a read that must be current"
 
 
 def test_an_owner_that_wakes_is_told_who_has_it_and_drops_what_it_had() -> None:
-    sim, owner, tour = settled()
+    sim, owner, ownership = settled()
     ended: list[Any] = []
-    owner.office.ended = lambda t, why: (ended.append(why), Office.ended(owner.office, t, why))  # type: ignore
+    owner.participant.ended = lambda t, why: (ended.append(why), Participant.ended(owner.participant, t, why))  # type: ignore
     owner.stopped_until = sim.now + 3 * SECOND
     pending: list[Any] = []
-    tour.do(OnFleet(b"what was under way"), pending.append)
+    ownership.do(OnFleet(b"what was under way"), pending.append)
     sim.run(sim.now + 5 * SECOND)
     (why,) = ended
-    assert isinstance(why, Superseded) and why.term < why.by_term and tour.state == b""
-    assert len(pending) == 1 and not owner.office._workers.get(tour.key)
-    assert isinstance(answers(sim, tour, OnFleet(b"late")), Superseded)
+    assert isinstance(why, Superseded) and why.term < why.by_term and ownership.state == b""
+    assert len(pending) == 1 and not owner.participant._workers.get(ownership.key)
+    assert isinstance(answers(sim, ownership, OnFleet(b"late")), Superseded)
 
 
 def test_a_duty_whose_owners_are_lost_one_after_another_is_put_aside_until_an_operator_says_so() -> None:
@@ -438,7 +438,7 @@
         found = [
             p
             for p in sim.processes
-            if isinstance(p, DutyProcess) and p.alive and key_of("duty-0") in p.office.tours
+            if isinstance(p, DutyProcess) and p.alive and key_of("duty-0") in p.participant.ownerships
         ]
         sim.processes[owner.seat] = sim.born(owner.seat, remembers=True)
         if not found:
@@ -446,61 +446,63 @@
         owner = found[0]
     live = next(p for p in sim.processes if p.alive and isinstance(p, DutyProcess))
     got: list[Any] = []
-    live.office.read("duty-0", got.append)
+    live.participant.read("duty-0", got.append)
     sim.run(sim.now + SECOND)
     assert got[0].post.life == Life.ASIDE.value and "owners were lost" in got[0].post.why
-    live.office.resume("duty-0", got.append)
+    live.participant.resume("duty-0", got.append)
     sim.run(sim.now + 3 * SECOND)
-    assert any(key_of("duty-0") in p.office.tours for p in sim.processes if isinstance(p, DutyProcess))
+    assert any(
+        key_of("duty-0") in p.participant.ownerships for p in sim.processes if isinstance(p, DutyProcess)
+    )
 
 
 def test_a_receiver_that_knows_more_than_the_registers_puts_the_duty_aside_and_resumed_it_goes_above() -> (
     None
 ):
-    sim, owner, tour = settled()
-    sim.facts["duty-0"].highest = Fence(tour.post.born + 10, 1, 1)
+    sim, owner, ownership = settled()
+    sim.facts["duty-0"].highest = Fence(ownership.post.born + 10, 1, 1)
     ended: list[Any] = []
-    owner.office.ended = lambda t, why: (ended.append(why), Office.ended(owner.office, t, why))  # type: ignore
+    owner.participant.ended = lambda t, why: (ended.append(why), Participant.ended(owner.participant, t, why))  # type: ignore
     sim.run(sim.now + 3 * SECOND)
     assert isinstance(ended[0], Forgotten)
     before = len(sim.facts["duty-0"].taken)
-    owner.office.resume("duty-0", lambda got: None)
+    owner.participant.resume("duty-0", lambda got: None)
     sim.run(sim.now + 5 * SECOND)
     assert len(sim.facts["duty-0"].taken) > before
 
 
 def test_bounds_of_states_intents_and_names_are_refused_with_their_figure() -> None:
-    sim, owner, tour = settled()
-    too_large = answers(sim, tour, OnFleet(b"x" * (POLICY.state_bytes + 1)))
+    sim, owner, ownership = settled()
+    too_large = answers(sim, ownership, OnFleet(b"x" * (POLICY.state_bytes + 1)))
     assert isinstance(too_large, OverBudget) and str(POLICY.state_bytes) in str(too_large)
-    assert isinstance(answers(sim, tour, Once("s", b"x" * 513, Settle.TELL)), OverBudget)
+    assert isinstance(answers(sim, ownership, Once("s", b"x" * 513, Settle.TELL)), OverBudget)
     got: list[Any] = []
-    owner.office.create("x" * 200, "test", got.append)
-    owner.office.read("nobody-made-it", got.append)
+    owner.participant.create("x" * 200, "test", got.append)
+    owner.participant.read("nobody-made-it", got.append)
     sim.run(sim.now + SECOND)
     assert isinstance(got[0], OverBudget) and isinstance(got[1], Unknown)
 
 
 def test_a_large_state_is_kept_in_pieces_and_a_damaged_one_is_made_whole_from_others() -> None:
-    sim, owner, tour = settled(seats=3)
+    sim, owner, ownership = settled(seats=3)
     large = bytes(range(256)) * (6 * PIECE // 256)
-    owner.office._workers[tour.key].stop(None)
-    answers(sim, tour, OnFleet(large))
+    owner.participant._workers[ownership.key].stop(None)
+    answers(sim, ownership, OnFleet(large))
     keeper = next(p for p in sim.processes if p is not owner and isinstance(p, DutyProcess))
     name = order(large)[0]
-    keeper.office.shelf.by_key[tour.key][name] = b"damaged"
-    assert keeper.office.shelf.find(tour.key, name) is None
-    keeper.office.recalled()
+    keeper.participant.shelf.by_key[ownership.key][name] = b"damaged"
+    assert keeper.participant.shelf.find(ownership.key, name) is None
+    keeper.participant.recalled()
     sim.run(sim.now + SECOND)
-    assert keeper.office.shelf.find(tour.key, name) is not None
-    keeper.office.library.fetched("n0", Fetched(tour.key, name, b"not it"))
+    assert keeper.participant.shelf.find(ownership.key, name) is not None
+    keeper.participant.library.fetched("n0", Fetched(ownership.key, name, b"not it"))
     assert sim.history.counts["duties: a damaged piece from another"] == 1
     owner.alive = False
     sim.run(sim.now + 3 * SECOND)
     (then,) = [
-        p.office.tours[tour.key]
+        p.participant.ownerships[ownership.key]
         for p in sim.processes
-        if p.alive and isinstance(p, DutyProcess) and tour.key in p.office.tours
+        if p.alive and isinstance(p, DutyProcess) and ownership.key in p.participant.ownerships
     ]
     assert then.state[: len(large)] == large
 
@@ -509,7 +511,7 @@
     sim, owner, _ = settled(seats=4, duties=4)
     owner.away = True
     sim.run(sim.now + 4 * SECOND)
-    assert not owner.office.tours and sim.history.counts["duties: given up"] >= 1
+    assert not owner.participant.ownerships and sim.history.counts["duties: given up"] >= 1
     facts = sim.facts["duty-0"]
     assert sim.wrong() is None and facts.acknowledged, "a last state was handed on"
     owner.away = False
@@ -518,45 +520,49 @@
 
 
 def test_a_duty_taken_away_has_no_owner_and_made_anew_is_another() -> None:
-    sim, owner, tour = settled()
+    sim, owner, ownership = settled()
     got: list[Any] = []
-    owner.office.remove("duty-0", got.append)
+    owner.participant.remove("duty-0", got.append)
     sim.run(sim.now + 2 * SECOND)
-    assert got[0].life == Life.GONE.value and tour.stage is tour_module.Stage.OVER
-    owner.office.read("duty-0", got.append)
+    assert got[0].life == Life.GONE.value and ownership.stage is ownership_module.Stage.OVER
+    owner.participant.read("duty-0", got.append)
     sim.run(sim.now + SECOND)
-    owner.office.create("duty-0", "test", got.append)
+    owner.participant.create("duty-0", "test", got.append)
     sim.run(sim.now + 3 * SECOND)
     assert isinstance(got[1], Unknown) and got[2].born > got[0].born
-    assert any(key_of("duty-0") in p.office.tours for p in sim.processes if isinstance(p, DutyProcess))
+    assert any(
+        key_of("duty-0") in p.participant.ownerships for p in sim.processes if isinstance(p, DutyProcess)
+    )
 
 
 def test_an_idle_owner_passed_over_hears_of_it_though_it_makes_no_change() -> None:
     class Idle(DutyProcess):
-        def work(self, tour: Tour) -> None:
+        def work(self, ownership: Ownership) -> None:
             return None
 
-    sim, owner, tour = settled(seats=5, process=Idle)
+    sim, owner, ownership = settled(seats=5, process=Idle)
     taker = next(
         p
         for p in sim.processes
-        if isinstance(p, DutyProcess) and p is not owner and p.node.me not in sim.seats.keepers(tour.key)
+        if isinstance(p, DutyProcess) and p is not owner and p.node.me not in sim.seats.keepers(ownership.key)
+    )
+    taker.participant._offered(
+        "n0", Offer(ownership.key, ownership.post.born, ownership.post.term, False, True)
     )
-    taker.office._offered("n0", Offer(tour.key, tour.post.born, tour.post.term, False, True))
     sim.run(sim.now + SECOND)
-    assert tour.key in taker.office.tours and tour.key not in owner.office.tours
+    assert ownership.key in taker.participant.ownerships and ownership.key not in owner.participant.ownerships
 
 
 def test_an_owner_that_was_never_heard_is_not_taken_for_unfit() -> None:
-    sim, owner, tour = settled(seats=5)
+    sim, owner, ownership = settled(seats=5)
     keeper = next(
         p
         for p in sim.processes
-        if isinstance(p, DutyProcess) and p is not owner and p.node.me in sim.seats.keepers(tour.key)
+        if isinstance(p, DutyProcess) and p is not owner and p.node.me in sim.seats.keepers(ownership.key)
     )
     member = keeper.node.members.by_seat[owner.node.me]
     member.state, member.told = State.UNKNOWN, Word()
     for _ in range(2):
-        keeper.office.tending.look()
+        keeper.participant.tending.look()
         sim.now += 10 * SECOND
-    assert not keeper.office.tending._unfit
+    assert not keeper.participant.tending._unfit
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -28,7 +28,7 @@
     Return,
     Warm,
 )
-from moorusher.outage.desk import Desk, Waited
+from moorusher.outage.coordinator import OutageCoordinator, Waited
 from moorusher.outage.gauge import Gauge
 from moorusher.outage.machine import Doing, Own, decide
 from moorusher.outage.plan import Calm, foretold, plan
@@ -420,7 +420,7 @@
     assert first.history.messages == second.history.messages
 
 
-class Eager(Desk):
+class Eager(OutageCoordinator):
     """A seeded mistake: one that waits on a later start of the machine is told what an earlier one was granted."""
 
     def _word(self, waiter: Any) -> Any:
@@ -431,7 +431,7 @@
 
 
 def test_the_seeds_find_who_is_told_by_a_later_start_of_the_machine() -> None:
-    assert search(range(120), desk=Eager) is not None
+    assert search(range(120), coordinator=Eager) is not None
 
 
 def test_without_faults_all_of_it_is_over_soon() -> None:
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -24,9 +24,9 @@
 from moorusher.namespaces.revisions import Book, Submission, drafted, pack, published, unpack
 from moorusher.publishing.cast import FAN, SMALL, Casting
 from moorusher.publishing.compare import Comparing
-from moorusher.publishing.desk import GONE, Desk
 from moorusher.publishing.messages import At, Cast, Compare, Covered, Differ, Heard
 from moorusher.publishing.publisher import Publisher
+from moorusher.publishing.replica import GONE, Replica
 
 # ---- books ----
 
@@ -85,7 +85,7 @@
 # ---- the owner's part ----
 
 
-class Desktop:
+class ReplicaHost:
     """A duty and its register, as a publisher sees them: each change goes as `outcomes` says, made or not."""
 
     def __init__(self, *outcomes: tuple[bool, bool]) -> None:
@@ -126,7 +126,7 @@
 def test_after_an_outcome_that_is_not_known_the_register_is_read_before_anything_else(
     came_about: bool,
 ) -> None:
-    there = Desktop((True, True), (False, came_about))
+    there = ReplicaHost((True, True), (False, came_about))
     publisher, got = Publisher(there, there), list[Any]()  # type: ignore[arg-type]
     publisher.start()
     for id in ("first", "unsure", "next", "unsure"):
@@ -138,7 +138,7 @@
 
 
 def test_whoever_waits_for_an_owner_whose_time_is_over_is_told_so() -> None:
-    there = Desktop()
+    there = ReplicaHost()
     publisher, got = Publisher(there, there), list[Any]()  # type: ignore[arg-type]
     publisher.start()
     there.do = lambda effect, then: None  # type: ignore[method-assign]
@@ -350,7 +350,7 @@
         return made
 
 
-class GoesBack(Desk):
+class GoesBack(Replica):
     def __init__(self, *how: Any) -> None:
         super().__init__(*how)
         self.customers = Backwards()
@@ -369,9 +369,9 @@
         super()._done(got)
 
 
-class GoesOnUnsure(Desk):
-    def work(self, tour: Any) -> Publisher:
-        made = self.publishers[tour.name] = Twice(tour, self)
+class GoesOnUnsure(Replica):
+    def work(self, ownership: Any) -> Publisher:
+        made = self.publishers[ownership.name] = Twice(ownership, self)
         return made
 
 
@@ -379,20 +379,20 @@
     """Says that it is published before a majority has taken it."""
 
     def _publish(self, book: Book, s: Submission, draft: bytes) -> None:
-        do = self.tour.do
+        do = self.ownership.do
 
         def early(effect: Any, then: Callable[[Outcome], None]) -> None:
             do(effect, lambda outcome: None)
             then(Made(None))  # type: ignore[arg-type]
 
-        self.tour.do = early  # type: ignore[method-assign]
+        self.ownership.do = early  # type: ignore[method-assign]
         super()._publish(book, s, draft)
-        self.tour.do = do  # type: ignore[method-assign]
+        self.ownership.do = do  # type: ignore[method-assign]
 
 
-class SaysItEarly(Desk):
-    def work(self, tour: Any) -> Publisher:
-        made = self.publishers[tour.name] = Early(tour, self)
+class SaysItEarly(Replica):
+    def work(self, ownership: Any) -> Publisher:
+        made = self.publishers[ownership.name] = Early(ownership, self)
         return made
 
 
@@ -408,9 +408,9 @@
         return self._publish(book, s, draft)
 
 
-class ForgetsIds(Desk):
-    def work(self, tour: Any) -> Publisher:
-        made = self.publishers[tour.name] = Forgetful(tour, self)
+class ForgetsIds(Replica):
+    def work(self, ownership: Any) -> Publisher:
+        made = self.publishers[ownership.name] = Forgetful(ownership, self)
         return made
 
 
@@ -421,10 +421,10 @@
         return None
 
 
-class SaysAll(Desk):
+class SaysAll(Replica):
     def __init__(self, *how: Any) -> None:
         super().__init__(*how)
-        self.casting = Deaf(self, self.office.node.seats.names)
+        self.casting = Deaf(self, self.participant.node.seats.names)
         self._handlers |= {Cast: self.casting.cast, Heard: self.casting.heard, Covered: self.casting.covered}
 
 
@@ -448,7 +448,7 @@
 
 
 @pytest.mark.parametrize(
-    ("desk", "how"),
+    ("replica", "how"),
     [
         (GoesBack, "went back"),
         (SaysItEarly, "means|told|no register|published as|was said"),
@@ -456,6 +456,6 @@
         (SaysAll, "was said to have"),
     ],
 )
-def test_a_seeded_mistake_is_found(desk: type[Desk], how: str) -> None:
-    found = check.search(range(40), desk=desk)
+def test_a_seeded_mistake_is_found(replica: type[Replica], how: str) -> None:
+    found = check.search(range(40), replica=replica)
     assert found is not None and re.search(how, found[1]), found
