Docstrings on the classes and functions of all packages; the linter leaves none out

Need: the seven packages that the check passed over. 135 more; methods (D102) are still not checked, some 900 lack one. Nothing but docstrings changes.

--- a/moorusher/check/duties.py
+++ b/moorusher/check/duties.py
@@ -121,6 +121,8 @@
 
 
 class DutyProcess(Process):
+    """One process of a simulated fleet, with the real participant in its duties."""
+
     def __init__(
         self, sim: Simulation, seat: int, number: int, inc: int, remembers: bool, make: type[Node]
     ) -> None:
@@ -367,6 +369,7 @@
 
 
 def tokens(state: bytes) -> set[int]:
+    """The tokens that a state holds."""
     return {int.from_bytes(state[i : i + 4], "big") for i in range(0, len(state), 4)}
 
 
--- a/moorusher/check/explore.py
+++ b/moorusher/check/explore.py
@@ -26,6 +26,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Found:
+    """What a walk of all interleavings has seen."""
+
     states: int
     whole: bool  # all states were seen
     broken: str | None = None
--- a/moorusher/check/fleets.py
+++ b/moorusher/check/fleets.py
@@ -41,6 +41,8 @@
 
 @dataclass(slots=True)
 class Run:
+    """One run of a key, as the history has it."""
+
     key: Key
     process: int
     at: int
@@ -49,6 +51,8 @@
 
 @dataclass(slots=True)
 class History:
+    """Everything that a course is judged by."""
+
     runs: list[Run] = field(default_factory=list)
     answers: list[tuple[Key, int, int, bytes | None, str]] = field(default_factory=list)
     granted: dict[Key, int] = field(default_factory=dict)
@@ -239,6 +243,8 @@
 
 
 class Simulation:
+    """One course: runners, links and faults in virtual time, all drawn from one seed."""
+
     def __init__(
         self,
         seed: int,
--- a/moorusher/check/forecasts.py
+++ b/moorusher/check/forecasts.py
@@ -39,6 +39,8 @@
 
 
 class CountingProcess(DutyProcess):
+    """One process that counts demand, and may own the forecast."""
+
     def __init__(
         self, sim: Simulation, seat: int, number: int, inc: int, remembers: bool, make: type[Node]
     ) -> None:
--- a/moorusher/check/outage_seeds.py
+++ b/moorusher/check/outage_seeds.py
@@ -116,6 +116,8 @@
 
 
 class OutageProcess(Process):
+    """One process of a simulated fleet, with the real outage coordinator."""
+
     def __init__(
         self, sim: Simulation, seat: int, number: int, inc: int, remembers: bool, make: type[Node]
     ) -> None:
--- a/moorusher/check/outages.py
+++ b/moorusher/check/outages.py
@@ -27,6 +27,7 @@
 
 @lru_cache(1 << 16)
 def read(known: bytes) -> Roster:
+    """The roster that a register holds."""
     return unpack(known or None)
 
 
@@ -41,6 +42,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
+    """How large the case is that is walked."""
+
     asks: tuple[str, ...] = ("a", "b")  # who is asked for
     withdrawn: bool = True  # the first ask, at any moment
     crashes: int = 1  # of a process, or of a machine
--- a/moorusher/check/publishing.py
+++ b/moorusher/check/publishing.py
@@ -39,10 +39,13 @@
 
 
 def draft_of(name: str) -> bytes:
+    """A draft that is told apart by its one name."""
     return msgspec.json.encode({"default": name, "routes": {name: {"servers": {"s": 1}}}})
 
 
 class PublishProcess(DutyProcess):
+    """One process of a simulated fleet, with the real replica of all revisions."""
+
     def __init__(
         self, sim: Simulation, seat: int, number: int, inc: int, remembers: bool, make: type[Node]
     ) -> None:
--- a/moorusher/check/registers.py
+++ b/moorusher/check/registers.py
@@ -22,6 +22,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
+    """How large the case is that is walked."""
+
     again: tuple[int, int] = (0, 1)  # further rounds that P and Q may begin, whenever they like
     patient: bool = False  # a further round only after a conflict, not at any time
     late: bool = False  # answers travel by themselves; else they come at once, or are lost
--- a/moorusher/duties/errors.py
+++ b/moorusher/duties/errors.py
@@ -7,6 +7,8 @@
 
 
 class DutyError(Remediable):
+    """Why something was not done for a duty, with its status and remedy for operators."""
+
     def __init__(self, what: str) -> None:
         super().__init__(what)
         self.what = what
@@ -24,6 +26,8 @@
 
 
 class NoMajority(DutyError):
+    """Too few keepers answer: whether the change comes about is not known."""
+
     status = 503
     remedy = (
         "See `moorusher fleet show` on several runners: bring back seats that are down or cut off. Where "
@@ -35,6 +39,8 @@
 
 
 class Unknown(DutyError):
+    """There is no duty of that name."""
+
     status = 404
     remedy = "`moorusher duty show` lists the duties that there are."
 
@@ -43,6 +49,8 @@
 
 
 class SetAside(DutyError):
+    """Its owners were lost one after another, and it waits for an operator."""
+
     remedy = (
         "Find out why its owners were lost (their logs name the duty); then `moorusher duty resume NAME`."
     )
@@ -52,6 +60,8 @@
 
 
 class Conflict(DutyError):
+    """It was changed by another meanwhile."""
+
     remedy = "Read what is there now, and make the change anew on top of it."
 
     def __init__(self, duty: str, expected: int, found: int) -> None:
@@ -60,6 +70,8 @@
 
 
 class OverBudget(DutyError):
+    """It is larger, or more, than the settings allow."""
+
     status = 413
     remedy = (
         "Make it smaller, settle what is open, or raise the bound that is named in [duties] on all runners."
@@ -67,6 +79,8 @@
 
 
 class Damaged(DutyError):
+    """No whole copy of its state can be found."""
+
     status = 503
     remedy = (
         "A copy of the state is missing or does not match its digest at all keepers that answer. Bring back the "
@@ -75,6 +89,8 @@
 
 
 class Forgotten(DutyError):
+    """The fleet has forgotten what it knew of a duty, and a receiver has not."""
+
     remedy = (
         "The receiver knows later work than the fleet's registers do: they were lost and began anew. Make sure "
         "that no runner of the earlier fleet is left, then `moorusher duty resume NAME`: it goes on above that."
@@ -82,6 +98,8 @@
 
 
 class Uncertain(DutyError):
+    """The receiver has not said whether an effect was done."""
+
     remedy = (
         "Nobody here can tell whether this was done. Look at its receiver, then `moorusher duty settle NAME "
         "NUMBER done` or `undone`."
@@ -89,11 +107,15 @@
 
 
 class Unreached(DutyError):
+    """The receiver does not answer."""
+
     status = 503
     remedy = "See whether the receiver named here is up, and whether all runners reach it."
 
 
 class Busy(DutyError):
+    """It can't be done at this moment; nothing was changed."""
+
     status = 503
     remedy = "Again later: its owner is giving it up, or has too much before it."
 
--- a/moorusher/duties/fence.py
+++ b/moorusher/duties/fence.py
@@ -20,12 +20,15 @@
 
 
 class Verdict(Enum):
+    """What a receiver makes of a fence."""
+
     NEW = "new"  # to be done
     AGAIN = "again"  # it was: answer as then
     BEHIND = "behind"  # refused, with the highest
 
 
 def judge(highest: Fence | None, fence: Fence) -> Verdict:
+    """Compare a fence with the highest that a receiver knows."""
     if highest is None or fence > highest:
         return Verdict.NEW
     return Verdict.AGAIN if fence == highest else Verdict.BEHIND
--- a/moorusher/duties/library.py
+++ b/moorusher/duties/library.py
@@ -20,6 +20,8 @@
 
 
 class Host(Protocol):
+    """What the library needs of the member that has it."""
+
     @property
     def me(self) -> str: ...
     def keepers(self, key: Key) -> tuple[str, ...]: ...
@@ -55,6 +57,8 @@
 
 
 class Library:
+    """Puts states on their keepers, finds them again, and mends what is missing."""
+
     def __init__(self, host: Host, shelf: Shelf) -> None:
         self.host, self.shelf = host, shelf
         self._puts: dict[int, _Put] = {}
--- a/moorusher/duties/messages.py
+++ b/moorusher/duties/messages.py
@@ -21,6 +21,8 @@
 
 
 class Declined(Said, frozen=True, tag="declined"):
+    """An offered duty is not taken."""
+
     key: Key
     term: int
 
@@ -45,6 +47,8 @@
 
 
 class Kept(Said, frozen=True, tag="kept"):
+    """Pieces of a state are kept, or there was no room for them."""
+
     serial: int
     name: bytes
     ok: bool
@@ -60,6 +64,8 @@
 
 
 class Fetch(Said, frozen=True, tag="fetch"):
+    """Asks a keeper for pieces of a state."""
+
     key: Key
     names: list[bytes]
 
--- a/moorusher/duties/ownership.py
+++ b/moorusher/duties/ownership.py
@@ -59,6 +59,8 @@
 
 
 class Stage(Enum):
+    """How far one term of a duty has come, at its owner."""
+
     STARTING = "starting"  # its state is being fetched, what was left open is being settled
     HELD = "held"
     YIELDING = "yielding"
@@ -91,6 +93,8 @@
 
 
 class Ownership:
+    """One duty at its owner, for one term."""
+
     def __init__(self, host: Host, key: Key, post: Post, hold: Hold | None) -> None:
         self.host, self.key, self.post = host, key, post
         self.owner = host.owner
--- a/moorusher/duties/participant.py
+++ b/moorusher/duties/participant.py
@@ -68,6 +68,8 @@
 
 
 class Worker(Protocol):
+    """Who does what a duty is for, while this member owns it."""
+
     def start(self) -> None: ...
     def wind_up(self) -> None: ...  # the duty is given up: a last state may be handed on now
     def stop(self, why: DutyError | None) -> None: ...  # it is another's: nothing may go on
@@ -83,6 +85,8 @@
 
 
 class Participant:
+    """One member's part in all duties of the fleet."""
+
     ownership = Ownership
 
     def __init__(
--- a/moorusher/duties/pieces.py
+++ b/moorusher/duties/pieces.py
@@ -18,6 +18,7 @@
 
 
 def digest(piece: bytes) -> bytes:
+    """The name of a piece: it is found again by what it holds."""
     return blake2b(piece, digest_size=16).digest()
 
 
@@ -28,6 +29,7 @@
 
 
 def order(state: bytes) -> tuple[bytes, ...]:
+    """The names of a state's pieces, in their order."""
     return tuple(digest(state[i : i + PIECE]) for i in range(0, len(state), PIECE))
 
 
@@ -41,6 +43,7 @@
 
 
 def named(post: Post) -> set[bytes]:
+    """All pieces that a post's versions name."""
     return {d for v in post.versions for d in v.pieces}
 
 
--- a/moorusher/duties/policy.py
+++ b/moorusher/duties/policy.py
@@ -16,6 +16,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Policy:
+    """What the operator sets of duties; `config_fleet.py` reads and bounds it."""
+
     on: bool = False
     reports: tuple[Report, ...] = ()
     most: int = 4_000  # duties of the fleet, those that are gone included: a name is never quite forgotten
--- a/moorusher/duties/post.py
+++ b/moorusher/duties/post.py
@@ -23,6 +23,8 @@
 
 
 class Life(Enum):
+    """Where a duty is between two owners."""
+
     VACANT = 0
     OFFERED = 1  # to the seat in `to`
     HELD = 2
@@ -94,14 +96,17 @@
 
 
 def pack(post: Post) -> bytes:
+    """A post as the value of its register."""
     return _encode(post)
 
 
 def unpack(value: bytes | None) -> Post | None:
+    """The post in a register; None where there is none yet."""
     return None if value is None else _decoder.decode(value)
 
 
 def key_of(name: str) -> Key:
+    """The register of a duty."""
     return b"duty:" + name.encode()
 
 
@@ -121,6 +126,8 @@
 
 
 class Look(Change):
+    """Changes nothing: the register as a majority has it."""
+
     def make(self, old: Post | None) -> Post | None:
         return None
 
@@ -239,6 +246,8 @@
 
 
 class Intend(Own):
+    """An effect is chosen before it is made, where its receiver can't compare fences."""
+
     def __init__(
         self, me: Owner, born: int, term: int, step: int, to: str, what: bytes, settle: Settle
     ) -> None:
@@ -264,6 +273,8 @@
 
 
 class Yield(Own):
+    """The owner begins nothing new: it gives the duty up."""
+
     def own(self, old: Post) -> Post:
         return _next(old, step=self.step, life=Life.YIELDING.value)
 
@@ -290,6 +301,8 @@
 
 
 class PutAside(Own):
+    """The duty waits for an operator, with the reason."""
+
     also_yielding = True
 
     def __init__(self, me: Owner, born: int, term: int, step: int, why: str, above: int) -> None:
@@ -323,6 +336,8 @@
 
 
 class SettleIt(Change):
+    """An operator's word that an open intent is settled."""
+
     def __init__(self, number: int) -> None:
         self.number = number
 
--- a/moorusher/duties/report.py
+++ b/moorusher/duties/report.py
@@ -30,6 +30,8 @@
 
 
 class Reporting:
+    """Tells the receiver again and again, one report at a time."""
+
     def __init__(
         self,
         ownership: Ownership,
--- a/moorusher/duties/spread.py
+++ b/moorusher/duties/spread.py
@@ -38,6 +38,7 @@
 
 
 def room(of_mean: float) -> int:
+    """How many duties a member may have where the mean is so many."""
     return max(1, ceil(ROOM * of_mean))
 
 
--- a/moorusher/duties/tending.py
+++ b/moorusher/duties/tending.py
@@ -23,6 +23,8 @@
 
 
 class Host(Protocol):
+    """What tending needs of the member that does it."""
+
     @property
     def owner(self) -> Owner: ...
     def say(self, seat: str, message: Any) -> None: ...
@@ -36,6 +38,8 @@
 
 @dataclass(slots=True)
 class Tending:
+    """A keeper's care for the duties that it keeps: each has an owner, or is offered to somebody."""
+
     host: Host
     members: Members
     copies: int
--- a/moorusher/fleet/journal.py
+++ b/moorusher/fleet/journal.py
@@ -79,6 +79,7 @@
 
 
 def pack(records: list[Any]) -> bytes:
+    """Records as one stretch of the file, with its length and checksum."""
     parts = []
     for record in records:
         body = _encoder.encode(record)
--- a/moorusher/fleet/keeper.py
+++ b/moorusher/fleet/keeper.py
@@ -24,6 +24,8 @@
 
 @dataclass(slots=True)
 class Slot:
+    """What a keeper has of one register: its promise, and the value it took last."""
+
     promised: Ballot = NEVER
     ballot: Ballot | None = None
     value: Any = None
--- a/moorusher/fleet/member.py
+++ b/moorusher/fleet/member.py
@@ -31,6 +31,8 @@
 
 
 class State(Enum):
+    """Whether a member is there, as far as this one knows."""
+
     ALIVE = 0
     SUSPECT = 1
     DEAD = 2
@@ -42,6 +44,8 @@
 
 @dataclass(slots=True)
 class Member:
+    """Another member, as this one knows it."""
+
     seat: str
     inc: int = 0
     version: int = 0
--- a/moorusher/fleet/messages.py
+++ b/moorusher/fleet/messages.py
@@ -67,6 +67,8 @@
 
 
 class Vote(_Message, frozen=True, tag="vote"):
+    """A keeper's answer to a question or a change of a register."""
+
     serial: int
     key: Key
     taken: bool
@@ -178,12 +180,16 @@
 
 
 class Ping(_Message, frozen=True, tag="ping"):
+    """Asks a member whether it is there; carries news."""
+
     serial: int
     news: list[About]
     on_behalf: str = ""  # of the seat that asked for it
 
 
 class Pong(_Message, frozen=True, tag="pong"):
+    """The answer to a ping; carries news."""
+
     serial: int
     news: list[About]
     on_behalf: str = ""
@@ -210,6 +216,7 @@
 
 
 def encode(messages: list[Any]) -> bytes:
+    """Messages as one frame."""
     return _encoder.encode(messages)
 
 
--- a/moorusher/fleet/node.py
+++ b/moorusher/fleet/node.py
@@ -34,6 +34,8 @@
 
 
 class Node:
+    """One runner's part in the fleet, without links: membership, registers, and the work of keys."""
+
     def __init__(
         self,
         me: str,
--- a/moorusher/fleet/register.py
+++ b/moorusher/fleet/register.py
@@ -40,6 +40,7 @@
 
 
 def merged(votes: list[Vote]) -> Incs:
+    """The highest incarnation of each seat that some vote has heard of."""
     incs: Incs = {}
     for vote in votes:
         for seat, inc in vote.incs.items():
--- a/moorusher/fleet/seats.py
+++ b/moorusher/fleet/seats.py
@@ -22,10 +22,12 @@
 
 
 def score(name: str, what: bytes) -> int:
+    """The rank of a seat for something, by rendezvous hashing."""
     return xxhash.xxh64_intdigest(what, xxhash.xxh32_intdigest(name.encode()))
 
 
 def majority(of: int) -> int:
+    """How many of so many are more than half."""
     return of // 2 + 1
 
 
--- a/moorusher/fleet/tenure.py
+++ b/moorusher/fleet/tenure.py
@@ -12,6 +12,8 @@
 
 
 class Stage(Enum):
+    """How far one runner has come with a key."""
+
     CLAIMING = "claiming"
     MINE = "held"
     BEGINNING = "beginning"
--- a/moorusher/fleet/work.py
+++ b/moorusher/fleet/work.py
@@ -18,6 +18,8 @@
 
 
 class State(Enum):
+    """How far the work of a key has come, by its register."""
+
     HELD = 0  # read, in the queue of its owner
     BEGUN = 1  # its owner may have commanded it
     OVER = 2
@@ -25,6 +27,8 @@
 
 
 class Owner(msgspec.Struct, frozen=True, array_like=True):
+    """A process of a seat."""
+
     seat: str
     inc: int
 
@@ -47,6 +51,8 @@
 
 
 class Work(msgspec.Struct, frozen=True, array_like=True):
+    """The value of a key's register."""
+
     state: State
     owner: Owner
     attempt: int  # grows with each one that takes it up: what an earlier owner says of it then counts no more
--- a/moorusher/forecasting/errors.py
+++ b/moorusher/forecasting/errors.py
@@ -6,15 +6,19 @@
 
 
 class ForecastError(Remediable):
-    pass
+    """Why there is no forecast to be had, with its status and remedy for operators."""
 
 
 class NotYet(ForecastError):
+    """It has not been worked out, or has not come here, yet."""
+
     status = 503
     remedy = "Again in some minutes: its owner has just begun, or too little has been counted."
 
 
 class Unreadable(ForecastError):
+    """The state of the forecast can't be read."""
+
     status = 503
     remedy = (
         "The state of the duty is damaged, and is left as it is. `moorusher duty show forecast` says who has it; "
@@ -23,6 +27,8 @@
 
 
 class NoNumpy(ForecastError):
+    """The library that works it out is not installed."""
+
     remedy = "Install the extra on all runners that may own the forecast: moorusher[forecast]."
 
 
--- a/moorusher/forecasting/forecaster.py
+++ b/moorusher/forecasting/forecaster.py
@@ -33,6 +33,8 @@
 
 
 class Host(Protocol):
+    """What the forecaster needs of the member that owns it."""
+
     def say(self, seat: str, message: Any) -> None: ...
     def at(self, when: int, action: Callable[[], None]) -> None: ...
     def clock(self) -> int: ...
@@ -255,5 +257,6 @@
 
 
 def label(name: str) -> str:
+    """A key in words, for operators."""
     key = unpack_key(name)
     return f"{key.customer or '-'}/{key.route or '-'}" + (f"@{key.zone}" if key.zone else "")
--- a/moorusher/forecasting/member.py
+++ b/moorusher/forecasting/member.py
@@ -30,11 +30,15 @@
 
 
 class Host(Protocol):
+    """What a member needs of the process."""
+
     def unix_ms(self) -> int: ...
     def worker(self, ownership: Ownership) -> Forecaster: ...
 
 
 class Member:
+    """One member's part in the forecast: it tells what it counted, and may own the duty."""
+
     def __init__(self, participant: Participant, host: Host, policy: Policy) -> None:
         self.participant, self._host, self.policy = participant, host, policy
         self.zone = participant.node.seats.by_name[participant.me].zone
--- a/moorusher/forecasting/messages.py
+++ b/moorusher/forecasting/messages.py
@@ -9,6 +9,8 @@
 
 
 class Report(Said, frozen=True, tag="report"):
+    """What a member has counted since its last report that was kept."""
+
     serial: int
     parts: list[Part]
 
@@ -45,6 +47,8 @@
 
 
 class Load(Said, frozen=True, tag="load"):
+    """Counts of the past, brought by an operator."""
+
     serial: int
     past: list[Past]
 
--- a/moorusher/lab/balancer.py
+++ b/moorusher/lab/balancer.py
@@ -18,6 +18,8 @@
 
 @dataclass(slots=True)
 class Server:
+    """A runner, as a balancer knows it."""
+
     name: str
     weight: int = 100  # of the agent's last word, in 100
     up: bool = True  # by checks and by the agent's operative word
--- a/moorusher/lab/cores.py
+++ b/moorusher/lab/cores.py
@@ -13,6 +13,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Machine:
+    """A server's cores, and what crowd they bear."""
+
     cores: int = 2
     speed: float = 1.0
     knee: float = 3.0  # runs a core past which less is got done in all,
@@ -24,6 +26,8 @@
 
 
 class Cores:
+    """Runs that share the cores of a machine, in virtual or real time."""
+
     def __init__(self, machine: Machine, now: int, cold: bool = False) -> None:
         self.machine, self.born = machine, now
         self.cold = cold
--- a/moorusher/lab/duties.py
+++ b/moorusher/lab/duties.py
@@ -50,6 +50,8 @@
 
 
 class LeaseParticipant(Participant):
+    """The baseline: it owns by a lease and its own clock alone."""
+
     ownership = LeaseOwnership
 
 
@@ -68,6 +70,8 @@
 
 
 class Idle(DutyProcess):
+    """A process whose duties do nothing."""
+
     def work(self, ownership: Ownership) -> None:
         return None
 
@@ -154,6 +158,7 @@
 
 
 async def play(reactor: Any, quick: bool, seed: int, say: Callable[[str], None]) -> Result:
+    """The experiment on duties."""
     result = Result()
     sums: Counter[str] = Counter()
     for one in range(seed, seed + (6 if quick else 60)):
--- a/moorusher/lab/experiment.py
+++ b/moorusher/lab/experiment.py
@@ -28,6 +28,8 @@
 
 @dataclass(slots=True)
 class Plot:
+    """One figure of a report."""
+
     title: str
     across: str
     up: str
@@ -37,6 +39,8 @@
 
 @dataclass(slots=True)
 class Result:
+    """What an experiment has measured, against its criteria."""
+
     criteria: list[Criterion] = field(default_factory=list)
     figures: dict[str, Any] = field(default_factory=dict)
     plots: list[Plot] = field(default_factory=list)
@@ -103,6 +107,7 @@
 
 
 def known() -> dict[str, Experiment]:
+    """All experiments, by name."""
     from .duties import DUTIES
     from .forecast import FORECAST
     from .namespaces import NAMESPACES
--- a/moorusher/lab/fleet.py
+++ b/moorusher/lab/fleet.py
@@ -21,6 +21,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Fleet:
+    """A fleet of runners behind balancers, in virtual time."""
+
     runners: int = 1000
     balancers: int = 50
     cores: int = 4
@@ -37,6 +39,7 @@
 
 
 def play(fleet: Fleet, seed: int, report: bool) -> dict[str, Any]:
+    """One course of such a fleet, with or without the report."""
     rng = np.random.default_rng(seed)
     n, cores = fleet.runners, fleet.cores
     policy = Policy(probe_ms=1000, reaction_ms=500 + KEPT_S * 1000, climb_s=10)
--- a/moorusher/lab/forecast.py
+++ b/moorusher/lab/forecast.py
@@ -117,6 +117,7 @@
 
 
 def many(seeds: range, with_reference: bool, say: Callable[[str], None]) -> dict[str, Any]:
+    """Forecasts over many seeds and kinds of course."""
     ratios: dict[str, list[float]] = {kind: [] for kind in KINDS}
     against: list[float] = []
     under: dict[str, list[float]] = {kind: [] for kind in KINDS}
@@ -168,6 +169,7 @@
 
 
 def thousand(seed: int, routes: int = 1_000) -> tuple[dict[str, Series], dict[str, str]]:
+    """A thousand routes of all kinds, for the time and memory that they take."""
     kinds, series, customers = list(KINDS), dict[str, Series](), dict[str, str]()
     for i in range(routes):
         drawn = draw(seed * 1_000 + i // len(kinds), kinds[i % len(kinds)])
@@ -207,6 +209,7 @@
 
 
 async def play(reactor: Any, quick: bool, seed: int, say: Callable[[str], None]) -> Result:
+    """The experiment on the forecast."""
     result = Result()
     began = time.perf_counter()
     got = await deferToThread(many, range(seed * 100, seed * 100 + (4 if quick else 20)), True, say)
--- a/moorusher/lab/load.py
+++ b/moorusher/lab/load.py
@@ -24,6 +24,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Kind:
+    """A class of requests that the load has."""
+
     name: str
     share: float
     work_ms: float  # mean; drawn evenly from half of it to one and a half
@@ -36,6 +38,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
+    """One request of the load, drawn ahead."""
+
     at: float  # s from the start
     kind: Kind
     tenant: str
--- a/moorusher/lab/many.py
+++ b/moorusher/lab/many.py
@@ -57,6 +57,7 @@
 
 
 def fleet_toml(name: str, ports: dict[str, int], receiver: int, mark: Path) -> str:
+    """The fleet's part of a runner's file."""
     seats = "".join(
         f'[[fleet.seat]]\nname = "{n}"\naddress = "{HOST}:{p}"\nzone = "z{i % 3}"\n'
         for i, (n, p) in enumerate(ports.items())
@@ -81,6 +82,8 @@
 
 
 class Many:
+    """Many runners on this machine, with a load over all of them."""
+
     def __init__(self, reactor: Any, count: int, load: float, say: Callable[[str], None]) -> None:
         self.reactor, self.say, self.rng = reactor, say, random.Random(1)
         ports = {f"n{i + 1}": free_port() for i in range(count)}
--- a/moorusher/lab/namespaces.py
+++ b/moorusher/lab/namespaces.py
@@ -104,6 +104,7 @@
 
 
 def ruled(count: int, to: str = "main", server: str = "s") -> bytes:
+    """A draft with so many rules."""
     rules = {
         f"{i:x}": {"match": {"key": [f"{i:05x}*"], "caller": [[i % 50, 60]]}, "to": to} for i in range(count)
     }
@@ -127,6 +128,7 @@
 
 
 def look_ups(others: int, rules_of_others: int) -> dict[str, float]:
+    """How long a look-up takes, alone and beside others."""
     customers = Customers(others + 1)
     customers.take("acme", (1, 1), ruled(1_000), GRANTED)
     alone = look_up_us(customers, "acme", 1_000)
@@ -137,6 +139,8 @@
 
 
 class Routed(Together):
+    """A fleet whose customers have rules."""
+
     played = 0
 
     def __init__(self, reactor: Any) -> None:
@@ -188,6 +192,7 @@
 
 
 async def play(reactor: Any, quick: bool, seed: int, say: Callable[[str], None]) -> Result:
+    """The experiment on namespaces."""
     result = Result()
     wrong, done, refused = await deferToThread(decisions, seed, 100_000 if quick else 1_000_000)
     say(f"{wrong} of {done} decisions wrong; {refused} drafts refused")
--- a/moorusher/lab/outage.py
+++ b/moorusher/lab/outage.py
@@ -431,6 +431,7 @@
 
 
 async def play(reactor: Any, quick: bool, seed: int, say: Callable[[str], None]) -> Result:
+    """The experiment on outages."""
     result, told = Result(), dict[str, list[dict[str, Any]]]()
     reap_children(reactor)
     jobs = [(one, way) for one in range(seed, seed + (1 if quick else 10)) for way in WAYS]
@@ -536,6 +537,7 @@
 
 
 def main(seed: int, way: str, path: str) -> None:
+    """One arm of it, in a process of its own."""
     from .. import loop
 
     reactor = loop.install()
--- a/moorusher/lab/receiver.py
+++ b/moorusher/lab/receiver.py
@@ -83,6 +83,8 @@
 
 @dataclass(eq=False)
 class Receiver(Resource):  # type: ignore[misc]
+    """A stand-in for what duties have effects at; it compares fences as a real one must."""
+
     reactor: Any
     book: Book
     compares: bool = True
--- a/moorusher/lab/stand_ins.py
+++ b/moorusher/lab/stand_ins.py
@@ -23,6 +23,7 @@
 
 
 def now_us() -> int:
+    """The monotonic clock, in us."""
     return time.monotonic_ns() // 1000
 
 
@@ -61,6 +62,8 @@
 
 
 class Tracked(Protocol):
+    """A connection that its server knows as open."""
+
     transport: Any
     server: Any
 
--- a/moorusher/lab/takeover.py
+++ b/moorusher/lab/takeover.py
@@ -243,6 +243,7 @@
 
 
 async def play(reactor: Any, quick: bool, seed: int, say: Callable[[str], None]) -> Result:
+    """The experiment on takeovers."""
     result = Result()
     seeds = range(seed, seed + (1 if quick else 10))
     sums: dict[tuple[str, bool], list[dict[str, float]]] = {}
--- a/moorusher/lab/warm.py
+++ b/moorusher/lab/warm.py
@@ -96,6 +96,7 @@
 
 
 def shares(told: Told) -> list[float]:
+    """The share served in time, by stretches of the course."""
     return [ok / n if n else 1.0 for n, ok in told.seconds[: int(SECONDS / BIN)]]
 
 
@@ -120,6 +121,7 @@
 
 
 def median(values: list[float]) -> float:
+    """The upper median."""
     return sorted(values)[len(values) // 2]
 
 
--- a/moorusher/outage/coordinator.py
+++ b/moorusher/outage/coordinator.py
@@ -70,6 +70,8 @@
 
 
 class OutageCoordinator:
+    """One member's part in outages: asks, the next step, and what its own machine has to do."""
+
     def __init__(
         self, node: Node, host: Host, policy: Policy, remembers: bool = False, keeper: type[Keeper] = Keeper
     ) -> None:
--- a/moorusher/outage/machine.py
+++ b/moorusher/outage/machine.py
@@ -39,6 +39,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Do:
+    """What this machine has to do now."""
+
     doing: Doing
     change: Change | None = None
     late: str = ""  # said loudly, once
--- a/moorusher/outage/plan.py
+++ b/moorusher/outage/plan.py
@@ -17,6 +17,8 @@
 
 @dataclass(slots=True)
 class Step:
+    """The next changes of the roster, and why there are no more."""
+
     grants: list[tuple[str, str]] = field(default_factory=list)  # (ask, seat)
     why: dict[tuple[str, str], str] = field(default_factory=dict)  # of those that stay
     order: list[tuple[Ask, str]] = field(default_factory=list)
--- a/moorusher/outage/planner.py
+++ b/moorusher/outage/planner.py
@@ -42,6 +42,8 @@
 
 
 class Planner:
+    """A keeper that works out the next step, and has the register take it."""
+
     def __init__(
         self, me: str, seats: Seats, members: Members, keepers: Sequence[str], policy: Policy
     ) -> None:
--- a/moorusher/outage/roster.py
+++ b/moorusher/outage/roster.py
@@ -21,6 +21,8 @@
 
 
 class Stage(Enum):
+    """How far a machine's turn has come."""
+
     DRAINING = 0  # granted: it hands over what has not begun, and ends what has
     OUT = 1  # told that it may go
     BACK = 2  # a later process of it is there; cold, or without its memory
@@ -104,6 +106,8 @@
 
 
 class Ended(msgspec.Struct, frozen=True, array_like=True):
+    """A turn that is over, as it is remembered."""
+
     ask: str
     seat: str  # "" for the ask as a whole
     how: int
@@ -112,6 +116,8 @@
 
 
 class Roster(msgspec.Struct, frozen=True, array_like=True):
+    """Everything about outages: asks, turns, holds, and what is over."""
+
     number: int = 0  # grows with each change
     hold: str = ""  # why nobody goes
     asks: tuple[Ask, ...] = ()
@@ -147,8 +153,10 @@
 
 
 def pack(roster: Roster) -> bytes:
+    """A roster as the value of its register."""
     return _encode(roster)
 
 
 def unpack(value: bytes | None) -> Roster:
+    """The roster in a register."""
     return EMPTY if value is None else _decoder.decode(value)
--- a/moorusher/publishing/cast.py
+++ b/moorusher/publishing/cast.py
@@ -24,6 +24,8 @@
 
 
 class Host(Protocol):
+    """What casting needs of the member that does it."""
+
     @property
     def me(self) -> str: ...
     def state_of(self, seat: str) -> str: ...  # "alive", or why nothing is sent there
@@ -62,6 +64,8 @@
 
 
 class Casting:
+    """Spreads new revisions over a tree of members, and knows who has them."""
+
     def __init__(self, host: Host, seats: tuple[str, ...], inc: int = 0) -> None:
         """`inc`: of this process. An answer to what an earlier process of the seat has asked is none to this one."""
         self.host, self.seats = host, tuple(sorted(seats))
--- a/moorusher/publishing/compare.py
+++ b/moorusher/publishing/compare.py
@@ -26,6 +26,8 @@
 
 
 class Host(Protocol):
+    """What comparing needs of the member that does it."""
+
     @property
     def me(self) -> str: ...
     def others(self) -> list[str]: ...  # that are there
@@ -41,6 +43,7 @@
 
 
 def part_of(customer: str) -> int:
+    """The part of all customers that one belongs to."""
     return xxhash.xxh32_intdigest(customer.encode()) % PARTS
 
 
@@ -53,6 +56,8 @@
 
 @dataclass(slots=True)
 class Comparing:
+    """Finds what a member lacks, by digests of parts, and asks for it."""
+
     host: Host
     seats: int
     ready: bool = False
--- a/moorusher/publishing/messages.py
+++ b/moorusher/publishing/messages.py
@@ -53,6 +53,8 @@
 
 
 class Want(Said, frozen=True, tag="want"):
+    """Asks a member for a customer's revision."""
+
     customer: str
     at: At
 
--- a/moorusher/publishing/publisher.py
+++ b/moorusher/publishing/publisher.py
@@ -25,10 +25,13 @@
 
 
 def duty_of(customer: str) -> str:
+    """The duty that publishes for a customer."""
     return PREFIX + customer
 
 
 class Host(Protocol):
+    """What the publisher needs of the member that owns the duty."""
+
     def check(self, customer: str, draft: bytes, then: Callable[[NamespaceError | None], None]) -> None: ...
     def book(self, customer: str, then: Callable[[tuple[int, Book] | DutyError], None]) -> None: ...
     def published(self, customer: str, at: At, draft: bytes) -> None: ...
--- a/moorusher/publishing/replica.py
+++ b/moorusher/publishing/replica.py
@@ -90,6 +90,8 @@
 
 
 class Replica:
+    """One member's copy of all customers' revisions, and its part in publishing them."""
+
     def __init__(self, participant: Participant, host: Host, most: int) -> None:
         self.participant, self._host = participant, host
         self.customers = Customers(most)
