--- a/moorusher/fleet/tenure.py
+++ b/moorusher/fleet/tenure.py
@@ -47,8 +47,24 @@
 
     @property
     def is_mine(self) -> bool:
+        """Its register says that this runner holds it."""
         return self.stage is Stage.MINE
 
+    def do(self, step: Callable[[], None]) -> None:
+        """One step after the other on each key; each ends with `next_step`."""
+        if self.busy:
+            self.queue.append(step)
+        else:
+            self.busy = True
+            step()
+
+    def next_step(self) -> None:
+        """The step under way is over."""
+        if self.queue:
+            self.queue.pop(0)()
+        else:
+            self.busy = False
+
 
 class Host(Protocol):
     """The runner, as its part in the fleet sees it."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -15,6 +15,7 @@
 from moorusher.check.registers import Limits, Registers
 from moorusher.fleet import left as left_module
 from moorusher.fleet import node as node_module
+from moorusher.fleet import watched_work as watched_module
 from moorusher.fleet.keeper import Keeper
 from moorusher.fleet.member import Members, State
 from moorusher.fleet.messages import FAST, Ask, Ping, Pong, decode, encode
@@ -348,7 +349,7 @@
     where: str, name: str, what: Any, how: dict[str, Any], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     if where:
-        for module in (node_module, left_module):
+        for module in (node_module, left_module, watched_module):
             monkeypatch.setattr(module, name, what, raising=False)
     assert search(range(60), Course(faults=10), **how) is not None
 
