A server in slow start is drawn as often as its ramp says

Cause: the ramp divided the expected wait of a server, and of two draws that met the same server it was compared with nobody: beside one other, a server that had just come got a quarter of all calls (0.25, where 0.09 is its share), and in an idle tier never more than that until its ramp was over. Now chance passes it over by its ramp, and the wait is by weight alone; where chance finds none, the wait counts by the ramp as before.

Ruled out: two different draws (it then got nothing while the tier was idle, seen by two tests).

--- a/moorusher/tier/choose.py
+++ b/moorusher/tier/choose.py
@@ -23,6 +23,13 @@
     return sorted(servers, key=score, reverse=True)
 
 
+def _drawn(members: Sequence[Member], now: int, draw: Callable[[], float]) -> Member | None:
+    """One at random; one in slow start only as often as its ramp says."""
+    member = members[int(draw() * len(members))]
+    ramp = member.ramp(now)
+    return member if ramp >= 1.0 or draw() < ramp else None
+
+
 def two(
     members: Sequence[Member],
     now: int,
@@ -31,13 +38,12 @@
     avoid: Member | None = None,
 ) -> Member | None:
     """The better of two at random that have room; all are looked at only where chance finds none."""
-    count = len(members)
-    if not count:
+    if not members:
         return None
     for _ in range(TRIES):
-        a, b = members[int(draw() * count)], members[int(draw() * count)]
-        able = [m for m in ((a,) if a is b else (a, b)) if m is not avoid and m.has_room(now)]
+        pair = (_drawn(members, now, draw), _drawn(members, now, draw))
+        able = [m for m in pair if m is not None and m is not avoid and m.has_room(now)]
         if able:
             return min(able, key=lambda m: m.cost(now, typical))
     able = [m for m in members if m is not avoid and m.has_room(now)]
-    return min(able, key=lambda m: m.cost(now, typical)) if able else None
+    return min(able, key=lambda m: m.cost(now, typical) / m.ramp(now)) if able else None
--- a/moorusher/tier/member.py
+++ b/moorusher/tier/member.py
@@ -104,7 +104,8 @@
         return sum(self._outcomes) / len(self._outcomes) if self._outcomes else 1.0
 
     def cost(self, now: int, typical: float) -> float:
-        """The expected wait of one more call, in us, by this server's share. `typical` stands for what is unknown."""
+        """The expected wait of one more call, in us, by this server's weight. `typical` stands for what is unknown;
+        how often one in slow start is chosen is a matter of the draw."""
         wait = self.latency.expected(now) or typical or 1.0
         good = self.answered_share()
         if self.prior is not None:
@@ -116,7 +117,7 @@
             wait = max(wait, now - next(iter(self.in_flight.values())).since)
         # What fails at once must not draw calls by being quick.
         good = max(0.1, good)
-        return wait * (len(self.in_flight) + 1) / (self.server.weight * self.ramp(now) * good * good)
+        return wait * (len(self.in_flight) + 1) / (self.server.weight * good * good)
 
     # ---- calls ----
 
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -143,3 +143,20 @@
     rare = SlotCounter(StartBudget(calls=10, window_us=S, runners=100), 0.0, 0)
     assert rare.is_open(0, 1.0) and not rare.is_open(5 * S, 1.0) and rare.is_open(10 * S, 1.0)
     assert len({phase_of(f"r{i}", "s") for i in range(100)}) == 100
+
+
+@pytest.mark.parametrize("others", [1, 3, 9])
+def test_without_a_budget_the_share_of_a_server_in_slow_start_follows_its_ramp(others: int) -> None:
+    """Also where the tier is idle, so that its calls in flight tell nothing; and where two draws can meet."""
+    warm = [Server(f"s{i}", ("127.0.0.1", i + 1)) for i in range(others)]
+    router = Router(warm, Policy(slow_start_s=SLOW_S, hedge=False), "r1", random.Random(3).random, 0)
+    router.add(0, NEW)
+    for ramp in (LEAST_RAMP, 0.5):
+        now, got, calls = round(ramp * SLOW_S * S), 0, 4_000
+        for number in range(calls):
+            (send,) = router.call(now, number, True, now + S)
+            assert isinstance(send, Send)
+            got += send.server == NEW.name
+            router.give_up(now, number)
+        fair = ramp / (others + ramp)
+        assert 0.5 * fair < got / calls < 1.8 * fair
