A fleet's seats are the runners that call the tier, where the file does not say how many

Need: the budget of a server in slow start is divided by the runners that call it, and a fleet knows them. [tier] runners still goes before. Measured: tests of parsers.

--- a/moorusher/config.py
+++ b/moorusher/config.py
@@ -209,8 +209,8 @@
         except OSError as exc:
             raise ConfigError(f"admin.token_file: {exc}") from exc
     d = UwsgiConfig()
-    tier = read_tier(root.section("tier"), path.parent)
     fleet = read_fleet(root.section("fleet"), root.section("duties"))
+    tier = read_tier(root.section("tier"), path.parent, max(1, len(fleet.seats)))
     return (
         UwsgiConfig(
             uwsgi.address("listen"),
--- a/moorusher/config_tier.py
+++ b/moorusher/config_tier.py
@@ -61,8 +61,9 @@
     )
 
 
-def read_tier(section: Section, folder: Path) -> TierConfig:
-    """`[tier]` with its servers, read and checked. Raises ConfigError."""
+def read_tier(section: Section, folder: Path, runners: int = 1) -> TierConfig:
+    """`[tier]` with its servers, read and checked; `runners`: how many call them where the file does not say. Raises
+    ConfigError."""
     section.unknown({*TIER_BOUNDS, "zone", "hedge", "server", "knowledge_file"})
     listed: list[Any] = section.get("server", [])
     servers = tuple(server_of(Section(one, f"{section.key('server')}[{i}]")) for i, one in enumerate(listed))
@@ -71,7 +72,7 @@
         raise ConfigError(f"{section.key('server')}: the name {twice[0]} is used more than once")
     if len(servers) > MOST_SERVERS:
         raise ConfigError(f"{section.key('server')}: more than {MOST_SERVERS}")
-    d = Policy()
+    d = Policy(runners=runners)
     figures = {name: section.between(name, getattr(d, name), *bounds) for name, bounds in TIER_BOUNDS.items()}
     policy = Policy(zone=section.get("zone", ""), hedge=section.get("hedge", True), **figures)
     if policy.least_limit > policy.most_limit:
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -344,6 +344,18 @@
     )
 
 
+def test_a_fleets_seats_are_the_runners_that_call_the_tier_unless_the_file_says_how_many(
+    tmp_path: Path,
+) -> None:
+    seats = "".join(f'[[fleet.seat]]\nname = "n{i}"\naddress = "127.0.0.1:{3040 + i}"\n' for i in range(3))
+    file = tmp_path / "fronts.toml"
+    for tier, runners in (("", 3), ("[tier]\nrunners = 7\n", 7)):
+        file.write_text(f'[fleet]\nlisten = "127.0.0.1:3040"\nname = "f"\n{seats}{tier}')
+        assert config.read_fronts(file)[3].policy.runners == runners
+    file.write_text("")
+    assert config.read_fronts(file)[3].policy.runners == 1
+
+
 SERVER_KEYS = {"name", "address", "weight", "zone", "group", "protocol"}  # of the sample server and seat
 
 
