The test of an order that outlives the fleet asks twice before the hold ends

Cause: the hold ended before the second ask had come, so that on a loaded machine the first one's turn was granted; the script has nobody who ends that turn, and there is one at a time. Now both asks are seen in the roster first; with its priority the second goes first, as meant. What it checks is as it was.

--- a/tests/test_outage_real.py
+++ b/tests/test_outage_real.py
@@ -416,8 +416,13 @@
     async with machines(3, journals=True) as m:
         assert (await m.api(0, "hold", why="a freeze"))[0] == 200
         assert (await m.api(0, "ask", id="a", all=True, reason="patch", lasts_s=1))[0] == 200
-        assert (await m.api(1, "resume"))[0] == 200
         process = await m.ask(1, "--id", "b", "--priority", "9")
+
+        async def asked() -> bool:  # both: else a's turn may come first, and nobody is there who would end it
+            return {a["id"] for a in (await m.show(0)).get("asks", ())} == {"a", "b"}
+
+        await until(asked)
+        assert (await m.api(1, "resume"))[0] == 200
         await process.wait()
         before = await m.show(0)
         for i in range(3):
