A kernel link that dies without a word, over real connections

Need: the fault had a test without sockets alone. Fails on the program as found (nobody comes within 20 s), passes now.

--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -531,3 +531,17 @@
         f = await FrontEnd.connect(r.port)
         assert "result" in await f.ask("check")
         assert (await r.counters())["accepts without a descriptor"] > 0
+
+
+@sockets
+async def test_a_kernel_link_that_dies_without_a_word_is_replaced_and_what_ran_on_it_is_answered() -> None:
+    async with running(kernel := Kernel(work=0.3)) as r:
+        f = await FrontEnd.connect(r.port)
+        asked = f.send("submit", token=key())
+        await has(lambda: len(kernel.runs) == 1)
+        dead, kernel.link = kernel.link, None  # it stays open, and nothing more is said on it
+        assert dead is not None
+        dead.say = lambda message: None  # type: ignore[method-assign]
+        await has(lambda: len(kernel.opened) == 2)
+        assert "result" in await asyncio.wait_for(asked, WAIT)
+        assert "result" in await f.ask("check") and set(f.answers.values()) == {1}
