A failing test: a call of a class that must not be repeated is made again

An unsafe (single_shot) class has no token either, so its call goes out on a connection that was used before and is made again when that breaks; the tier repeats its attempts likewise. Ruled out: SCHED said again after REAP (trial: the kernel does nothing, rules kept); an old reply said to a run that asks anew breaks the rule `lost`, not `duplicate`.

--- /dev/null
+++ b/tests/test_repeats.py
@@ -0,0 +1,65 @@
+"""What may be sent a second time, by the effect of its class and by what proves that the first never ran."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from .stand_ins import SETTINGS, Database, FrontEnd, Kernel, running
+from .test_sockets import has, key, sockets
+from .test_tier_links import listed
+
+EFFECTS = ("free", "guarded", "single_shot")
+
+
+def classes_of_each_effect() -> list[dict[str, Any]]:
+    """One class of each effect, named by it; no call may be left out."""
+    base = {"aimMs": 3000, "deadlineMs": 8000, "worth": 1, "windowMs": 0}
+    return [base | {"name": e, "effect": e, "windowMs": 20000 if e == "guarded" else 0} for e in EFFECTS]
+
+
+def settings_of_each_effect() -> dict[str, Any]:
+    extra = SETTINGS["extra"] | {"classCalls": [True] * 3, "worthWithout": [0] * 3}
+    return {"classes": classes_of_each_effect(), "extra": extra}
+
+
+async def ask(front_end: FrontEnd, effect: str, **more: Any) -> dict[str, Any]:
+    token = {"token": key()} if effect == "guarded" else {}
+    return await front_end.ask(effect, **token, **more)
+
+
+@pytest.mark.parametrize("effect, repeated", [("free", True), ("guarded", False), ("single_shot", False)])
+def test_a_call_cut_off_on_a_connection_that_was_used_before(effect: str, repeated: bool) -> None:
+    """The other side has read the call when the connection breaks: that proves nothing."""
+
+    @sockets
+    async def run() -> None:
+        db = Database(200, "reset", 200)
+        async with running(Kernel(calls=True), db, **settings_of_each_effect()) as r:
+            f = await FrontEnd.connect(r.port)
+            assert "result" in await ask(f, "free", body=b"first")
+            await has(lambda: not f._waiting)
+            got = await ask(f, effect, body=b"second", budget=2000)
+            assert db.calls.count(b"ask second") == (2 if repeated else 1)
+            assert ("result" in got) is repeated
+
+    run()
+
+
+@pytest.mark.parametrize("effect, repeated", [("free", True), ("guarded", False), ("single_shot", False)])
+def test_an_attempt_of_the_tier_that_may_have_run(effect: str, repeated: bool) -> None:
+    @sockets
+    async def run() -> None:
+        servers = [Database("reset"), Database("reset")]
+        more = listed(*servers, policy="hedge = false\nretry_share = 1.0")
+        async with running(Kernel(calls=True), more=more, **settings_of_each_effect()) as r:
+            f = await FrontEnd.connect(r.port)
+            got = await ask(f, effect, budget=700)
+            calls = sum(len(server.calls) for server in servers)
+            assert "result" not in got
+            assert calls > 1 if repeated else calls == 1
+        for server in servers:
+            server.close()
+
+    run()
