One rule on repeats by effect and evidence; a class that must not be repeated is not

An unsafe class has no token either: its call went out on a used connection and was made again when that broke; the tier repeated and probed with it. Class of fault: a rule about repeating that is read off something else. Change: peattack/repeats.py holds the one rule, (effect, evidence) to (allowed, forbidden, ask first), with Evidence as an Enum; `Asked` carries the effect of its class without a default; database pool, tier, customers' routes and the module ask the rule. The router's `Effect` is `Action` now, and takes the effect in place of a bool.

--- a/moorusher/core/actions.py
+++ b/moorusher/core/actions.py
@@ -97,9 +97,9 @@
         token = request.key and f"{request.key[1]}.{run.calls}"
         way = None if request.ruling is None else request.ruling.way
         timeout_ms = max(1, round(action.timeout_ms))
-        core.calls.make(
-            action.id, Asked(request.rid, run.route, request.tenant, token, run.call, timeout_ms, way), core
-        )
+        effect = request.cls.effect
+        asked = Asked(request.rid, run.route, request.tenant, effect, token, run.call, timeout_ms, way)
+        core.calls.make(action.id, asked, core)
 
     def _skip_call(self, action: api.SkipCall) -> None:
         self._core.counters.add("calls left out")
--- a/moorusher/core/call.py
+++ b/moorusher/core/call.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
+from peattack.interface import Effect
+
 from .clock import MS, Alarm, Alarms, Clock
 from .endings import Ending
 
@@ -16,7 +18,8 @@
     rid: str
     klass: str
     tenant: str | None
-    token: str | None
+    effect: Effect  # of the request's class: it alone says what may be repeated
+    token: str | None  # tells tries of one keyed request apart from others; no sign of what may be repeated
     body: bytes
     timeout_ms: int
     way: Any = None  # of its customer's rules, for the link that knows them
--- a/moorusher/core/endings.py
+++ b/moorusher/core/endings.py
@@ -5,6 +5,7 @@
 from enum import Enum
 
 from peattack.interface import Outcome
+from peattack.repeats import Evidence
 
 
 class Ending(Enum):
@@ -58,3 +59,16 @@
     Ending.CALL_CUT_OFF: Outcome.RESET,  # proves nothing: the call may have run
     Ending.CALL_GARBLED: Outcome.ERROR,
 }
+
+# What the end of a call tells of whether it ran. What does not stand here proves nothing.
+EVIDENCE_OF_CALL: dict[Ending, Evidence] = {
+    Ending.CALL_ANSWERED: Evidence.SUCCEEDED,
+    Ending.CALL_FAILED: Evidence.FAILED,
+    Ending.CALL_TURNED_AWAY: Evidence.TURNED_AWAY,
+    Ending.CALL_STRAY: Evidence.NOT_AWAITED,
+    Ending.CALL_OUT_OF_TIME: Evidence.OUT_OF_TIME,
+    Ending.CALL_GIVEN_UP: Evidence.GIVEN_UP,
+    Ending.CALL_NOT_CONNECTED: Evidence.NOT_CONNECTED,
+    Ending.CALL_CUT_OFF: Evidence.CONNECTION_BROKE,
+    Ending.CALL_GARBLED: Evidence.UNREADABLE,
+}
--- a/moorusher/lab/below.py
+++ b/moorusher/lab/below.py
@@ -10,8 +10,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from peattack.interface import Effect
+
 from ..tier.policy import Policy, Server
-from ..tier.router import Cancel, Effect, End, Over, Router, Send
+from ..tier.router import Action, Cancel, End, Over, Router, Send
 
 MS = 1_000
 
@@ -155,7 +157,7 @@
         due = self.now + round(self.deadline * MS)
         self._after(round(self.deadline * MS), lambda: self._due(number))
         if self.way == "tier":
-            self.do(self.router.call(self.now, number, not keyed, due))
+            self.do(self.router.call(self.now, number, Effect.KEYED if keyed else Effect.SAFE, due))
         else:
             server = self.chance.choice(self.order) if self.way == "plain" else next(self._turn)
             self._send(number, next(self._attempts), server)
@@ -170,7 +172,7 @@
                 for attempt in [a for a, n in self._number_of.items() if n == number]:
                     self._drop(attempt)
 
-    def do(self, effects: list[Effect]) -> None:
+    def do(self, effects: list[Action]) -> None:
         for effect in effects:
             if isinstance(effect, Send):
                 self._send(effect.number, effect.attempt, self.servers[effect.server])
--- a/moorusher/lab/tier.py
+++ b/moorusher/lab/tier.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from peattack.interface import Effect
+
 from ..tier.choose import rank
 from ..tier.member import Member
 from ..tier.policy import Policy, Server
@@ -36,7 +38,7 @@
     servers = [Server(f"s{i}", ("127.0.0.1", 1)) for i in range(count)]
     router = Router(servers, Policy(), "r", random.Random(1).random, 0)
     for i in range(1000):  # every server has its figures
-        for effect in router.call(i * 1000, i, False, i * 1000 + 10**6):
+        for effect in router.call(i * 1000, i, Effect.KEYED, i * 1000 + 10**6):
             if isinstance(effect, Send):
                 router.ended(i * 1000 + 500, effect.attempt, End.ANSWERED)
     best = float("inf")
--- a/moorusher/links/database.py
+++ b/moorusher/links/database.py
@@ -8,6 +8,8 @@
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
 
+from peattack.repeats import Evidence, may_repeat, may_run_twice
+
 from ..core.call import Asked
 from ..core.clock import MS, SECOND, Alarm
 from ..core.decide import Decider
@@ -85,8 +87,10 @@
         number, self.number = self.number, None
         if number is None:
             return
-        if self.reused and self.call is not None and self.call.token is None:
-            self.pool.dial(number, self.call)  # forgotten by the other side while idle, most likely
+        call = self.call
+        if self.reused and call is not None and may_repeat(call.effect, Evidence.CONNECTION_BROKE):
+            self.pool.core.counters.add("calls sent again: a connection that was idle broke")
+            self.pool.dial(number, call)  # forgotten by the other side while idle, most likely
         else:
             self.pool.over(number, Ending.CALL_CUT_OFF, b"")
 
@@ -137,7 +141,7 @@
 
     def call(self, number: int, asked: Asked) -> None:
         self._close_old()
-        connection = self._settled() if asked.token is None else None
+        connection = self._settled() if may_run_twice(asked.effect) else None
         if connection is None:
             return self.dial(number, asked)
         self._idle.remove(connection)
@@ -147,7 +151,8 @@
 
     def _settled(self) -> DatabaseConnection | None:
         """The connection that became idle last, but not just now: late noise or a second copy of its reply would
-        be taken for the next one. A keyed call gets a fresh one: a reset on one that was idle proves nothing."""
+        be taken for the next one. A call that must not run twice gets a fresh one: a reset on one that was idle
+        proves nothing."""
         latest = self.core.clock.now - SETTLE
         return next((c for c in reversed(self._idle) if c.idle_since <= latest), None)
 
--- a/moorusher/links/tier.py
+++ b/moorusher/links/tier.py
@@ -8,13 +8,14 @@
 
 from ..core.call import Asked
 from ..core.clock import MS, Alarm, Alarms, Clock
+from ..core.counters import Counters
 from ..core.decide import Decider
 from ..core.endings import Ending
 from ..knowledge.value import Condition, Knowledge, make
 from ..routing.grants import Grants
 from ..routing.ways import Ways
 from ..tier.policy import Policy, Server, Speaks
-from ..tier.router import Cancel, Effect, End, Over, Router, Send
+from ..tier.router import Action, Cancel, End, Over, Router, Send
 from .database import DatabasePool
 from .uwsgi import UwsgiCalls
 
@@ -43,6 +44,10 @@
     def alarms(self) -> Alarms:
         return self._tier.core.alarms
 
+    @property
+    def counters(self) -> Counters:
+        return self._tier.core.counters
+
     def touch(self) -> None:
         self._tier.core.touch()
 
@@ -108,7 +113,7 @@
     def call(self, number: int, asked: Asked) -> None:
         now = self.core.clock.now
         self._asked[number] = asked
-        self._do(self.ways.call(now, number, asked.token is None, now + asked.timeout_ms * MS, asked.way))
+        self._do(self.ways.call(now, number, asked.effect, now + asked.timeout_ms * MS, asked.way))
 
     def give_up(self, number: int) -> None:
         self._asked.pop(number, None)
@@ -120,26 +125,26 @@
         if self._via.pop(attempt, None) is None:
             return
         self.core.touch()
-        effects = self.ways.ended(self.core.clock.now, attempt, ENDS.get(ending, End.FAILED))
-        self._do(effects, (attempt, ending, body))
+        actions = self.ways.ended(self.core.clock.now, attempt, ENDS.get(ending, End.FAILED))
+        self._do(actions, (attempt, ending, body))
 
     # ---- what was decided ----
 
-    def _do(self, effects: list[Effect], ended: tuple[int, Ending, bytes] | None = None) -> None:
-        for effect in effects:
-            if isinstance(effect, Send):
-                server = self.ways.named(effect.server)
-                asked = self._asked.get(effect.number)
+    def _do(self, actions: list[Action], ended: tuple[int, Ending, bytes] | None = None) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                server = self.ways.named(action.server)
+                asked = self._asked.get(action.number)
                 if server is None or asked is None:
                     continue
-                via = self._via[effect.attempt] = self._link(server)
-                via.call(effect.attempt, replace(asked, timeout_ms=max(1, effect.timeout_us // MS)))
-            elif isinstance(effect, Cancel):
-                gone = self._via.pop(effect.attempt, None)
+                via = self._via[action.attempt] = self._link(server)
+                via.call(action.attempt, replace(asked, timeout_ms=max(1, action.timeout_us // MS)))
+            elif isinstance(action, Cancel):
+                gone = self._via.pop(action.attempt, None)
                 if gone is not None:
-                    gone.give_up(effect.attempt)
+                    gone.give_up(action.attempt)
             else:
-                self._over(effect, ended)
+                self._over(action, ended)
         self._watch()
 
     def _over(self, over: Over, ended: tuple[int, Ending, bytes] | None) -> None:
--- a/moorusher/routing/ways.py
+++ b/moorusher/routing/ways.py
@@ -14,8 +14,11 @@
 from dataclasses import dataclass, replace
 from itertools import count
 
+from peattack.interface import Effect
+from peattack.repeats import may_repeat
+
 from ..tier.policy import Policy, Server
-from ..tier.router import LEAST_LEFT, Cancel, Effect, End, Over, Router, Send
+from ..tier.router import LEAST_LEFT, Action, Cancel, End, Over, Router, Send
 from .grants import Grants
 from .way import Hop, Way
 
@@ -26,7 +29,7 @@
 @dataclass(slots=True, eq=False)
 class _Going:
     way: Way
-    safe: bool
+    effect: Effect
     due: int
     hop: int = 0
     label: Label | None = None  # of the route that it is on
@@ -120,15 +123,15 @@
 
     # ---- calls ----
 
-    def call(self, now: int, number: int, safe: bool, due: int, way: Way | None) -> list[Effect]:
+    def call(self, now: int, number: int, effect: Effect, due: int, way: Way | None) -> list[Action]:
         """`way` is None where no customer's rules are for it."""
         out = self.give_up(now, number)
         if way is None:
-            return out + self._seen(self.default, self.default.call(now, number, safe, due), now)
-        going = self._going[number] = _Going(way, safe, due)
+            return out + self._seen(self.default, self.default.call(now, number, effect, due), now)
+        going = self._going[number] = _Going(way, effect, due)
         return out + self._next(now, number, going, Over(number, 0, End.TURNED_AWAY))
 
-    def _next(self, now: int, number: int, going: _Going, last: Over) -> list[Effect]:
+    def _next(self, now: int, number: int, going: _Going, last: Over) -> list[Action]:
         """On the next hop that can; `last`: how it ends where there is none."""
         while going.hop < len(going.way.hops):
             hop = going.way.hops[going.hop]
@@ -136,7 +139,7 @@
             router = self._router(now, going.way, hop)
             if router is None or not self._enter(going, hop):
                 continue
-            return self._seen(router, router.call(now, number, going.safe, going.due, hop.tries), now)
+            return self._seen(router, router.call(now, number, going.effect, going.due, hop.tries), now)
         self._going.pop(number, None)
         return [last]
 
@@ -170,31 +173,31 @@
         if not table[key]:
             del table[key]
 
-    def _seen(self, router: Router, effects: list[Effect], now: int) -> list[Effect]:
+    def _seen(self, router: Router, actions: list[Action], now: int) -> list[Action]:
         """What a router wants done: its attempts are noted, and an end on one hop may be a beginning on the next."""
-        out: list[Effect] = []
+        out: list[Action] = []
         self._note(router)
-        for effect in effects:
-            if isinstance(effect, Send):
-                self._via[effect.attempt] = router
-            elif isinstance(effect, Cancel):
-                self._via.pop(effect.attempt, None)
-            elif (going := self._going.get(effect.number)) is not None:
+        for action in actions:
+            if isinstance(action, Send):
+                self._via[action.attempt] = router
+            elif isinstance(action, Cancel):
+                self._via.pop(action.attempt, None)
+            elif (going := self._going.get(action.number)) is not None:
                 self._leave(going)
-                if self._may_go_on(now, going, effect):
-                    out += self._next(now, effect.number, going, effect)
+                if self._may_go_on(now, going, action):
+                    out += self._next(now, action.number, going, action)
                     continue
-                del self._going[effect.number]
-            out.append(effect)
+                del self._going[action.number]
+            out.append(action)
         return out
 
     @staticmethod
     def _may_go_on(now: int, going: _Going, over: Over) -> bool:
         if over.end in (End.ANSWERED, End.STRAY, End.GIVEN_UP) or now + LEAST_LEFT >= going.due:
             return False
-        return over.end.never_ran or going.safe
+        return may_repeat(going.effect, over.end.evidence)
 
-    def give_up(self, now: int, number: int) -> list[Effect]:
+    def give_up(self, now: int, number: int) -> list[Action]:
         going = self._going.pop(number, None)
         if going is None:
             return self._seen(self.default, self.default.give_up(now, number), now)
@@ -202,7 +205,7 @@
         self._leave(going)
         return [] if router is None else self._seen(router, router.give_up(now, number), now)
 
-    def ended(self, now: int, attempt: int, end: End) -> list[Effect]:
+    def ended(self, now: int, attempt: int, end: End) -> list[Action]:
         router = self._via.pop(attempt, None)
         return [] if router is None else self._seen(router, router.ended(now, attempt, end), now)
 
@@ -224,8 +227,8 @@
             self._note(router)
         return None
 
-    def ring(self, now: int) -> list[Effect]:
-        out: list[Effect] = []
+    def ring(self, now: int) -> list[Action]:
+        out: list[Action] = []
         while (at := self.wake()) is not None and at <= now:
             _, _, router = heapq.heappop(self._wakes)
             self._noted.pop(router, None)
@@ -250,7 +253,7 @@
             router.retire(now, name)
         self._hops.clear()
 
-    def remove(self, now: int, name: str) -> list[Effect]:
+    def remove(self, now: int, name: str) -> list[Action]:
         self.servers.pop(name, None)
         self._hops.clear()
         return [e for router in self._all() for e in self._seen(router, router.remove(now, name), now)]
--- a/moorusher/tier/router.py
+++ b/moorusher/tier/router.py
@@ -14,6 +14,9 @@
 from itertools import count
 from typing import Union
 
+from peattack.interface import Effect
+from peattack.repeats import Evidence, may_repeat, may_run_twice
+
 from .budget import Budget, backoff_us
 from .member import Member
 from .policy import Policy, Server
@@ -36,8 +39,19 @@
     GIVEN_UP = "given up"  # by us
 
     @property
-    def never_ran(self) -> bool:
-        return self in (End.TURNED_AWAY, End.UNREACHED, End.STRAY)
+    def evidence(self) -> Evidence:
+        """What it tells of whether the attempt ran."""
+        return _EVIDENCE[self]
+
+
+_EVIDENCE = {
+    End.ANSWERED: Evidence.SUCCEEDED,
+    End.TURNED_AWAY: Evidence.TURNED_AWAY,
+    End.UNREACHED: Evidence.NOT_CONNECTED,
+    End.FAILED: Evidence.FAILED,
+    End.STRAY: Evidence.NOT_AWAITED,
+    End.GIVEN_UP: Evidence.GIVEN_UP,
+}
 
 
 @dataclass(slots=True, frozen=True)
@@ -66,13 +80,13 @@
     end: End
 
 
-Effect = Union[Send, Cancel, Over]
+Action = Union[Send, Cancel, Over]
 
 
 @dataclass(slots=True)
 class _Call:
     number: int
-    safe: bool
+    effect: Effect
     due: int
     most: int
     attempts: dict[int, Member] = field(default_factory=dict)  # in flight
@@ -82,6 +96,10 @@
     waits: bool = False  # in the queue
     again_at: int = 0  # a backoff is under way until then
 
+    @property
+    def may_run_twice(self) -> bool:
+        return may_run_twice(self.effect)
+
 
 @dataclass(slots=True)
 class Counts:
@@ -126,11 +144,11 @@
         self._wakes: list[tuple[int, int, str]] = []  # time, call, what for
         self._attempts = count(1) if attempts is None else attempts
 
-    def remove(self, now: int, name: str) -> list[Effect]:
+    def remove(self, now: int, name: str) -> list[Action]:
         """At once: its attempts are given up, and their calls go elsewhere where they may."""
         if (member := self.roster.taken_away(now, name)) is None:
             return []
-        out: list[Effect] = []
+        out: list[Action] = []
         for attempt in list(member.in_flight):
             out.append(Cancel(attempt))
             out += self.ended(now, attempt, End.FAILED)
@@ -138,21 +156,21 @@
 
     # ---- calls ----
 
-    def call(self, now: int, number: int, safe: bool, due: int, most: int = MOST_TRIES) -> list[Effect]:
-        """A call for request `number`, in place of one that it may still have. `safe`: it may run twice; `most`:
-        attempts, second copies included."""
+    def call(self, now: int, number: int, effect: Effect, due: int, most: int = MOST_TRIES) -> list[Action]:
+        """A call for request `number`, in place of one that it may still have. `most`: attempts, second copies
+        included."""
         out = self.give_up(now, number)
         self.counts.calls += 1
         self.budget.called()
-        call = self._calls[number] = _Call(number, safe, due, most)
+        call = self._calls[number] = _Call(number, effect, due, most)
         return out + self._place(now, call)
 
-    def give_up(self, now: int, number: int) -> list[Effect]:
+    def give_up(self, now: int, number: int) -> list[Action]:
         """Nobody needs it any more. An attempt that was given up late tells of its server all the same."""
         call = self._calls.pop(number, None)
         if call is None:
             return []
-        out: list[Effect] = []
+        out: list[Action] = []
         for attempt, member in list(call.attempts.items()):
             late = self._silent(now, member, attempt)
             self._settle(now, attempt, member, End.GIVEN_UP, late)
@@ -165,10 +183,10 @@
         since = member.in_flight[attempt].since if attempt in member.in_flight else now
         return now - since >= max(HANGS_LEAST, HANGS * self.typical(now))
 
-    def _place(self, now: int, call: _Call, avoid: Member | None = None) -> list[Effect]:
-        found = self.choose(now, call.safe, avoid)
+    def _place(self, now: int, call: _Call, avoid: Member | None = None) -> list[Action]:
+        found = self.choose(now, call.may_run_twice, avoid)
         if found is None and avoid is not None:
-            found = self.choose(now, call.safe)
+            found = self.choose(now, call.may_run_twice)
         if found is None:
             if self._waiting >= self.policy.queue:
                 self.counts.queue_full += 1
@@ -182,7 +200,7 @@
             return []
         return [self._send(now, call, *found)]
 
-    def _send(self, now: int, call: _Call, member: Member, probe: bool) -> Effect:
+    def _send(self, now: int, call: _Call, member: Member, probe: bool) -> Action:
         attempt = next(self._attempts)
         self.counts.attempts += 1
         call.tries += 1
@@ -190,7 +208,13 @@
         call.attempts[attempt] = member
         self._of[attempt] = call
         member.sent(now, attempt, probe)
-        if self.policy.hedge and call.safe and not call.hedged and not probe and call.tries < call.most:
+        if (
+            self.policy.hedge
+            and call.may_run_twice
+            and not call.hedged
+            and not probe
+            and call.tries < call.most
+        ):
             after = member.latency.quantile(0.95)
             # Of a server that has answered little yet, or hangs from the start, the tier's own figure has to do.
             wait = max(after or 0.0, 2 * self.typical(now))
@@ -198,7 +222,7 @@
                 heapq.heappush(self._wakes, (now + round(wait), call.number, "hedge"))
         return Send(call.number, attempt, member.server.name, max(1, call.due - now))
 
-    def ended(self, now: int, attempt: int, end: End) -> list[Effect]:
+    def ended(self, now: int, attempt: int, end: End) -> list[Action]:
         """An attempt is over."""
         call = self._of.get(attempt)
         if call is None:
@@ -214,7 +238,7 @@
             return self._over(now, call, attempt, end)
         if call.attempts:
             return self._fill(now)  # its other copy may still be answered
-        may = (end.never_ran or call.safe) and call.tries < call.most
+        may = may_repeat(call.effect, end.evidence) and call.tries < call.most
         if may and now + LEAST_LEFT < call.due:
             wait = backoff_us(call.tries, self.policy.backoff_ms, self.policy.most_backoff_ms, self._draw())
             if now + wait + LEAST_LEFT < call.due:
@@ -226,9 +250,9 @@
                 self.counts.denied += 1
         return self._over(now, call, attempt, end)
 
-    def _over(self, now: int, call: _Call, attempt: int, end: End) -> list[Effect]:
+    def _over(self, now: int, call: _Call, attempt: int, end: End) -> list[Action]:
         del self._calls[call.number]
-        out: list[Effect] = [Over(call.number, attempt, end)]
+        out: list[Action] = [Over(call.number, attempt, end)]
         for other, member in list(call.attempts.items()):
             self._settle(now, other, member, End.GIVEN_UP, self._silent(now, member, other))
             out.append(Cancel(other))
@@ -251,15 +275,15 @@
             call.waits = False
             self._waiting -= 1
 
-    def _fill(self, now: int) -> list[Effect]:
+    def _fill(self, now: int) -> list[Action]:
         """A place may be free: who is due first goes first."""
-        out: list[Effect] = []
+        out: list[Action] = []
         while self._queue:
             call = self._calls.get(self._queue[0][1])
             if call is None or not call.waits or call.due != self._queue[0][0]:
                 heapq.heappop(self._queue)
                 continue
-            found = self.choose(now, call.safe)
+            found = self.choose(now, call.may_run_twice)
             if found is None:
                 self._wait_for_turn(now)
                 break
@@ -281,8 +305,8 @@
         """When `ring` is next to be called; None where nothing waits for a time."""
         return self._wakes[0][0] if self._wakes else None
 
-    def ring(self, now: int) -> list[Effect]:
-        out: list[Effect] = []
+    def ring(self, now: int) -> list[Action]:
+        out: list[Action] = []
         while self._wakes and self._wakes[0][0] <= now:
             at, number, what = heapq.heappop(self._wakes)
             call = self._calls.get(number)
@@ -299,7 +323,7 @@
                 out += self._hedge(now, call)
         return out + self._fill(now)
 
-    def _hedge(self, now: int, call: _Call) -> list[Effect]:
+    def _hedge(self, now: int, call: _Call) -> list[Action]:
         """A second copy, where another server is likely to be quicker than waiting on."""
         first = next(iter(call.attempts.values()))
         found = self.choose(now, True, first)
--- a/peattack/balance.py
+++ b/peattack/balance.py
@@ -11,6 +11,7 @@
 
 from peattack import interface as api
 from peattack.interface import Below, Effect, Halting, Outcome, SignalKind
+from peattack.repeats import EVIDENCE_OF_OUTCOME, may_repeat
 
 NEVER = float("inf")
 ALPHA, LEARN = 0.99, 0.1  # decay of L_max at each completion; weight of a new sample in a running mean
@@ -533,7 +534,7 @@
         job.state, job.tries = WAITING, job.tries + 1
         job.call_at = self.now + CALL_BACKOFF_MS * job.tries
         self.callers.append(job)
-        if job.cls.effect is not Effect.SAFE and not e.outcome.never_ran and not job.answered:
+        if not may_repeat(job.cls.effect, EVIDENCE_OF_OUTCOME[e.outcome]) and not job.answered:
             self._close(job, fail=True)  # the call may have taken effect: it is not repeated
 
     # ---- keys ----
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -26,6 +26,7 @@
 from moorusher.tier.policy import Policy, Server
 from moorusher.tier.prior import Prior
 from moorusher.tier.router import End, Router, Send
+from peattack.interface import Effect
 
 from .stand_ins import Database, FrontEnd, Kernel, running
 from .test_sockets import has, sockets
@@ -303,9 +304,9 @@
     priors = {"s0": Prior(1.0, 0.1, 0.9, True, ("d",)), "s9": Prior(1.0, 1.0, 1.0, True, ("d",))}
     r.learn(0, priors, Trial(priors, r.unlearn))
     assert r.members["s0"].state is State.PROBED
-    (first,) = (e for e in r.call(0, 1, True, S) if isinstance(e, Send))
+    (first,) = (e for e in r.call(0, 1, Effect.SAFE, S) if isinstance(e, Send))
     assert first.server == "s0"
-    others = [e.server for i in range(5) for e in r.call(0, 2 + i, True, S) if isinstance(e, Send)]
+    others = [e.server for i in range(5) for e in r.call(0, 2 + i, Effect.SAFE, S) if isinstance(e, Send)]
     assert "s0" not in others
     r.ended(10 * MS, first.attempt, End.ANSWERED)
     member = r.members["s0"]
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -15,7 +15,7 @@
 from moorusher.links.database import IDLE, SETTLE, DatabasePool
 from moorusher.links.kernel import MOST_UNREAD, QUIET, SURE, KernelConnection, KernelLink
 from moorusher.links.peers import Dial
-from peattack.interface import Below
+from peattack.interface import Below, Effect
 
 from .test_core import World
 from .test_fronts import Transport
@@ -23,8 +23,9 @@
 REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
 
 
-def asked(number: int, token: str | None = None) -> Asked:
-    return Asked(f"r{number}", "read", None, token, b"q", 500)
+def asked(number: int, effect: Effect = Effect.SAFE) -> Asked:
+    token = f"t.{number}" if effect is Effect.KEYED else None
+    return Asked(f"r{number}", "read", None, effect, token, b"q", 500)
 
 
 class Pool(DatabasePool):
@@ -64,13 +65,14 @@
     assert len(pool.dialled) == 2 + closed and (b"Request-Ref: r3" in transport.value()) is not closed
 
 
-def test_a_call_on_a_connection_that_was_forgotten_is_made_on_a_fresh_one() -> None:
+@pytest.mark.parametrize("effect", [Effect.KEYED, Effect.UNSAFE])
+def test_a_call_on_a_connection_that_was_forgotten_is_made_on_a_fresh_one(effect: Effect) -> None:
     pool = Pool(world := World())
     pool.call(1, asked(1))
     connection, _ = pool.up()
     connection.dataReceived(REPLY)
     world.wait(100)
-    pool.call(2, asked(2, "t.1"))  # keyed: fresh at once, since a reset would prove nothing
+    pool.call(2, asked(2, effect))  # fresh at once, since a reset would prove nothing
     assert len(pool.dialled) == 2
     pool.up()[0].connectionLost()
     pool.call(3, asked(3))
--- a/tests/test_module_shape.py
+++ b/tests/test_module_shape.py
@@ -4,16 +4,24 @@
 
 import ast
 import re
+import tomllib
 from pathlib import Path
 
+import pytest
+
 ROOT = Path(__file__).resolve().parent.parent
 MODULE = ROOT / "peattack" / "balance.py"
+MOST_LINES = {"balance.py": 555, "repeats.py": 100}  # not blank
+POLICY = [ROOT / path for path in tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["policy"]]
 
 
-def test_the_module_is_short_and_narrow() -> None:
-    lines = MODULE.read_text().splitlines()
-    assert len([x for x in lines if x.strip()]) <= 550
-    assert max(map(len, lines)) <= 110
+def test_the_decision_files_are_short_and_narrow() -> None:
+    assert {path.name for path in POLICY} == MOST_LINES.keys()
+    for path in POLICY:
+        lines = path.read_text().splitlines()
+        assert len([x for x in lines if x.strip()]) <= MOST_LINES[path.name]
+        assert max(map(len, lines)) <= 120
+    assert max(map(len, MODULE.read_text().splitlines())) <= 110
 
 
 def test_the_docstring_names_the_interface_first() -> None:
@@ -21,16 +29,11 @@
     assert "peattack/interface.py" in doc.splitlines()[0]
 
 
-def test_the_module_does_no_io_and_reads_no_clock() -> None:
-    names = {
-        n.name
-        for node in ast.walk(ast.parse(MODULE.read_text()))
-        if isinstance(node, ast.Import)
-        for n in node.names
-    }
-    froms = {
-        node.module for node in ast.walk(ast.parse(MODULE.read_text())) if isinstance(node, ast.ImportFrom)
-    }
+@pytest.mark.parametrize("path", POLICY, ids=lambda path: path.name)
+def test_the_decision_files_do_no_io_and_read_no_clock(path: Path) -> None:
+    nodes = list(ast.walk(ast.parse(path.read_text())))
+    names = {n.name for node in nodes if isinstance(node, ast.Import) for n in node.names}
+    froms = {node.module for node in nodes if isinstance(node, ast.ImportFrom)}
     assert (names | froms) <= {
         "heapq",
         "collections",
@@ -38,8 +41,10 @@
         "collections.abc",
         "peattack",
         "peattack.interface",
+        "peattack.repeats",
         "random",
         "math",
+        "enum",
     }
 
 
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -6,6 +6,9 @@
 
 import pytest
 
+from peattack.interface import Effect, Outcome
+from peattack.repeats import EVIDENCE_OF_OUTCOME, Evidence, Repeat, may_repeat, may_run_twice, repeat
+
 from .stand_ins import SETTINGS, Database, FrontEnd, Kernel, running
 from .test_sockets import has, key, sockets
 from .test_tier_links import listed
@@ -29,6 +32,30 @@
     return await front_end.ask(effect, **token, **more)
 
 
+PROOFS = {Evidence.NOT_SENT, Evidence.NOT_CONNECTED, Evidence.TURNED_AWAY, Evidence.NOT_AWAITED}
+WITHOUT_PROOF = {
+    Effect.SAFE: Repeat.ALLOWED,
+    Effect.KEYED: Repeat.ASK_FIRST,
+    Effect.UNSAFE: Repeat.FORBIDDEN,
+}
+
+
+@pytest.mark.parametrize("effect", Effect)
+@pytest.mark.parametrize("evidence", Evidence)
+def test_the_rule_for_each_pair(effect: Effect, evidence: Evidence) -> None:
+    proven = evidence in PROOFS
+    harmless = proven or evidence is Evidence.COPIES_IGNORED
+    assert evidence.proves_never_ran is proven
+    assert repeat(effect, evidence) is (Repeat.ALLOWED if harmless else WITHOUT_PROOF[effect])
+    assert may_repeat(effect, evidence) is (harmless or effect is Effect.SAFE)
+    assert may_run_twice(effect) is (effect is Effect.SAFE)
+
+
+@pytest.mark.parametrize("outcome", Outcome)
+def test_outcomes_prove_what_their_evidence_does(outcome: Outcome) -> None:
+    assert EVIDENCE_OF_OUTCOME[outcome].proves_never_ran is outcome.never_ran
+
+
 @pytest.mark.parametrize("effect, repeated", [("free", True), ("guarded", False), ("single_shot", False)])
 def test_a_call_cut_off_on_a_connection_that_was_used_before(effect: str, repeated: bool) -> None:
     """The other side has read the call when the connection breaks: that proves nothing."""
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -15,6 +15,7 @@
 from moorusher.routing.ways import MOST_ROUTERS, Ways
 from moorusher.tier.policy import Policy, Server
 from moorusher.tier.router import Cancel, End, Over, Send
+from peattack.interface import Effect
 
 S = 1_000_000
 GRANTS = Grants(
@@ -42,8 +43,8 @@
     return [e.server for e in effects if isinstance(e, Send)]
 
 
-def call(w: Ways, number: int, to: Way | None, safe: bool = True, now: int = 0) -> list[Any]:
-    return w.call(now, number, safe, now + 10 * S, to)
+def call(w: Ways, number: int, to: Way | None, effect: Effect = Effect.SAFE, now: int = 0) -> list[Any]:
+    return w.call(now, number, effect, now + 10 * S, to)
 
 
 def attempt(effects: list[Any]) -> int:
@@ -64,21 +65,22 @@
 
 
 @pytest.mark.parametrize(
-    ("end", "safe", "goes_on"),
+    ("end", "effect", "goes_on"),
     [
-        (End.UNREACHED, False, True),
-        (End.TURNED_AWAY, False, True),
-        (End.FAILED, True, True),
-        (End.FAILED, False, False),
-        (End.ANSWERED, True, False),
-        (End.STRAY, True, False),
+        (End.UNREACHED, Effect.KEYED, True),
+        (End.TURNED_AWAY, Effect.UNSAFE, True),
+        (End.FAILED, Effect.SAFE, True),
+        (End.FAILED, Effect.KEYED, False),
+        (End.FAILED, Effect.UNSAFE, False),
+        (End.ANSWERED, Effect.SAFE, False),
+        (End.STRAY, Effect.SAFE, False),
     ],
 )
 def test_a_call_goes_on_to_the_next_hop_only_where_nothing_ran_or_it_may_run_twice(
-    end: End, safe: bool, goes_on: bool
+    end: End, effect: Effect, goes_on: bool
 ) -> None:
     w = ways()
-    first = attempt(call(w, 1, way(hop("main", "a1"), hop("spare", pool="shared")), safe))
+    first = attempt(call(w, 1, way(hop("main", "a1"), hop("spare", pool="shared")), effect))
     then = w.ended(1_000, first, end)
     assert sent(then) == (["p1"] if goes_on else [])
     assert [e for e in then if isinstance(e, Over)] == ([] if goes_on else [Over(1, first, end)])
@@ -90,7 +92,7 @@
 
 def test_a_call_whose_time_is_over_goes_nowhere_else() -> None:
     w = ways()
-    first = attempt(w.call(0, 1, True, S, way(hop("main", "a1"), hop("spare", pool="shared"))))
+    first = attempt(w.call(0, 1, Effect.SAFE, S, way(hop("main", "a1"), hop("spare", pool="shared"))))
     assert w.ended(S - 1_000, first, End.UNREACHED) == [Over(1, first, End.UNREACHED)]
 
 
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -9,8 +9,9 @@
 import pytest
 
 from moorusher.tier.policy import Policy, Server
-from moorusher.tier.router import Cancel, Effect, End, Over, Router, Send
+from moorusher.tier.router import Action, Cancel, End, Over, Router, Send
 from moorusher.tier.slow_start import LEAST_RAMP, SlotCounter, StartBudget, phase_of
+from peattack.interface import Effect
 
 S, MS = 1_000_000, 1_000
 WINDOW = S
@@ -40,9 +41,9 @@
 
     def ask(self, now: int, router: Router) -> None:
         self._number += 1
-        self._do(now, router, router.call(now, self._number, True, now + 2 * S))
+        self._do(now, router, router.call(now, self._number, Effect.SAFE, now + 2 * S))
 
-    def _do(self, now: int, router: Router, effects: list[Effect]) -> None:
+    def _do(self, now: int, router: Router, effects: list[Action]) -> None:
         for effect in effects:
             if isinstance(effect, Send):
                 if effect.server == NEW.name:
@@ -95,7 +96,7 @@
     policy = Policy(slow_start_s=SLOW_S, slow_start_calls=10, runners=20)
     router = Router([], policy, "r1", random.Random(1).random, 0)
     router.add(0, NEW)
-    got = [e for n in range(3) for e in router.call(0, n, True, 60 * S)]
+    got = [e for n in range(3) for e in router.call(0, n, Effect.SAFE, 60 * S)]
     assert len(got) <= 1
     now = 0
     while len(got) < 3:
@@ -123,11 +124,11 @@
     for i in range(runners):
         router = Router([NEW, Server("other", ("127.0.0.1", 1))], policy, f"r{i}", random.Random(i).random, 0)
         while router.members[NEW.name].in_flight == {}:
-            router.call(0, 1, True, S)
+            router.call(0, 1, Effect.SAFE, S)
         attempt = next(iter(router.members[NEW.name].in_flight))
         router.ended(0, attempt, End.FAILED)
         back = router.members[NEW.name].until
-        got = router.call(back, 2, True, back + S)
+        got = router.call(back, 2, Effect.SAFE, back + S)
         probes += any(isinstance(e, Send) and e.server == NEW.name for e in got)
     budget = policy.slow_start_calls * LEAST_RAMP
     assert probes <= budget + slack(budget)
@@ -154,7 +155,7 @@
     for ramp in (LEAST_RAMP, 0.5):
         now, got, calls = round(ramp * SLOW_S * S), 0, 4_000
         for number in range(calls):
-            (send,) = router.call(now, number, True, now + S)
+            (send,) = router.call(now, number, Effect.SAFE, now + S)
             assert isinstance(send, Send)
             got += send.server == NEW.name
             router.give_up(now, number)
--- a/tests/test_tier.py
+++ b/tests/test_tier.py
@@ -17,7 +17,8 @@
 from moorusher.tier.limit import Limit
 from moorusher.tier.member import InFlight, Member, State, Why
 from moorusher.tier.policy import Policy, Server
-from moorusher.tier.router import Cancel, Effect, End, Over, Router, Send
+from moorusher.tier.router import Action, Cancel, End, Over, Router, Send
+from peattack.interface import Effect
 
 S, MS = 1_000_000, 1_000
 HOST = "127.0.0.1"
@@ -31,11 +32,11 @@
     return Router(servers(count), Policy(**policy), "r1", random.Random(1).random, now)
 
 
-def sends(effects: list[Effect]) -> list[Send]:
+def sends(effects: list[Action]) -> list[Send]:
     return [e for e in effects if isinstance(e, Send)]
 
 
-def overs(effects: list[Effect]) -> list[tuple[int, End]]:
+def overs(effects: list[Action]) -> list[tuple[int, End]]:
     return [(e.number, e.end) for e in effects if isinstance(e, Over)]
 
 
@@ -120,13 +121,13 @@
     near, far = servers(2, zone="a"), [Server(f"f{i}", (HOST, 9), zone="b") for i in range(2)]
     r = Router([*near, *far], Policy(zone="a", hedge=False), "r1", random.Random(1).random, 0)
     for i in range(40):
-        (send,) = sends(r.call(i * S, i, True, i * S + S))
+        (send,) = sends(r.call(i * S, i, Effect.SAFE, i * S + S))
         assert send.server in ("s0", "s1")
         r.ended(i * S + 10 * MS, send.attempt, End.ANSWERED)
     for member in r.members.values():
         for i in range(20):
             member.latency.add(40 * S + i, 100 * MS if member.server.zone == "a" else 10 * MS)
-    spilled = [sends(r.call(41 * S + i, 100 + i, True, 42 * S))[0].server for i in range(4)]
+    spilled = [sends(r.call(41 * S + i, 100 + i, Effect.SAFE, 42 * S))[0].server for i in range(4)]
     assert all(name.startswith("f") for name in spilled)
 
 
@@ -136,7 +137,7 @@
     got = Counter[int]()
     for i in range(6000):
         now = i * 5 * MS
-        (send,) = sends(r.call(now, i, True, now + S))
+        (send,) = sends(r.call(now, i, Effect.SAFE, now + S))
         got[now // (10 * S)] += send.server == "new"
         r.ended(now + 3 * MS, send.attempt, End.ANSWERED)
     assert got[0] < 0.8 * got[2] and 250 < got[2] < 600  # an even share of 2,000 is 400
@@ -153,7 +154,7 @@
         (End.STRAY, False),
     ):
         r = router(hedge=False)
-        (send,) = sends(r.call(0, 1, False, S))
+        (send,) = sends(r.call(0, 1, Effect.KEYED, S))
         out = r.ended(MS, send.attempt, end)
         assert (overs(out) == []) is again
         wake = r.wake()
@@ -165,12 +166,12 @@
 
 def test_nothing_is_tried_again_past_the_callers_time_or_the_budget() -> None:
     r = router(hedge=False)
-    (send,) = sends(r.call(0, 1, True, 20 * MS))
+    (send,) = sends(r.call(0, 1, Effect.SAFE, 20 * MS))
     assert overs(r.ended(19 * MS, send.attempt, End.UNREACHED)) == [(1, End.UNREACHED)]
     r = router(hedge=False, retry_share=0.0, retry_floor_per_s=0.0)
     ends = []
     for i in range(10):
-        (send,) = sends(r.call(0, i, True, S))
+        (send,) = sends(r.call(0, i, Effect.SAFE, S))
         ends.append(bool(overs(r.ended(MS, send.attempt, End.FAILED))))
     assert ends == [False] + [True] * 9 and r.counts.denied == 9
 
@@ -178,11 +179,11 @@
 def test_a_second_copy_goes_elsewhere_the_first_answer_wins_and_the_other_is_given_up() -> None:
     r = router(2, retry_share=1.0)
     for i in range(80):
-        (send,) = sends(r.call(i * S, i, True, i * S + S))
+        (send,) = sends(r.call(i * S, i, Effect.SAFE, i * S + S))
         r.ended(i * S + 10 * MS, send.attempt, End.ANSWERED)
     r.ring(100 * S)
-    (first,) = sends(r.call(100 * S, 1000, True, 101 * S))
-    (keyed,) = sends(r.call(100 * S, 1001, False, 101 * S))
+    (first,) = sends(r.call(100 * S, 1000, Effect.SAFE, 101 * S))
+    (keyed,) = sends(r.call(100 * S, 1001, Effect.KEYED, 101 * S))
     wake = r.wake()
     assert wake is not None and wake <= 100 * S + 25 * MS
     (second,) = sends(r.ring(wake))
@@ -197,9 +198,9 @@
 
 def test_what_finds_no_server_waits_by_due_time_and_a_full_queue_turns_away() -> None:
     r = router(1, least_limit=1, most_limit=1, queue=2, hedge=False)
-    (first,) = sends(r.call(0, 1, False, 9 * S))
-    assert r.call(0, 2, False, 5 * S) == [] and r.call(0, 3, False, 2 * S) == []
-    assert overs(r.call(0, 4, False, S)) == [(4, End.TURNED_AWAY)]
+    (first,) = sends(r.call(0, 1, Effect.KEYED, 9 * S))
+    assert r.call(0, 2, Effect.KEYED, 5 * S) == [] and r.call(0, 3, Effect.KEYED, 2 * S) == []
+    assert overs(r.call(0, 4, Effect.KEYED, S)) == [(4, End.TURNED_AWAY)]
     (due_first,) = sends(r.ended(MS, first.attempt, End.ANSWERED))
     assert due_first.number == 3
     assert r.give_up(MS, 2) == [] and r.ended(2 * MS, due_first.attempt, End.ANSWERED) == [
@@ -225,14 +226,14 @@
         fail(r, "s0", 5, now)
         assert member.state is State.EJECTED
         lasted.append((member.until - now) / S)
-        assert all(sends(r.call(now + i, 10 + i, True, now + S))[0].server != "s0" for i in range(20))
+        assert all(sends(r.call(now + i, 10 + i, Effect.SAFE, now + S))[0].server != "s0" for i in range(20))
         for i in range(20):
             r.give_up(now + 30, 10 + i)
         now = member.until
-        assert sends(r.call(now, 1, False, now + S))[0].server != "s0"  # a keyed call is no probe
-        (probe,) = sends(r.call(now, 2, True, now + S))
+        assert sends(r.call(now, 1, Effect.KEYED, now + S))[0].server != "s0"  # a keyed call is no probe
+        (probe,) = sends(r.call(now, 2, Effect.SAFE, now + S))
         assert probe.server == "s0"
-        assert sends(r.call(now, 3, True, now + S))[0].server != "s0"  # one at a time
+        assert sends(r.call(now, 3, Effect.SAFE, now + S))[0].server != "s0"  # one at a time
         r.ended(now + MS, probe.attempt, End.ANSWERED)
         assert str(member.state) == "State.IN" and member.ramp(now + MS) == pytest.approx(0.1, abs=0.01)
         for number in (1, 2, 3):
@@ -244,10 +245,10 @@
     r = router(4, hedge=False)
     fail(r, "s0", 5)
     now = r.members["s0"].until
-    (probe,) = sends(r.call(now, 1, True, now + S))
+    (probe,) = sends(r.call(now, 1, Effect.SAFE, now + S))
     r.give_up(now + MS, 1)
     assert r.members["s0"].state is State.PROBED
-    (probe,) = sends(r.call(now + 2 * MS, 2, True, now + S))
+    (probe,) = sends(r.call(now + 2 * MS, 2, Effect.SAFE, now + S))
     assert probe.server == "s0"
     r.ended(now + 3 * MS, probe.attempt, End.FAILED)
     assert (r.members["s0"].state, r.members["s0"].why) == (State.EJECTED, Why.PROBE)
@@ -262,7 +263,7 @@
     for i in range(6):
         fail(r, f"s{i}", 50)
     assert all(m.state is State.EJECTED for m in r.members.values())
-    assert sends(r.call(MS, 1, True, S)) and r.roster.panics
+    assert sends(r.call(MS, 1, Effect.SAFE, S)) and r.roster.panics
 
 
 # ---- membership under load ----
@@ -270,9 +271,9 @@
 
 def test_servers_come_drain_and_go_with_calls_in_flight() -> None:
     r = router(2, hedge=False, retry_share=1.0)
-    flights = [sends(r.call(0, i, i % 2 == 0, S))[0] for i in range(12)]
+    flights = [sends(r.call(0, i, Effect.SAFE if i % 2 == 0 else Effect.KEYED, S))[0] for i in range(12)]
     assert r.drain(MS, "s0") and not r.drain(MS, "none")
-    assert {sends(r.call(MS, 20 + i, True, S))[0].server for i in range(4)} == {"s1"}
+    assert {sends(r.call(MS, 20 + i, Effect.SAFE, S))[0].server for i in range(4)} == {"s1"}
     r.retire(MS, "s0")
     for f in [f for f in flights if f.server == "s0"]:
         assert "s0" in r.members
--- a/tests/test_tier_links.py
+++ b/tests/test_tier_links.py
@@ -10,9 +10,10 @@
 import pytest
 
 from moorusher import cli
-from moorusher.core.endings import OUTCOMES, Ending
+from moorusher.core.endings import EVIDENCE_OF_CALL, OUTCOMES, Ending
 from moorusher.links.tier import ENDS
 from moorusher.tier.router import End
+from peattack.repeats import EVIDENCE_OF_OUTCOME
 
 from .stand_ins import HOST, WAIT, Database, FrontEnd, Kernel, UwsgiPeer, body_of, exchange, running, status
 from .test_sockets import has, key, sockets
@@ -44,7 +45,10 @@
 def test_endings_prove_to_the_router_what_they_prove_to_the_module() -> None:
     for ending, outcome in OUTCOMES.items():
         if ending.name.startswith("CALL_"):
-            assert ENDS.get(ending, End.FAILED).never_ran is outcome.never_ran
+            evidence = ENDS.get(ending, End.FAILED).evidence
+            assert evidence.proves_never_ran is outcome.never_ran
+            assert evidence.proves_never_ran is EVIDENCE_OF_CALL[ending].proves_never_ran
+            assert evidence.proves_never_ran is EVIDENCE_OF_OUTCOME[outcome].proves_never_ran
 
 
 @sockets
