A reply to a run's call is never said twice without proof that the first was not read

Cause: after a broken kernel link every reply of the last 250 ms was said again. Where the kernel had read it and the run asked for its next call meanwhile, it was taken for that call's. Change: commands have a place in the order in which they are written, SYSINFO carries it as its mark, and the answer shows that the kernel has read all before; a question follows each reply. On a new link a dropped command is said, one that was read is not, a command to run may be copied, a reply that may have been read is not: its run goes on without its call where its class allows that (NOIO names its notice), else it is stopped when it is due. Loss of a kernel link is logged with address, age, state, reason and how many commands are not known to be read; "kernel up" names the address.

--- a/moorusher/core/decide.py
+++ b/moorusher/core/decide.py
@@ -29,6 +29,7 @@
 
 log = logging.getLogger("moorusher")
 
+MOST_NAMED = 8  # requests in one line of the log
 FAILED_BY = {Ending.RUN_NOT_ACCEPTED: Cause.NOT_ACCEPTED}
 
 
@@ -322,9 +323,31 @@
             self.link_since = self.clock.now
         self.watch.link_lost(self.clock.now)
 
-    def kernel_read_again(self, since: int) -> None:
+    def kernel_read_again(self, read: int) -> None:
+        """A new link to the kernel has read its replay. `read`: how many commands the kernel is known to have read."""
         self.touch()
-        self.runs.say_again(since)
+        said = self.runs.say_again(read)
+        self.counters.add("kernel commands said again", by=len(said.runs) + len(said.replies))
+        self.counters.add("kernel replies that may be lost", by=len(said.uncertain))
+        for number in said.uncertain:
+            self._reply_is_uncertain(number)
+        if said.runs or said.replies or said.uncertain:
+            log.info(
+                "said again on a new link to the kernel: %d runs, %d replies; may be lost: %s",
+                len(said.runs),
+                len(said.replies),
+                self._rids(said.uncertain) or "none",
+            )
+
+    def _rids(self, numbers: list[int]) -> str:
+        return " ".join(
+            self.table.by_number[n].rid for n in numbers[:MOST_NAMED] if n in self.table.by_number
+        )
+
+    def _reply_is_uncertain(self, number: int) -> None:
+        if (request := self.table.by_number.get(number)) is not None:
+            due = max(request.due, self.clock.now)
+            self.alarms.at(due, lambda: self.runs.stop_uncertain(number))
 
     def gauges(self, values: tuple[float, ...]) -> None:
         """As the kernel tells them, in the order of the settings."""
--- a/moorusher/core/others.py
+++ b/moorusher/core/others.py
@@ -69,9 +69,7 @@
             self._core.table.remove(request)
             return
         entry.waiters.append(request.number)
-        a = request.arrival
-        ms = min(request.cls.deadline_ms, request.cls.deadline_ms if a.budget_ms is None else a.budget_ms)
-        due = request.came + round((ms - self._core.settings.answer_slack_ms) * MS)
+        due = request.due - round(self._core.settings.answer_slack_ms * MS)
         self._core.alarms.at(max(due, self._core.clock.now), lambda: self._core.shared(request.number, None))
 
     def begun(self, request: Request) -> None:
--- a/moorusher/core/requests.py
+++ b/moorusher/core/requests.py
@@ -9,6 +9,7 @@
 from peattack import interface as api
 
 from .answer import Reply
+from .clock import MS
 
 
 class Stage(Enum):
@@ -93,6 +94,12 @@
     first: bool = False  # a first try, as far as is known yet, that has not been counted
     ruling: Any = None  # `routes.Ruling`: by the rules under which it was read
 
+    @property
+    def due(self) -> int:
+        """When its caller stops waiting, in microseconds of the monotonic clock."""
+        budget_ms, deadline_ms = self.arrival.budget_ms, self.cls.deadline_ms
+        return self.came + round(min(deadline_ms, deadline_ms if budget_ms is None else budget_ms) * MS)
+
 
 class Table:
     """Requests that are owed an answer or whose run is not over, by both of their names."""
--- a/moorusher/core/run.py
+++ b/moorusher/core/run.py
@@ -5,21 +5,47 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from peattack.interface import Effect
+from peattack.repeats import Evidence, may_repeat
+
 from .clock import Clock
 from .requests import Request
 from .watch import Watch
 
+NOT_WRITTEN = 0  # the place of a command that was dropped, as the link was down
+# The kernel takes a reply for whichever call the run waits for: a copy could be given to a later call.
+EFFECT_OF_REPLY = Effect.UNSAFE
+
 
 class Kernel(Protocol):
-    """A link to the kernel. It may drop what it is given while it is down: `Runs.say_again` makes up for it."""
+    """A link to the kernel. It may drop what it is given while it is down: `Runs.say_again` makes up for it. Commands
+    are numbered in the order in which they are written; NOT_WRITTEN is returned for those that are dropped."""
 
-    def run(self, rid: str, route: str, body: bytes) -> None: ...
-    def stop(self, rid: str) -> None: ...
-    def call_done(self, rid: str, body: bytes) -> None: ...
-    def call_left_out(self, rid: str, notice: int) -> None: ...
+    def run(self, rid: str, route: str, body: bytes) -> int: ...
+    def stop(self, rid: str) -> int: ...
+    def call_done(self, rid: str, body: bytes) -> int: ...
+    def call_left_out(self, rid: str, notice: int) -> int: ...
     def ask_gauges(self) -> None: ...
 
 
+@dataclass(slots=True, frozen=True)
+class CallReply:
+    """What was said to a run about its call: the reply, or None to go on without it."""
+
+    notice: int  # of the call
+    content: bytes | None
+    written: int  # the place of the command
+
+
+@dataclass(slots=True, frozen=True)
+class SaidAgain:
+    """What a new link was told of runs, by request number."""
+
+    runs: list[int]
+    replies: list[int]
+    uncertain: list[int]  # a reply may be lost, and nothing proves it: it must not be said again
+
+
 @dataclass(slots=True, eq=False)
 class Run:
     """A request that the kernel was told to run, and what was said about it."""
@@ -31,10 +57,9 @@
     notice: int = 0  # of the call that it waits for; 0 where it waits for none
     calls: int = 0  # calls that it has asked for, this one included
     call: bytes = b""
-    told: tuple[int, bytes | None] | None = (
-        None  # last notice answered, with the reply or None for 'left out'
-    )
-    told_at: int = 0
+    commanded: int = NOT_WRITTEN  # the place of the command to run it
+    told: CallReply | None = None  # about its last call
+    uncertain: bool = False  # whether the kernel has read that
     began: int = 0  # us
     away: int = 0  # us, at calls
     left: int = 0  # when it went to the call that it waits for
@@ -69,7 +94,7 @@
 
     def start(self, request: Request) -> None:
         run = self._runs[request.number] = Run(request, request.cls.name, began=self._clock.now)
-        self._kernel.run(request.rid, run.route, request.body)
+        run.commanded = self._kernel.run(request.rid, run.route, request.body)
         self._crowd()
 
     def stop(self, number: int) -> None:
@@ -77,15 +102,20 @@
             run.stopped = True
             self._kernel.stop(run.request.rid)
 
+    def stop_uncertain(self, number: int) -> None:
+        """Nobody waits for it any more, and it may wait for a reply that is lost: it would keep its memory for good."""
+        if (run := self._runs.get(number)) is not None and run.uncertain:
+            self.stop(number)
+
     def needs_call(self, number: int, notice: int, body: bytes) -> bool:
         """False where that notice was read before."""
         run = self._runs.get(number)
-        if run is None or notice <= run.notice or (run.told is not None and notice <= run.told[0]):
+        if run is None or notice <= run.notice or (run.told is not None and notice <= run.told.notice):
             return False
         if not run.notice:
             self.at_calls += 1
             run.left = self._clock.now
-        run.known, run.notice, run.call, run.told = True, notice, body, None
+        run.known, run.notice, run.call, run.told, run.uncertain = True, notice, body, None, False
         run.calls += 1
         self._crowd()
         return True
@@ -95,21 +125,18 @@
         run = self._runs.get(number)
         if run is None or not run.notice:
             return  # it waits for no call: the kernel would take this for a fault
-        run.told, run.notice, run.call = (run.notice, reply), 0, b""
-        run.told_at = self._clock.now
+        notice, run.notice, run.call = run.notice, 0, b""
         run.away += self._clock.now - run.left
         self.at_calls -= 1
         self._crowd()
-        self._tell(run)
+        self._tell(run, notice, reply)
 
-    def _tell(self, run: Run) -> None:
-        if run.told is None:
-            return
-        notice, reply = run.told
+    def _tell(self, run: Run, notice: int, reply: bytes | None) -> None:
         if reply is None:
-            self._kernel.call_left_out(run.request.rid, notice)
+            written = self._kernel.call_left_out(run.request.rid, notice)
         else:
-            self._kernel.call_done(run.request.rid, reply)
+            written = self._kernel.call_done(run.request.rid, reply)
+        run.told = CallReply(notice, reply, written)
 
     def over(self, number: int) -> Run | None:
         run = self._runs.pop(number, None)
@@ -119,13 +146,46 @@
             self._crowd()
         return run
 
-    def say_again(self, since: int) -> None:
-        """After a broken link, once the kernel's replay has been read: whatever it may not have got. A reply from
-        before `since` it has: said again, it could be taken for that to a call which the run asks for just now."""
-        for run in list(self._runs.values()):
-            if not run.known:
-                self._kernel.run(run.request.rid, run.route, run.request.body)
-            if run.told_at >= since:
-                self._tell(run)
+    def say_again(self, read: int) -> SaidAgain:
+        """After a broken link, once the kernel's replay has been read. `read`: how many commands it is known to have
+        read."""
+        said = SaidAgain([], [], [])
+        for number, run in list(self._runs.items()):
+            if not run.known and _evidence(run.commanded, read) is not Evidence.SUCCEEDED:
+                self._command_again(number, run, said)
+            if run.told is not None:
+                self._tell_again(number, run, run.told, read, said)
             if run.stopped:
                 self._kernel.stop(run.request.rid)
+        return said
+
+    def _command_again(self, number: int, run: Run, said: SaidAgain) -> None:
+        """The kernel ignores a command to run what it runs already."""
+        if not may_repeat(run.request.cls.effect, Evidence.COPIES_IGNORED):
+            return
+        run.commanded = self._kernel.run(run.request.rid, run.route, run.request.body)
+        said.runs.append(number)
+
+    def _tell_again(self, number: int, run: Run, told: CallReply, read: int, said: SaidAgain) -> None:
+        if told.content is None:  # names its notice: it can be taken for no other call
+            if _evidence(told.written, read) is not Evidence.SUCCEEDED:
+                self._tell(run, told.notice, None)
+            return
+        evidence = _evidence(told.written, read)
+        if evidence is Evidence.SUCCEEDED or run.uncertain:
+            return
+        if may_repeat(EFFECT_OF_REPLY, evidence):
+            self._tell(run, told.notice, told.content)
+            said.replies.append(number)
+            return
+        run.uncertain = True
+        said.uncertain.append(number)
+        if run.request.cls.worth_without_call > 0:  # where it waits on, it goes on without
+            self._tell(run, told.notice, None)
+
+
+def _evidence(written: int, read: int) -> Evidence:
+    """What is known of a command by its place, where the kernel has read so many."""
+    if written == NOT_WRITTEN:
+        return Evidence.NOT_SENT
+    return Evidence.SUCCEEDED if written <= read else Evidence.NOT_HEARD_OF
--- a/moorusher/lab/shed.py
+++ b/moorusher/lab/shed.py
@@ -190,10 +190,18 @@
 class _Quiet:
     """A kernel that only has to be there."""
 
-    def run(self, rid: str, route: str, body: bytes) -> None: ...
-    def stop(self, rid: str) -> None: ...
-    def call_done(self, rid: str, body: bytes) -> None: ...
-    def call_left_out(self, rid: str, notice: int) -> None: ...
+    def run(self, rid: str, route: str, body: bytes) -> int:
+        return 1
+
+    def stop(self, rid: str) -> int:
+        return 1
+
+    def call_done(self, rid: str, body: bytes) -> int:
+        return 1
+
+    def call_left_out(self, rid: str, notice: int) -> int:
+        return 1
+
     def ask_gauges(self) -> None: ...
 
 
--- a/moorusher/links/kernel.py
+++ b/moorusher/links/kernel.py
@@ -15,6 +15,7 @@
 from ..core.clock import MS, SECOND, Alarm
 from ..core.decide import Decider
 from ..core.endings import Ending
+from ..core.run import NOT_WRITTEN
 from ..section import Address
 from .kernel_messages import (
     Booted,
@@ -31,9 +32,9 @@
 log = logging.getLogger("moorusher")
 
 RETRY, RETRY_MOST = 20 * MS, 400 * MS
-LOST_WITH_IT = 250 * MS  # commands said so long before a link broke may be lost with it
 MOST_UNREAD = 3  # links given up over the same unreadable line
 SYNC = "replayed"
+READ = "g"  # begins the mark of a question for the gauges; how many commands were written before it follows
 ASK_EVERY = SECOND  # a link without a byte for so long is asked for the gauges,
 QUIET = 3 * SECOND  # and given up where it has not said anything for so long
 SURE = 250 * MS  # until it is looked at once more: after a pause of ours, its words wait unread
@@ -86,7 +87,7 @@
         self.transport.abortConnection()
 
     def connectionLost(self, reason: Failure | None = None) -> None:
-        self.link.lost(self)
+        self.link.lost(self, reason.getErrorMessage() if reason is not None else "")
 
 
 class KernelLink(ClientFactory):
@@ -101,7 +102,9 @@
         self.connection: KernelConnection | None = None
         self.last = 0
         self._unread = self._unread_after = 0
-        self._since = 0  # what was said from then on may not have been read
+        self._written = NOT_WRITTEN  # commands, over all links
+        self._read = NOT_WRITTEN  # of them, as far as the kernel has shown that it has read them
+        self._made = 0  # when the connection was made
         self._state = LinkState.DOWN
         self._was_up = False
         self._heard = 0  # when the last bytes came
@@ -139,8 +142,8 @@
     def opened(self, connection: KernelConnection) -> None:
         self.core.touch()
         before, self.connection = self.connection, connection
+        self._made = self.core.clock.now
         if before is not None:
-            self._since = self.core.clock.now - LOST_WITH_IT
             self.core.link_lost()  # until the new one has had its answer
         self._dialling, self._state = None, LinkState.OPENING
         self._watch()
@@ -156,11 +159,19 @@
             self._dialling = None
             self._again()
 
-    def lost(self, connection: KernelConnection) -> None:
+    def lost(self, connection: KernelConnection, why: str = "") -> None:
         if connection is self.connection:
             self.core.link_lost()
+            log.info(
+                "kernel link to %s:%d lost after %d ms, %s: last notice %d, %d commands not known to be read%s",
+                *self._address,
+                (self.core.clock.now - self._made) // MS,
+                self._state.value,
+                self.last,
+                self._written - self._read,
+                why and f" ({why})",
+            )
             self.connection, self._state = None, LinkState.DOWN
-            self._since = self.core.clock.now - LOST_WITH_IT
             self.core.counters.add("kernel link: " + Ending.LOST.value)
             self._again()
 
@@ -233,7 +244,9 @@
         elif isinstance(message, Gauges):
             if message.mark == SYNC:
                 self._state = LinkState.UP
-                self.core.kernel_read_again(self._since)
+                self.core.kernel_read_again(self._read)
+            elif message.mark.startswith(READ) and message.mark[len(READ) :].isdecimal():
+                self._read = max(self._read, min(int(message.mark[len(READ) :]), self._written))
             self.core.gauges(message.values)
         elif isinstance(message, Booted):
             self._booted(message)
@@ -253,7 +266,8 @@
 
     def _booted(self, booted: Booted) -> None:
         self._pause = RETRY
-        log.info("kernel up: %s, started %.0f ms ago", "cold" if booted.cold else "warm", booted.age_ms)
+        state = "cold" if booted.cold else "warm"
+        log.info("kernel up at %s:%d: %s, started %.0f ms ago", *self._address, state, booted.age_ms)
         if self._was_up and self.connection is not None:
             # The answer to this comes after the replay: only then is it known what to say again. Nothing is said
             # before: `Runs` would say it twice, and a second reply could be taken for that of a later call.
@@ -266,24 +280,36 @@
 
     # ---- commands ----
 
-    def _say(self, message: dict[str, object]) -> None:
-        if self._state is LinkState.UP and self.connection is not None:
-            self.connection.say(message)
+    def _say(self, message: dict[str, object]) -> int:
+        """The command's place among all that were written."""
+        if self._state is not LinkState.UP or self.connection is None:
+            return NOT_WRITTEN
+        self._written += 1
+        self.connection.say(message)
+        return self._written
 
-    def run(self, rid: str, route: str, body: bytes) -> None:
-        self._say({"t": "SCHED", "rid": rid, "route": route, "b64": _b64(body)})
+    def run(self, rid: str, route: str, body: bytes) -> int:
+        """Run the request."""
+        return self._say({"t": "SCHED", "rid": rid, "route": route, "b64": _b64(body)})
 
-    def stop(self, rid: str) -> None:
-        self._say({"t": "PREEMPT", "rid": rid})
+    def stop(self, rid: str) -> int:
+        """Stop its run."""
+        return self._say({"t": "PREEMPT", "rid": rid})
 
-    def call_done(self, rid: str, body: bytes) -> None:
-        self._say({"t": "IODONE", "rid": rid, "b64": _b64(body)})
+    def call_done(self, rid: str, body: bytes) -> int:
+        """The reply to its call. It must not be said twice: the question behind it shows soon that it was read."""
+        written = self._say({"t": "IODONE", "rid": rid, "b64": _b64(body)})
+        self.ask_gauges()
+        return written
 
-    def call_left_out(self, rid: str, notice: int) -> None:
-        self._say({"t": "NOIO", "rid": rid, "no": notice})
+    def call_left_out(self, rid: str, notice: int) -> int:
+        """Go on without the call of that notice."""
+        return self._say({"t": "NOIO", "rid": rid, "no": notice})
 
     def ask_gauges(self) -> None:
-        self._say({"t": "SYSINFO", "mark": "g"})
+        """The kernel reads a link in its order: the answer shows that all before the question was read."""
+        if self._state is LinkState.UP and self.connection is not None:
+            self.connection.say({"t": "SYSINFO", "mark": f"{READ}{self._written}"})
 
 
 def _b64(body: bytes) -> str:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -15,6 +15,7 @@
 from moorusher.core.intake import Fault
 from moorusher.core.keys import MARGIN, Keys
 from moorusher.core.requests import Arrival, Request
+from moorusher.core.run import NOT_WRITTEN
 from peattack import interface as api
 from peattack.balance import Balancer
 
@@ -22,20 +23,30 @@
 
 
 class Kernel:
+    """`up`: what is said is written on a link, whether or not the kernel reads it."""
+
     def __init__(self) -> None:
         self.said: list[tuple[object, ...]] = []
+        self.up, self.written = True, 0
+
+    def _say(self, *command: object) -> int:
+        if not self.up:
+            return NOT_WRITTEN
+        self.said.append(command)
+        self.written += 1
+        return self.written
 
-    def run(self, rid: str, route: str, body: bytes) -> None:
-        self.said.append(("run", rid))
+    def run(self, rid: str, route: str, body: bytes) -> int:
+        return self._say("run", rid)
 
-    def stop(self, rid: str) -> None:
-        self.said.append(("stop", rid))
+    def stop(self, rid: str) -> int:
+        return self._say("stop", rid)
 
-    def call_done(self, rid: str, body: bytes) -> None:
-        self.said.append(("done", rid, body))
+    def call_done(self, rid: str, body: bytes) -> int:
+        return self._say("done", rid, body)
 
-    def call_left_out(self, rid: str, notice: int) -> None:
-        self.said.append(("left out", rid, notice))
+    def call_left_out(self, rid: str, notice: int) -> int:
+        return self._say("left out", rid, notice)
 
     def ask_gauges(self) -> None:
         pass
@@ -172,25 +183,95 @@
     assert w.verdicts() == [(2, Verdict.SERVED)] and w.runs() == ["a"]
 
 
-def test_what_the_kernel_may_not_have_read_is_said_again_and_nothing_else() -> None:
-    w = World(below=api.Below.TIER)
-    for i, rid in enumerate("ab"):
+def calling(w: World, *rids: str) -> None:
+    """These run, and wait for their first calls, which are out."""
+    for i, rid in enumerate(rids):
         w.take(rid, i, token=rid)
     w.turn()
-    w.core.call_needed("a", 1, b"ask")
+    for i, rid in enumerate(rids):
+        w.core.call_needed(rid, i + 1, b"ask")
+    w.turn()
+
+
+def again(w: World, read: int) -> list[tuple[object, ...]]:
+    """What is said on a new link, where the kernel has shown that it read so many commands."""
+    w.kernel.said.clear()
+    w.kernel.up = True
+    w.core.kernel_read_again(read)
+    return w.kernel.said
+
+
+def test_a_command_to_run_is_said_again_until_the_kernel_has_shown_that_it_read_it() -> None:
+    w = World()
+    w.take("a", 1)
+    w.turn()
+    assert again(w, read=0) == [("run", "a")], "the kernel ignores it where it runs already"
+    assert again(w, read=2) == []
+    w.kernel.up = False
+    w.take("b", 2, token="b")
     w.turn()
-    w.core.call_needed("a", 1, b"ask")  # read again from a replay
+    assert again(w, read=2) == [("run", "b")]
+
+
+def test_a_replayed_notice_makes_no_second_call() -> None:
+    w = World(below=api.Below.TIER)
+    calling(w, "a")
+    w.core.call_needed("a", 1, b"ask")
     w.turn()
     assert [c.token for c in w.calls.made] == ["a.1"]
+
+
+def test_a_reply_that_was_dropped_is_said_on_the_next_link_and_one_that_was_read_is_not() -> None:
+    w = World(below=api.Below.TIER)
+    calling(w, "a", "b")
+    w.core.call_over(1, Ending.CALL_ANSWERED, b"reply")
+    read = w.kernel.written
+    w.kernel.up = False
+    w.core.call_over(2, Ending.CALL_ANSWERED, b"reply")
+    assert again(w, read) == [("done", "b", b"reply")]
+    w.core.call_needed("b", 3, b"ask")  # it was read
+    assert again(w, read) == []
+
+
+def test_a_reply_that_may_have_been_read_is_never_said_again_and_its_run_does_not_stay_for_good() -> None:
+    w = World(below=api.Below.TIER, halting=api.Halting.DISCARD)
+    calling(w, "a")
     w.core.call_over(1, Ending.CALL_ANSWERED, b"reply")
     w.turn()
-    w.kernel.said.clear()
-    w.core.kernel_read_again(0)
-    assert w.kernel.said == [("done", "a", b"reply"), ("run", "b")]
-    w.core.call_needed("a", 2, b"ask")  # the reply was read: it is not said again
-    w.kernel.said.clear()
-    w.core.kernel_read_again(0)
-    assert w.kernel.said == [("run", "b")]
+    assert again(w, w.kernel.written - 1) == []
+    assert again(w, w.kernel.written - 1) == []
+    assert w.core.counters.total["kernel replies that may be lost"] == 1
+    w.wait(3_100)
+    assert w.verdicts() == [(0, Verdict.FAILED)] and w.kernel.said == [("stop", "a")]
+
+
+def test_a_run_that_shows_that_it_got_its_uncertain_reply_goes_on_to_its_end() -> None:
+    w = World(below=api.Below.TIER)
+    calling(w, "a")
+    w.core.call_over(1, Ending.CALL_ANSWERED, b"reply")
+    w.turn()
+    assert again(w, w.kernel.written - 1) == []
+    w.core.call_needed("a", 2, b"ask")
+    w.turn()
+    assert [c.token for c in w.calls.made] == ["a.1", "a.2"]
+    w.core.call_over(1, Ending.CALL_ANSWERED, b"second")
+    w.turn()
+    w.core.run_over("a", Ending.RUN_PASSED, b"r")
+    w.turn()
+    w.wait(3_100)
+    assert w.verdicts() == [(0, Verdict.SERVED)] and ("stop", "a") not in w.kernel.said
+
+
+def test_a_run_that_may_go_on_without_its_call_is_told_so_where_its_reply_may_be_lost() -> None:
+    reading = api.RequestClass(name="read", aim_ms=1000, deadline_ms=4000, worth_without_call=0.5)
+    w = World(below=api.Below.TIER, classes=(reading,))
+    w.take("a", 1, klass="read", token=None)
+    w.turn()
+    w.core.call_needed("a", 7, b"ask")
+    w.turn()
+    w.core.call_over(1, Ending.CALL_ANSWERED, b"reply")
+    w.turn()
+    assert again(w, w.kernel.written - 1) == [("left out", "a", 7)], "which names the call that it is about"
 
 
 def test_a_call_is_given_up_at_its_time_and_when_its_run_ends() -> None:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -217,15 +217,48 @@
     world.core.call_over(world.core.table.by_rid["a"].number, Ending.CALL_ANSWERED, b"reply")
     assert transport.value() == b""
     say(connection, {"t": "INFO", "mark": "replayed", "v": [0.5]})
-    assert [json.loads(m)["t"] for m in transport.value().splitlines()] == ["IODONE"]
+    said = [json.loads(m) for m in transport.value().splitlines()]
+    assert [m["t"] for m in said] == ["IODONE", "SYSINFO"]
     transport.clear()
-    world.wait(1_000)  # long since read: said again it could be taken for the reply to a second call
-    connection.connectionLost()
+    connection.connectionLost()  # it may have been read: said again it could be taken for that to a second call
     connection, transport = link.up()
     say(connection, BOOTED, {"t": "INFO", "mark": "replayed", "v": [0.5]})
     assert b"IODONE" not in transport.value()
 
 
+@pytest.mark.parametrize("shown", [False, True])
+def test_what_an_answered_question_shows_to_be_read_is_not_said_again(shown: bool) -> None:
+    link = KernelSide(world := World())
+    world.core.runs._kernel = link
+    connection, transport = link.up()
+    say(connection, BOOTED)
+    world.take("a", 1)
+    world.turn()
+    link.ask_gauges()
+    question = json.loads(transport.value().splitlines()[-1])
+    assert question["t"] == "SYSINFO"
+    if shown:
+        say(connection, {"t": "INFO", "mark": question["mark"], "v": [0.5]})
+    connection.connectionLost()
+    connection, transport = link.up()
+    say(connection, BOOTED, {"t": "INFO", "mark": "replayed", "v": [0.5]})
+    assert (b"SCHED" in transport.value()) is not shown
+
+
+@pytest.mark.parametrize("mark", ["g", "gg", "g-1", "g1.5", "g99999", "None", ""])
+def test_a_mark_that_was_never_asked_shows_nothing_beyond_what_was_written(mark: str) -> None:
+    link = KernelSide(world := World())
+    world.core.runs._kernel = link
+    connection, _ = link.up()
+    say(connection, BOOTED, {"t": "INFO", "mark": mark, "v": [0.5]})
+    world.take("a", 1)
+    world.turn()
+    connection.connectionLost()
+    connection, transport = link.up()
+    say(connection, BOOTED, {"t": "INFO", "mark": "replayed", "v": [0.5]})
+    assert b"SCHED" in transport.value()
+
+
 def test_the_link_moves_whether_it_is_up_dialling_or_waits_to_dial() -> None:
     link = KernelSide(world := World())
     first, _ = link.up()
