A step of the wall clock changes neither when a request is due nor how long its key is kept

Cause: the offset of Unix time to the monotonic clock was read anew each turn, and the arrival of a request, its due time and the end of its key's window were worked out from `t0` by it. A request stamped before a step of +5 s was refused, at +1 h it was an error, and a window could end early by the step less its margin of 2 s: a second run. Ruled out: timers, alarms and succession, which are on the monotonic clock. Change: core/wall_clock.py remembers former offsets; a `t0` that can't be right by the one in force (in the future, or older than the message can have waited unread) is read by one that was, whether this process's clock was stepped, the senders', or both. A key's window counts from the beginning of its run at the earliest.

--- a/moorusher/core/clock.py
+++ b/moorusher/core/clock.py
@@ -11,10 +11,14 @@
 from collections.abc import Callable
 from itertools import count
 
+from .wall_clock import WallClock
+
 log = logging.getLogger("moorusher")
 
 MS = 1_000
 SECOND = 1_000_000
+TOGETHER = 2 * MS  # two readings of clocks count as one moment
+READINGS = 4
 
 
 class Clock:
@@ -24,21 +28,35 @@
         self, monotonic_ns: Callable[[], int] = time.monotonic_ns, unix_ns: Callable[[], int] = time.time_ns
     ) -> None:
         self._monotonic, self._unix = monotonic_ns, unix_ns
-        self.now = self._zero = self._unix_at_zero = 0
+        self.now = self._zero = 0
+        self._gap = 0  # since the turn before: what is read now has not waited for longer
+        self.wall = WallClock()
         self.read()
         self._zero = self.now  # the module's clock starts near 0, where floats are finest
+        self._gap = 0
 
     def read(self) -> int:
-        self.now = self._monotonic() // 1_000
-        # Read anew each turn: the system's Unix clock may be stepped, and `t0` follows it.
-        self._unix_at_zero = self._unix() // 1_000 - self.now
+        """Both clocks, at the beginning of a turn."""
+        before, self.now = self.now, self._monotonic() // 1_000
+        self._gap = self.now - before
+        unix = self._unix() // 1_000
+        for _ in range(
+            READINGS
+        ):  # a process that was held up between the two has read a step that there was not
+            if (after := self._monotonic() // 1_000) - self.now < TOGETHER:
+                break
+            self.now, unix = after, self._unix() // 1_000
+        self.wall.follow(self.now, unix)
         return self.now
 
-    def from_unix_ms(self, unix_ms: float) -> int:
-        return round(unix_ms * MS) - self._unix_at_zero
+    def stamped(self, unix_ms: float, waited: int = 0) -> int:
+        """When a sender's message was made, by the Unix time that it states. `waited`: how long ago its first byte was
+        read."""
+        return self.wall.stamped(round(unix_ms * MS), self.now, self._gap + waited)
 
     def to_unix_ms(self, at: int) -> float:
-        return (at + self._unix_at_zero) / MS
+        """For another machine."""
+        return self.wall.to_unix(at) / MS
 
     def module_ms(self, at: int | None = None) -> float:
         return ((self.now if at is None else at) - self._zero) / MS
--- a/moorusher/core/decide.py
+++ b/moorusher/core/decide.py
@@ -406,7 +406,7 @@
     def command(self, request: Request) -> None:
         """Have the kernel run it, unless another try holds its key."""
         if request.key is not None and not self.keys.runs(
-            request.number, request.came, request.cls.window_ms
+            request.number, self.clock.now, request.cls.window_ms
         ):
             # Never twice by one key, whatever the module says.
             log.error("request %s was to run, and another try holds its key", request.rid)
--- a/moorusher/core/intake.py
+++ b/moorusher/core/intake.py
@@ -80,11 +80,12 @@
             return Fault.RID_IN_USE
         if len(self._table) >= MOST_REQUESTS:
             return Fault.TOO_MANY
-        if a.t0_unix_ms is not None and abs(now - self._clock.from_unix_ms(a.t0_unix_ms)) > MOST_SKEW:
-            return Fault.NO_SUCH_TIME
         came = now if a.came is None else a.came
         if a.t0_unix_ms is not None:
-            came = min(now, self._clock.from_unix_ms(a.t0_unix_ms))
+            stamped = self._clock.stamped(a.t0_unix_ms, 0 if a.came is None else now - a.came)
+            if abs(now - stamped) > MOST_SKEW:
+                return Fault.NO_SUCH_TIME
+            came = min(now, stamped)
         request = Request(self._table.number(), a.rid, cls, tenant, a.body, came, reply, tag, a)
         if keyed and a.token:
             request.key = (tenant, a.token)
--- a/moorusher/core/keys.py
+++ b/moorusher/core/keys.py
@@ -155,13 +155,14 @@
             entry.until = until
             heapq.heappush(self._ends, (until, number))
 
-    def runs(self, number: int, came: int, window_ms: float) -> bool:
-        """The try is about to run. False where it may not: its key is another's, or it has run already."""
+    def runs(self, number: int, now: int, window_ms: float) -> bool:
+        """The try is about to run. False where it may not: its key is another's, or it has run already. Its window
+        counts from here at the earliest, whatever time its sender has stated."""
         entry = self._by_number.get(number)
         if entry is None or entry.ran or entry.number != number:
             return False
         entry.ran = True
-        self.keep_until(number, window_end(came, window_ms))
+        self.keep_until(number, window_end(now, window_ms))
         return True
 
     def settle(self, number: int, result: bytes | None) -> list[int]:
--- a/moorusher/fronts/jsonrpc.py
+++ b/moorusher/fronts/jsonrpc.py
@@ -231,7 +231,7 @@
         if len(self.open) >= MOST_OPEN:
             return self._fault(tag, INVALID, f"more than {MOST_OPEN} requests open on one connection")
         try:
-            arrival = read_arrival(method, params)
+            arrival = read_arrival(method, params, self._begun or None)
         except BadParams as exc:
             return self._fault(tag, BAD_PARAMS, str(exc))
         taken = self.core.take(arrival, self, tag)
--- a/moorusher/fronts/jsonrpc_messages.py
+++ b/moorusher/fronts/jsonrpc_messages.py
@@ -96,8 +96,8 @@
         raise BadParams(f"{key}: expected hex digits") from None
 
 
-def read_arrival(method: str, params: Any) -> Arrival:
-    """The params of one request, checked in form. Raises BadParams."""
+def read_arrival(method: str, params: Any, came: int | None = None) -> Arrival:
+    """The params of one request, checked in form; `came`: when its first byte was read. Raises BadParams."""
     if not isinstance(params, dict):
         raise BadParams("params: expected an object")
     rid, token = _text(params, "rid", 64), _text(params, "token", 128)
@@ -122,7 +122,7 @@
         method,
         body,
         _needed(params, "t0", UNIX_MS),
-        None,
+        came,
         _number(params, "budget", BUDGET_MS),
         _text(params, "acct", 256),
         int(peer),
