A listening socket without room waits, makes way and says why, instead of spinning or closing

Cause: where accept failed with ENFILE, ENOBUFS or ENOMEM, Twisted's loop looked again at once for as long as that lasted; with EMFILE it accepted and closed what came, requests included; an error of one connection (EHOSTUNREACH, ETIMEDOUT) was a traceback. Change: an accept loop of our own. Without room it looks again every 10 ms and has the longest useless connection give up its place; an error of one connection is counted. One log line a second with the reason (limited_log.py).

--- a/moorusher/fronts/jsonrpc.py
+++ b/moorusher/fronts/jsonrpc.py
@@ -316,6 +316,11 @@
             return None
         return JsonRpcConnection(self)
 
+    def make_way(self) -> None:
+        """The system has no room for one more connection."""
+        self.core.touch()
+        self.places.make_way()
+
     @property
     def connections(self) -> set[JsonRpcConnection]:
         return cast(set[JsonRpcConnection], self.places.all)
--- a/moorusher/fronts/places.py
+++ b/moorusher/fronts/places.py
@@ -92,6 +92,10 @@
         """For one more. Where all places are taken, the longest useless one is given up for it."""
         if len(self.all) < self.most:
             return True
+        return self.make_way()
+
+    def make_way(self) -> bool:
+        """The longest useless one is given up. False where each is of use."""
         now = self.core.clock.now
         return (
             self._give_up_one(now - GRACE, mid_message=False)
--- a/moorusher/fronts/uwsgi.py
+++ b/moorusher/fronts/uwsgi.py
@@ -208,6 +208,11 @@
             return None
         return UwsgiConnection(self)
 
+    def make_way(self) -> None:
+        """The system has no room for one more connection."""
+        self.core.touch()
+        self.places.make_way()
+
     @property
     def connections(self) -> set[UwsgiConnection]:
         return cast(set[UwsgiConnection], self.places.all)
--- a/moorusher/loop.py
+++ b/moorusher/loop.py
@@ -2,18 +2,25 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import resource
 import socket
 import time
 from collections.abc import Callable
 from contextlib import suppress
-from types import SimpleNamespace
+from errno import EMFILE, ENFILE, ENOBUFS, ENOMEM, errorcode
 from typing import Any
 
 from twisted.internet import epollreactor, main, tcp
 
+from .limited_log import LimitedLog
+
 ACCEPT_ALL = 1024  # the longest queue that a listening socket has here
+NO_ROOM = frozenset({EMFILE, ENFILE, ENOBUFS, ENOMEM})  # of the process or the system, not of one connection
+ROOM_AGAIN_S = 0.01
+
+limited = LimitedLog(logging.getLogger("moorusher"))
 
 
 class MonotonicReactor(epollreactor.EPollReactor):
@@ -70,30 +77,85 @@
 
 
 class Door(_TcpPort):  # type: ignore[misc]
-    """Twisted's listening port with two bounds. Accepts in one turn: a crowd must neither make it long, nor come in
-    faster than those who make way for it are closed. And Twisted closes at once what comes while no descriptor is left,
-    with a line in the log for each: here it is counted."""
+    """Twisted's listening port with an accept loop of its own.
+
+    Accepts in one turn are bounded: a crowd must neither make it long, nor come in faster than those who make way for
+    it are closed. Where the system has no descriptor or no memory for one more, Twisted closes what comes, requests
+    included, or looks again at once for as long as that lasts. Here it waits, and a useless connection makes way.
+    """
 
     most = 1
     _ends = False  # nothing more is accepted than what waits already
+    _paused = False  # by its owner
+    _count: Callable[[str], None]
 
     @classmethod
     def of(
         cls, reactor: Any, made: socket.socket, factory: Any, most: int, count: Callable[[str], None]
     ) -> Door:
+        """Accept on this socket."""
         door: Door = cls._fromListeningDescriptor(reactor, made.fileno(), made.family, factory)
-
-        def told(event: dict[str, Any]) -> None:
-            if "acceptError" in event or str(event.get("log_format")).startswith("EMFILE encountered"):
-                count("accepts without a descriptor")
-
-        door.most, door._logger = most, SimpleNamespace(namespace=__name__, observer=told)
+        door.most, door._count = most, count
         door.startListening()
         return door
 
     def doRead(self) -> None:
-        self.numberAccepts = self.most  # Twisted's grows with the crowd
-        super().doRead()
+        """Accept what waits, as far as the bound allows."""
+        for _ in range(self.most):
+            try:
+                accepted, address = self.socket.accept()
+            except BlockingIOError:
+                return
+            except OSError as exc:
+                if exc.errno in NO_ROOM:
+                    return self._wait_for_room(exc)
+                self._failed(exc)  # of that one connection; the next may be well
+            else:
+                self._let_in(accepted, address)
+
+    def _let_in(self, accepted: socket.socket, address: tuple[Any, ...]) -> None:
+        protocol = self.factory.buildProtocol(self._buildAddr(address))
+        if protocol is None:
+            accepted.close()
+            return
+        self.sessionno += 1
+        transport = self.transport(accepted, protocol, address, self, self.sessionno - 1, self.reactor)
+        protocol.makeConnection(transport)
+
+    def _failed(self, exc: OSError) -> None:
+        self._count("accepts that failed")
+        name = errorcode.get(exc.errno or 0, "?")
+        limited.write(logging.WARNING, f"accept {name}", "a connection could not be accepted: %s", name)
+
+    def _wait_for_room(self, exc: OSError) -> None:
+        self._count("accepts without a descriptor")
+        name = errorcode.get(exc.errno or 0, "?")
+        limited.write(
+            logging.WARNING,
+            f"accept {name}",
+            "no room to accept a connection: %s; raise limits.sockets or the system's limit on open files",
+            name,
+        )
+        make_way = getattr(self.factory, "make_way", None)
+        if make_way is not None:
+            make_way()
+        if self._ends:
+            return
+        super().stopReading()
+        self.reactor.callLater(ROOM_AGAIN_S, self._look_again)
+
+    def _look_again(self) -> None:
+        if self.connected and not self._paused:
+            super().startReading()
+
+    def stopReading(self) -> None:
+        """Nothing is accepted until `startReading`."""
+        self._paused = True
+        super().stopReading()
+
+    def startReading(self) -> None:
+        self._paused = False
+        super().startReading()
 
     def accept_last(self) -> None:
         """Those that wait already are let in, and the socket closes: left unaccepted, their requests would be lost."""
