--- /dev/null
+++ b/tests/faults/inject/sitecustomize.py
@@ -0,0 +1,111 @@
+"""Loaded by the interpreter of a runner under test, by PYTHONPATH alone: makes system calls fail as FAULT_PLAN says.
+
+FAULT_PLAN is JSON: a list of [call, errno, from, to, share], in seconds after the start, and of
+["clock", seconds, at, 0, 0] for steps of the Unix clock. `read` and `write` are of all sockets, `link read` and
+`link write` of those that the process has connected; with errno "SHORT" they pass one byte.
+"""
+
+import errno
+import json
+import os
+import random
+import select
+import socket
+import time
+
+PLAN = json.loads(os.environ.get("FAULT_PLAN", "[]"))
+BEGAN = time.monotonic()
+DRAW = random.Random(os.environ.get("FAULT_SEED", "1"))
+
+
+def due(call):
+    """The errno that this call fails with now, or None."""
+    age = time.monotonic() - BEGAN
+    for what, error, since, until, share in PLAN:
+        if what == call and since <= age < until and DRAW.random() < share:
+            return error
+    return None
+
+
+def fail(name):
+    return OSError(getattr(errno, name), os.strerror(getattr(errno, name)))
+
+
+def raising(call, inner):
+    def wrapped(self, *args):
+        error = due(call)
+        if error is None or (error == "SHORT" and call not in ("read", "write")):
+            return inner(self, *args)
+        if error == "SHORT":
+            first = args[0][:1] if call == "write" else 1
+            return inner(self, first, *args[1:])
+        raise fail(error)
+
+    return wrapped
+
+
+def returning(call, inner):
+    def wrapped(self, *args):
+        error = due(call)
+        return inner(self, *args) if error is None else getattr(errno, error)
+
+    return wrapped
+
+
+def of_links(call, inner):
+    """Only where this process has made the connection: a client's is broken by the client."""
+    failing = raising(call, inner)
+
+    def wrapped(self, *args):
+        return failing(self, *args) if self.outgoing else inner(self, *args)
+
+    return wrapped
+
+
+class FailingSocket(socket.socket):
+    outgoing = False
+
+    def __init__(self, *args, **kwargs):
+        made = kwargs.get("fileno") is None and (len(args) < 4 or args[3] is None)
+        if made and (error := due("socket")) is not None:
+            raise fail(error)
+        super().__init__(*args, **kwargs)
+
+    accept = raising("accept", socket.socket.accept)
+    recv = raising("read", of_links("link read", socket.socket.recv))
+    send = raising("write", of_links("link write", socket.socket.send))
+
+    def connect_ex(self, *args):
+        self.outgoing = True
+        return failing_connect(self, *args)
+
+
+class FailingEpoll:
+    def __init__(self, *args, **kwargs):
+        self._inner = select_epoll(*args, **kwargs)
+
+    def poll(self, *args, **kwargs):
+        error = due("epoll")
+        if error is not None:
+            raise fail(error)
+        return self._inner.poll(*args, **kwargs)
+
+    def __getattr__(self, name):
+        return getattr(self._inner, name)
+
+
+def stepped(inner, unit):
+    def wrapped():
+        age = time.monotonic() - BEGAN
+        return inner() + sum(int(by * unit) for what, by, at, _, _ in PLAN if what == "clock" and age >= at)
+
+    return wrapped
+
+
+failing_connect = returning("connect", socket.socket.connect_ex)
+
+if PLAN:
+    select_epoll = select.epoll
+    socket.socket = FailingSocket
+    select.epoll = FailingEpoll
+    time.time, time.time_ns = stepped(time.time, 1), stepped(time.time_ns, 10**9)
--- /dev/null
+++ b/tests/faults/kinds.py
@@ -0,0 +1,46 @@
+"""The kinds of days that are played."""
+
+from __future__ import annotations
+
+from .day import Faults
+
+LINK_S = 0.33  # in the incident's logs each kernel link was made anew three times a second
+
+
+def failing(call: str, error: str, share: float = 1.0) -> tuple[str, str, float, float, float]:
+    """For a second and a half, in the middle of the day."""
+    return call, error, 3.0, 4.5, share
+
+
+KINDS = (
+    Faults("none"),
+    Faults("links reset", kernel_life_s=LINK_S, db_life_s=LINK_S),
+    Faults("links cut in the midst", kernel_cut_after=3_000, db_cut_after=700),
+    Faults("links slow and reset", kernel_life_s=LINK_S, db_life_s=LINK_S, delay_s=0.02),
+    Faults("configurations and links reset", kernel_life_s=LINK_S, db_life_s=LINK_S, reloads=True),
+    Faults("stopped now and then", stopped_s=0.7, kernel_life_s=LINK_S),
+    Faults("clock +5 s", inside=(("clock", 5, 3.0, 0, 0),)),
+    Faults("clock -3600 s", inside=(("clock", -3600, 3.0, 0, 0),)),
+    Faults("accept fails", inside=(failing("accept", "ECONNABORTED", 0.5), failing("accept", "ENFILE"))),
+    Faults("accept has no buffers", inside=(failing("accept", "ENOBUFS"), failing("accept", "EMFILE", 0.5))),
+    Faults("no sockets", db_life_s=LINK_S, kernel_life_s=LINK_S, inside=(failing("socket", "ENFILE"),)),
+    Faults(
+        "no addresses", db_life_s=LINK_S, kernel_life_s=LINK_S, inside=(failing("connect", "EADDRNOTAVAIL"),)
+    ),
+    Faults(
+        "unreachable",
+        db_life_s=LINK_S,
+        kernel_life_s=LINK_S,
+        inside=(failing("connect", "ENETUNREACH", 0.7),),
+    ),
+    Faults("short reads and writes", inside=(failing("read", "SHORT", 0.7), failing("write", "SHORT", 0.7))),
+    Faults(
+        "reads of links fail",
+        inside=(failing("link read", "ETIMEDOUT", 0.02), failing("link read", "EHOSTUNREACH", 0.02)),
+    ),
+    Faults(
+        "writes of links fail",
+        inside=(failing("link write", "ETIMEDOUT", 0.02), failing("link write", "EPIPE", 0.02)),
+    ),
+    Faults("waits are interrupted", inside=(failing("epoll", "EINTR", 0.5),)),
+)
--- /dev/null
+++ b/tests/faults/troubles.py
@@ -0,0 +1,58 @@
+"""What is done to the runners of a day while it is played."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+from contextlib import suppress
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, cast
+
+if TYPE_CHECKING:
+    from ..stand_ins import Runner
+    from .day import Day
+
+BAD = ("", '{"name": "n1"', "[]")
+
+
+async def reloading(day: Day) -> None:
+    """Configurations in a row, good and bad ones, also back to back; classes come and go."""
+    while True:
+        await asyncio.sleep(0.2 + 0.4 * day.draw.random())
+        node = day.nodes[day.draw.randrange(day.runners)]
+        for _ in range(day.draw.randint(1, 3)):
+            _configure(day, node)
+
+
+def _configure(day: Day, node: Runner) -> None:
+    path = Path(node.dir.name) / "config.json"
+    choice = day.draw.randrange(5)
+    if choice < len(BAD):
+        path.write_text(BAD[choice])
+    else:
+        path.write_text(json.dumps(node.config | {"settings": _with_or_without_another(node, choice == 3)}))
+    with suppress(ProcessLookupError):
+        node.process.send_signal(signal.SIGHUP)
+
+
+def _with_or_without_another(node: Runner, another: bool) -> dict[str, Any]:
+    settings = cast(dict[str, Any], node.config["settings"])
+    if not another:
+        return settings
+    first: dict[str, Any] = settings["classes"][0] | {"name": "free-b", "effect": "single_shot"}
+    extra: dict[str, Any] = settings["extra"]
+    more = {"classCalls": [*extra["classCalls"], True], "worthWithout": [0.5, 0, 0, 0]}
+    return settings | {"classes": [*settings["classes"], first], "extra": extra | more}
+
+
+async def stopping(day: Day) -> None:
+    """A process stands still for a while, and goes on."""
+    while True:
+        await asyncio.sleep(0.5 + day.draw.random())
+        node = day.nodes[day.draw.randrange(day.runners)]
+        node.process.send_signal(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(day.faults.stopped_s)
+        finally:
+            node.process.send_signal(signal.SIGCONT)
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -196,8 +196,9 @@
         beside: Mapping[str, bytes] | None = None,
         descriptors: int = 0,
         name: str = "n1",
+        environment: Mapping[str, str] | None = None,
     ) -> None:
-        self._descriptors = descriptors
+        self._descriptors, self._environment = descriptors, environment or {}
         self.port, self.uwsgi, self.agent, self.health, self.admin, self.console = (
             free_port() for _ in range(6)
         )
@@ -246,6 +247,7 @@
                     "GW_CONFIG": str(folder / "config.json"),
                     "GW_CONSOLE": f"{HOST}:{self.console}",
                     "TMPDIR": str(self.spool),
+                    **self._environment,
                 },
                 stdout=self.log,
                 stderr=self.log,
@@ -332,6 +334,7 @@
     more: str = "",
     beside: Mapping[str, bytes] | None = None,
     descriptors: int = 0,
+    environment: Mapping[str, str] | None = None,
     **changes: Any,
 ) -> AsyncIterator[Runner]:
     kernel.listen()
@@ -347,6 +350,7 @@
         more,
         beside,
         descriptors,
+        environment=environment,
     )
     try:
         if wait:
