--- a/moorusher/leaving.py
+++ b/moorusher/leaving.py
@@ -17,8 +17,8 @@
 QUIET = 250 * MS  # without a word from any front end, before the connections that are left are closed
 LAST = 60 * MS  # before the time at which it would be killed, the program is gone in any case
 FLUSH_S = 0.03  # for what was written last to go out
-# A replaced process is killed so long after SIGTERM: its longest deadline, at most the first, and the second.
-REPLACED_MOST_MS, REPLACED_MORE_MS = 3_000.0, 700.0
+# SIGKILL may come so long after SIGTERM: the longest deadline, at most the first, and the second.
+KILL_MOST_MS, KILL_MORE_MS = 3_000.0, 700.0
 CLIENT_DOORS = ("listen", "uwsgi")  # health and administration stay open to the end
 
 
@@ -35,7 +35,7 @@
         service, core = self._service, self._service.core
         if core.leaving:
             return
-        stop_ms = service.config.stop_ms
+        stop_ms = min(service.config.stop_ms, self._earliest_kill_ms())
         log.info("leaving within %.0f ms", stop_ms)
         core.drain(stop_ms)
         if service.announcer is not None:
@@ -50,12 +50,16 @@
         core = self._service.core
         if core.leaving:
             return
-        longest = max(c.deadline_ms for c in core.settings.classes)
-        left = min(longest, REPLACED_MOST_MS) + REPLACED_MORE_MS
+        left = self._earliest_kill_ms()
         log.info("replaced: ends within %.0f ms", left)
         core.drain(left, replaced=True)
         self._leave_within(left)
 
+    def _earliest_kill_ms(self) -> float:
+        """After SIGTERM."""
+        longest = max(c.deadline_ms for c in self._service.core.settings.classes)
+        return min(longest, KILL_MOST_MS) + KILL_MORE_MS
+
     def _leave_within(self, ms: float) -> None:
         core = self._service.core
         self._heard = core.clock.now
--- a/tests/faults/kinds.py
+++ b/tests/faults/kinds.py
@@ -43,4 +43,8 @@
         inside=(failing("link write", "ETIMEDOUT", 0.02), failing("link write", "EPIPE", 0.02)),
     ),
     Faults("waits are interrupted", inside=(failing("epoll", "EINTR", 0.5),)),
+    Faults("restarts", restarts=True, kernel_life_s=LINK_S, db_life_s=LINK_S, obeys=0.5),
+    Faults("replacements", replacements=True, obeys=0.5),
+    Faults("replacements, links reset", replacements=True, kernel_life_s=LINK_S, db_life_s=LINK_S),
+    Faults("replacements, configurations", replacements=True, reloads=True, kernel_life_s=LINK_S),
 )
--- a/tests/faults/troubles.py
+++ b/tests/faults/troubles.py
@@ -5,6 +5,8 @@
 import asyncio
 import json
 import signal
+import subprocess
+import time
 from contextlib import suppress
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, cast
@@ -13,6 +15,7 @@
     from ..stand_ins import Runner
     from .day import Day
 
+DEADLINE_S, KILL_MORE_S = 3.0, 0.7
 BAD = ("", '{"name": "n1"', "[]")
 
 
@@ -56,3 +59,37 @@
             await asyncio.sleep(day.faults.stopped_s)
         finally:
             node.process.send_signal(signal.SIGCONT)
+
+
+async def restarting(day: Day) -> None:
+    """A runner leaves, and starts anew from nothing once it has ended."""
+    while True:
+        await asyncio.sleep(0.3 + 0.5 * day.draw.random())
+        index = day.draw.randrange(day.runners)
+        node = day.nodes[index]
+        await _told_to_end(node.process)
+        day.lives[index] += 1
+        node.again()
+        await node.ready()
+
+
+async def replacing(day: Day) -> None:
+    """A second process takes over from the first while that serves."""
+    while True:
+        await asyncio.sleep(0.3 + 0.5 * day.draw.random())
+        node = day.nodes[day.draw.randrange(day.runners)]
+        former = node.process
+        node.start(day.kernel_port())
+        await node.says_yes()
+        await _told_to_end(former)
+
+
+async def _told_to_end(process: subprocess.Popen[bytes]) -> None:
+    """SIGTERM, and SIGKILL as early as it may come."""
+    process.send_signal(signal.SIGTERM)
+    end = time.monotonic() + DEADLINE_S + KILL_MORE_S
+    while process.poll() is None and time.monotonic() < end:
+        await asyncio.sleep(0.02)
+    if process.poll() is None:
+        process.kill()
+        process.wait()
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -22,6 +22,20 @@
         await has(lambda: r.process.poll() == 0)
 
 
+@sockets
+async def test_all_is_answered_before_the_earliest_kill_whatever_the_stop_time_says() -> None:
+    """SIGKILL may come its longest deadline, at most 3 s, and 0.7 s after SIGTERM."""
+    async with running(Kernel(hang=True)) as r:
+        r.reload(stop_ms=9_000)
+        await has(lambda: "configuration read again" in r.text())
+        f = await FrontEnd.connect(r.port)
+        asked = [f.send("submit", token=key()) for _ in range(4)]
+        r.process.send_signal(signal.SIGTERM)
+        got = await asyncio.wait_for(asyncio.gather(*asked), 3.7)
+        assert all("error" in a for a in got) and "leaving within 3700 ms" in r.text()
+        await has(lambda: r.process.poll() == 0)
+
+
 @sockets
 async def test_links_that_move_as_the_notice_comes_still_bring_every_answer() -> None:
     async with running(kernel := Kernel(work=0.6)) as r:
