--- a/moorusher/fronts/jsonrpc.py
+++ b/moorusher/fronts/jsonrpc.py
@@ -316,6 +316,15 @@
             return None
         return JsonRpcConnection(self)
 
+    def is_full(self) -> bool:
+        """All places are taken."""
+        return self.places.full
+
+    def promise_place(self) -> bool:
+        """For the connection that waits to be accepted. False where each place is of use."""
+        self.core.touch()
+        return self.places.promise()
+
     def make_way(self) -> None:
         """The system has no room for one more connection."""
         self.core.touch()
--- a/moorusher/fronts/places.py
+++ b/moorusher/fronts/places.py
@@ -43,6 +43,7 @@
         self._asked: dict[Placed, int] = {}  # idle for long, and asked to close
         self._alarm: Alarm | None = None
         self._due = 0
+        self._promised = False  # a place has been made for the connection that is accepted next
 
     def __len__(self) -> int:
         return len(self.all)
@@ -90,9 +91,18 @@
 
     def room(self) -> bool:
         """For one more. Where all places are taken, the longest useless one is given up for it."""
-        if len(self.all) < self.most:
-            return True
-        return self.make_way()
+        promised, self._promised = self._promised, False
+        return promised or not self.full or self.make_way()
+
+    def promise(self) -> bool:
+        """The same for the connection that is accepted next: `room` has it then."""
+        self._promised = self._promised or not self.full or self.make_way()
+        return self._promised
+
+    @property
+    def full(self) -> bool:
+        """Whether one more needs the place of another, which has not been made yet."""
+        return len(self.all) >= self.most and not self._promised
 
     def make_way(self) -> bool:
         """The longest useless one is given up. False where each is of use."""
--- a/moorusher/loop.py
+++ b/moorusher/loop.py
@@ -101,7 +101,12 @@
 
     def doRead(self) -> None:
         """Accept what waits, as far as the bound allows."""
-        for _ in range(self.most):
+        for accepted_before in range(self.most):
+            if not self._ends and self._is_full():
+                if accepted_before:
+                    return  # if more wait, the loop comes back: nobody makes way for nothing
+                if not self.factory.promise_place():
+                    return self._wait_for_place()
             try:
                 accepted, address = self.socket.accept()
             except BlockingIOError:
@@ -127,7 +132,23 @@
         name = errorcode.get(exc.errno or 0, "?")
         limited.write(logging.WARNING, f"accept {name}", "a connection could not be accepted: %s", name)
 
+    def _is_full(self) -> bool:
+        """Whether all places of its front are taken; some fronts see to that themselves."""
+        is_full = getattr(self.factory, "is_full", None)
+        return is_full is not None and bool(is_full())
+
+    def _wait_for_place(self) -> None:
+        """All places have open requests. What waits unaccepted may be let in in time; closed, its request is lost."""
+        self._count("accepts that waited for a place")
+        limited.write(
+            logging.WARNING,
+            "place",
+            "all places for connections have open requests: new ones wait; raise limits.sockets",
+        )
+        self._rest()
+
     def _wait_for_room(self, exc: OSError) -> None:
+        """The system has no descriptor or no memory."""
         self._count("accepts without a descriptor")
         name = errorcode.get(exc.errno or 0, "?")
         limited.write(
@@ -139,8 +160,10 @@
         make_way = getattr(self.factory, "make_way", None)
         if make_way is not None:
             make_way()
-        if self._ends:
-            return
+        if not self._ends:
+            self._rest()
+
+    def _rest(self) -> None:
         super().stopReading()
         self.reactor.callLater(ROOM_AGAIN_S, self._look_again)
 
--- a/tests/faults/kinds.py
+++ b/tests/faults/kinds.py
@@ -47,4 +47,11 @@
     Faults("replacements", replacements=True, obeys=0.5),
     Faults("replacements, links reset", replacements=True, kernel_life_s=LINK_S, db_life_s=LINK_S),
     Faults("replacements, configurations", replacements=True, reloads=True, kernel_life_s=LINK_S),
+    Faults("crowd of idle clients", crowd=300, sockets=100),
+    Faults("crowd and links reset", crowd=300, sockets=100, kernel_life_s=LINK_S, db_life_s=LINK_S),
+    Faults("crowd and restarts", crowd=200, sockets=100, restarts=True, obeys=0.5),
+    Faults("spoilt replies and notices twice", spoilt=0.2, twice=0.2, db_life_s=LINK_S, kernel_life_s=LINK_S),
+    Faults("clients walk away", walks_away=0.3, kernel_life_s=LINK_S),
+    Faults("trouble after a quiet time", quiet_s=9.0, kernel_life_s=LINK_S, db_life_s=LINK_S, reloads=True),
+    Faults("replacements that fail", replacements=True, failed_replacements=0.6, obeys=0.5),
 )
--- a/tests/faults/troubles.py
+++ b/tests/faults/troubles.py
@@ -5,12 +5,15 @@
 import asyncio
 import json
 import signal
+import socket
 import subprocess
 import time
 from contextlib import suppress
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, cast
 
+from ..stand_ins import HOST
+
 if TYPE_CHECKING:
     from ..stand_ins import Runner
     from .day import Day
@@ -80,8 +83,49 @@
         node = day.nodes[day.draw.randrange(day.runners)]
         former = node.process
         node.start(day.kernel_port())
-        await node.says_yes()
-        await _told_to_end(former)
+        if day.draw.random() < day.faults.failed_replacements:
+            await _fails(day, node)
+        else:
+            await node.says_yes()
+            await _told_to_end(former)
+
+
+async def _fails(day: Day, node: Runner) -> None:
+    """The new process is killed at some step, or stands still for so long that the former one gives it up."""
+    await asyncio.sleep(1.2 * day.draw.random())
+    if day.draw.random() < 0.5:
+        node.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(2 * day.draw.random())
+    day.killed[day.nodes.index(node)] = time.monotonic()
+    node.process.kill()
+    node.process.wait()
+    node.processes.pop()
+
+
+async def crowding(day: Day) -> None:
+    """Others open connections without end, and say nothing or half a line on them."""
+    crowd: list[socket.socket] = []
+    try:
+        while True:
+            node = day.nodes[day.draw.randrange(day.runners)]
+            for _ in range(day.faults.crowd // 10):
+                crowd.append(_connect(node.port))
+                if day.draw.random() < 0.5:
+                    with suppress(OSError):
+                        crowd[-1].send(b'{"jsonrpc":"2.0","id":1,"met')
+            while len(crowd) > day.faults.crowd:
+                crowd.pop(day.draw.randrange(len(crowd))).close()
+            await asyncio.sleep(0.05)
+    finally:
+        for one in crowd:
+            one.close()
+
+
+def _connect(port: int) -> socket.socket:
+    made = socket.socket()
+    made.setblocking(False)
+    made.connect_ex((HOST, port))
+    return made
 
 
 async def _told_to_end(process: subprocess.Popen[bytes]) -> None:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -4,6 +4,7 @@
 
 import json
 import socket
+import time
 from types import SimpleNamespace
 from typing import Any
 
@@ -14,7 +15,7 @@
 from moorusher.fronts.places import ASKED, CLOSING
 from moorusher.fronts.uwsgi import UwsgiFront
 from moorusher.leaving import Departure
-from moorusher.loop import Door, listener
+from moorusher.loop import ROOM_AGAIN_S, Door, listener
 
 from .by_hand import HOST, Client, Loop
 from .stand_ins import status, uwsgi_request
@@ -153,6 +154,34 @@
         assert answered(client)["id"] == 1
 
 
+def test_a_new_connection_waits_unaccepted_while_each_place_has_a_request_open() -> None:
+    s = Served(cores=8)
+    made = listener((HOST, 0))
+    address = made.getsockname()
+    counts: list[str] = []
+    with made:
+        door = Door.of(s.loop.reactor, made, s.front, 8, counts.append)
+    clients = [socket.create_connection(address) for _ in range(ROOM + 2)]
+    for i, client in enumerate(clients):
+        client.send(call(1, rid=f"r{i}"))
+    s.loop.turn()
+    assert len(s.front.connections) == ROOM and counts
+    assert sorted(s.world.core.table.by_rid) == ["r0", "r1", "r2"]
+    s.run_over("r0")  # its connection rests from here on, and makes way
+    time.sleep(2 * ROOM_AGAIN_S)
+    s.loop.turn()
+    assert sorted(s.world.core.table.by_rid) == ["r1", "r2", "r3"]
+    assert b'"id":1' in clients[0].recv(1000), "who makes way has had its answer"
+    for rid in ("r1", "r2", "r3"):
+        s.run_over(rid)
+        time.sleep(2 * ROOM_AGAIN_S)
+        s.loop.turn()
+    assert sorted(s.world.core.table.by_rid) == ["r4"]
+    for client in clients:
+        client.close()
+    door.stopListening()
+
+
 def test_a_line_too_long_behind_a_request_does_not_take_its_answer_away() -> None:
     s = Served()
     client = s.connect()
