--- a/moorusher/links/succession.py
+++ b/moorusher/links/succession.py
@@ -35,6 +35,7 @@
 log = logging.getLogger("moorusher")
 
 VERSION = 1
+PLACE_AGAIN = 1_000 * MS  # until $TMPDIR is tried again
 AGAIN = 200 * MS  # until the next look at a socket where nobody could be had
 TOLD_EVERY = 50 * MS  # what this process takes, to the one that replaces it
 MOST_FRAME = 65_536  # a result has 4 KiB
@@ -314,7 +315,11 @@
         if not stat.S_ISSOCK(found.st_mode) or found.st_uid != os.getuid():
             log.warning("%s is no socket of this runner: passed over", self._path)
             return self.hear(Event.NOBODY)
-        self._reactor.connectUNIX(self._path, _Look(self), timeout=2)
+        try:
+            self._reactor.connectUNIX(self._path, _Look(self), timeout=2)
+        except OSError as exc:  # no room for a socket, as Twisted has it raised at once
+            log.warning("succession: can't look for another process yet: %s", exc)
+            self._look_later()
 
     def _look_later(self) -> None:
         self.core.touch()
@@ -500,12 +505,25 @@
             self._inode = os.stat(own).st_ino
             os.rename(own, self._path)
         except OSError as exc:
-            log.error("no further process can find this one: %s: %s", self._path, exc)
+            log.error("no further process can find this one yet: %s: %s", self._path, exc)
             with suppress(OSError):
                 os.unlink(own)
+            self.core.alarms.at(self.core.clock.now + PLACE_AGAIN, self._take_place_later)
         finally:
             os.umask(mask)
 
+    def _take_place_later(self) -> None:
+        """Once $TMPDIR has room, unless this process ends, or another has the place by now."""
+        if not self.core.leaving and not self._is_taken():
+            self.core.touch()
+            self._take_place()
+
+    def _is_taken(self) -> bool:
+        try:
+            return stat.S_ISSOCK(os.lstat(self._path).st_mode)
+        except OSError:
+            return False
+
     def _tell(self) -> None:
         """What this process takes, to the one that is to keep within what is left."""
         if self.peer is None or not self.life.predecessor:
--- a/moorusher/loop.py
+++ b/moorusher/loop.py
@@ -9,16 +9,17 @@
 import time
 from collections.abc import Callable
 from contextlib import suppress
-from errno import EMFILE, ENFILE, ENOBUFS, ENOMEM, errorcode
+from errno import errorcode
 from typing import Any
 
 from twisted.internet import epollreactor, main, tcp
 
 from .limited_log import LimitedLog
+from .transient import NO_ROOM, persist
 
 ACCEPT_ALL = 1024  # the longest queue that a listening socket has here
-NO_ROOM = frozenset({EMFILE, ENFILE, ENOBUFS, ENOMEM})  # of the process or the system, not of one connection
 ROOM_AGAIN_S = 0.01
+START_WITHIN_S = 15.0  # the loop has its descriptors, whatever the system is short of for a moment
 
 limited = LimitedLog(logging.getLogger("moorusher"))
 
@@ -31,7 +32,7 @@
 
 def install() -> Any:
     """Before anything imports `twisted.internet.reactor`."""
-    reactor = MonotonicReactor()  # type: ignore[no-untyped-call]
+    reactor = persist(MonotonicReactor, START_WITHIN_S)
     main.installReactor(reactor)  # type: ignore[no-untyped-call]
     return reactor
 
--- a/moorusher/service.py
+++ b/moorusher/service.py
@@ -23,12 +23,13 @@
 from .links.kernel import KernelLink
 from .links.uwsgi import UwsgiCalls
 from .listening import Listeners
-from .loop import LoopTimer, descriptors, listener
+from .loop import LoopTimer, descriptors, limited, listener
 from .reloading import follow
 from .report import Reporter
-from .section import ConfigError
+from .section import Address, ConfigError
 from .standing.observe import Maintenance
 from .succession.budget import Load, path_for
+from .transient import passes
 
 log = logging.getLogger("moorusher")
 
@@ -38,10 +39,9 @@
 FIXED_SOCKETS = (
     14  # of them: the interpreter's and the loop's, listening sockets, the kernel and the announce service
 )
-LISTEN_AGAIN, LISTEN_WITHIN = (
-    100 * MS,
-    4 * SECOND,
-)  # where an address is not free; a new process says yes in 6 s
+LISTEN_AGAIN = 100 * MS
+LISTEN_WITHIN = 4 * SECOND  # where an address is not free: a new process says yes in 6 s
+ROOM_WITHIN = 20 * SECOND  # where the system has no room for a socket: it may have some soon
 LEAST_PLACES = 16  # for clients, whatever else there is
 LEAST_CONSOLE = 8
 CONSOLE_SHARE = 6  # one in so many of them is the console's: two processes may have one
@@ -144,7 +144,7 @@
             self.outage = OutageLink(self.fleet, config.outage, self.reporter)
         self.serving = False  # clients are let in, here or by the process that replaces this one
         self.failed = False  # it could not start
-        self._listen_by: int | None = None
+        self._listen_since: int | None = None  # a socket could not be had since then
 
     def start(self) -> None:
         config = self.config
@@ -152,7 +152,7 @@
             from .fronts.console import Console
 
             self.console = Console(self.core, self.reporter, self._console_places(), lambda: self.serving)
-            self.listeners.adopt(listener(config.console), self.console)
+            self._open_console(config.console)
         doors = self.listeners.doors
         doors["listen"] = config.listen, self.front
         if config.uwsgi.listen is not None:
@@ -234,7 +234,7 @@
         try:
             self.listeners.open(handed)
         except OSError as exc:
-            return self._not_free(exc, handed)
+            return self._listen_again(exc, lambda: self.accept(handed))
         if first and self.announcer is not None:
             self.announcer.core = self.core
             self.announcer.fit = self._fit
@@ -244,15 +244,22 @@
             self.fleet.start()
         log.info("%s listens on %s:%d", self.config.name, *self.config.listen)
 
-    def _not_free(self, exc: OSError, handed: dict[str, int]) -> None:
-        """An older build beside this one does not share its address, and ends soon. Who never gets it must end and say
-        so, not stay up unheard."""
+    def _open_console(self, address: Address) -> None:
+        try:
+            self.listeners.adopt(listener(address), self.console)
+        except OSError as exc:
+            self._listen_again(exc, lambda: self._open_console(address))
+
+    def _listen_again(self, exc: OSError, again: Callable[[], None]) -> None:
+        """An older build beside this one does not share its address, and ends soon; a system without room may have some
+        soon. Who never gets a socket must end and say so, not stay up unheard."""
         self.core.touch()
-        if self._listen_by is None:
-            self._listen_by = self.clock.now + LISTEN_WITHIN
-        if self.clock.now < self._listen_by:
-            log.warning("can't listen yet: %s", exc)
-            self.alarms.at(self.clock.now + LISTEN_AGAIN, lambda: self.accept(handed))
+        if self._listen_since is None:
+            self._listen_since = self.clock.now
+        waited = self.clock.now - self._listen_since
+        if waited < (ROOM_WITHIN if passes(exc) else LISTEN_WITHIN):
+            limited.write(logging.WARNING, "listen", "can't listen yet: %s", exc)
+            self.alarms.at(self.clock.now + LISTEN_AGAIN, again)
         else:
             log.error("could not start: %s", exc)
             self.failed = True
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -198,7 +198,7 @@
         name: str = "n1",
         environment: Mapping[str, str] | None = None,
     ) -> None:
-        self._descriptors, self._environment = descriptors, environment or {}
+        self._descriptors, self.environment = descriptors, environment or {}
         self.port, self.uwsgi, self.agent, self.health, self.admin, self.console = (
             free_port() for _ in range(6)
         )
@@ -247,7 +247,7 @@
                     "GW_CONFIG": str(folder / "config.json"),
                     "GW_CONSOLE": f"{HOST}:{self.console}",
                     "TMPDIR": str(self.spool),
-                    **self._environment,
+                    **self.environment,
                 },
                 stdout=self.log,
                 stderr=self.log,
--- a/tests/test_fault_days.py
+++ b/tests/test_fault_days.py
@@ -52,6 +52,26 @@
         assert (await r.counters())["accepts without a descriptor"] < 400
 
 
+@pytest.mark.parametrize(
+    "call, error",
+    [("socket", "ENFILE"), ("socket", "ENOBUFS"), ("connect", "ENETUNREACH"), ("accept", "ENFILE")],
+)
+def test_a_system_without_room_at_the_start_is_waited_out(call: str, error: str) -> None:
+    @sockets
+    async def run() -> None:
+        environment = {"PYTHONPATH": str(INJECT), "FAULT_PLAN": json.dumps([(call, error, 0, 1.5, 1.0)])}
+        async with running(Kernel(), environment=environment) as r:
+            assert "result" in await (await FrontEnd.connect(r.port)).ask("check")
+            r.environment = {}
+            (further := Kernel()).listen()
+            r.start(further.port)  # the next process finds this one
+            await r.says_yes()
+            assert "a further process of this runner has come" in r.text()
+            further.close()
+
+    run()
+
+
 def cpu_s(pid: int) -> float:
     user, system = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()[11:13]
     return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
--- a/tests/test_replacing.py
+++ b/tests/test_replacing.py
@@ -10,7 +10,9 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
-from .stand_ins import FrontEnd, Kernel, Runner, content, running, until
+from moorusher.succession.budget import path_for
+
+from .stand_ins import HOST, FrontEnd, Kernel, Runner, content, running, until
 from .test_sockets import has, key, sockets
 
 
@@ -47,6 +49,22 @@
                 k.close()
 
 
+@sockets
+async def test_a_process_whose_name_could_not_be_made_is_found_once_it_can() -> None:
+    async with running(Kernel(), wait=False) as r:
+        in_the_way = Path(path_for(str(r.spool), "n1", (HOST, r.port)) or "")
+        in_the_way.mkdir()
+        await r.ready()
+        await has(lambda: "no further process can find this one yet" in r.text())
+        in_the_way.rmdir()
+        await has(in_the_way.is_socket)
+        (further := Kernel()).listen()
+        r.start(further.port)
+        await r.says_yes()
+        assert "a further process of this runner has come" in r.text()
+        further.close()
+
+
 @sockets
 async def test_under_load_nothing_is_lost_at_the_door_and_the_old_process_ends_in_order() -> None:
     async with pair(work=0.05) as both:
