--- a/tests/test_fault_days.py
+++ b/tests/test_fault_days.py
@@ -16,7 +16,7 @@
 from .faults.day import INJECT, Day, Faults
 from .faults.kinds import KINDS
 from .stand_ins import FrontEnd, Kernel, running
-from .test_sockets import sockets
+from .test_sockets import has, sockets
 
 SEED = 1
 AT_ONCE = 6
@@ -63,6 +63,7 @@
         async with running(Kernel(), environment=environment) as r:
             assert "result" in await (await FrontEnd.connect(r.port)).ask("check")
             r.environment = {}
+            await has(lambda: any(path.is_socket() for path in r.spool.iterdir()))
             (further := Kernel()).listen()
             r.start(further.port)  # the next process finds this one
             await r.says_yes()
