--- a/moorusher/loop.py
+++ b/moorusher/loop.py
@@ -21,7 +21,8 @@
 ROOM_AGAIN_S = 0.01
 START_WITHIN_S = 15.0  # the loop has its descriptors, whatever the system is short of for a moment
 
-limited = LimitedLog(logging.getLogger("moorusher"))
+log = logging.getLogger("moorusher")
+limited = LimitedLog(log)
 
 
 class MonotonicReactor(epollreactor.EPollReactor):
@@ -117,7 +118,15 @@
                     return self._wait_for_room(exc)
                 self._failed(exc)  # of that one connection; the next may be well
             else:
-                self._let_in(accepted, address)
+                self._let_in_safely(accepted, address)
+
+    def _let_in_safely(self, accepted: socket.socket, address: tuple[Any, ...]) -> None:
+        """A fault over one connection must not end the listening socket, as it would in Twisted's loop."""
+        try:
+            self._let_in(accepted, address)
+        except Exception:
+            log.exception("a connection could not be begun")
+            accepted.close()
 
     def _let_in(self, accepted: socket.socket, address: tuple[Any, ...]) -> None:
         protocol = self.factory.buildProtocol(self._buildAddr(address))
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -182,6 +182,25 @@
     door.stopListening()
 
 
+def test_a_fault_over_one_connection_does_not_end_the_listening_socket() -> None:
+    s = Served()
+    made = listener((HOST, 0))
+    address = made.getsockname()
+    with made:
+        door = Door.of(s.loop.reactor, made, s.front, 8, lambda name: None)
+    build, s.front.buildProtocol = s.front.buildProtocol, lambda addr: 1 / 0  # type: ignore[method-assign, assignment, return-value]
+    first = socket.create_connection(address)
+    s.loop.turn()
+    s.front.buildProtocol = build  # type: ignore[method-assign]
+    second = socket.create_connection(address)
+    second.send(HEARTBEAT)
+    s.loop.turn()
+    assert first.recv(100) == b"" and b'"fit": true' in second.recv(1000)
+    first.close()
+    second.close()
+    door.stopListening()
+
+
 def test_a_line_too_long_behind_a_request_does_not_take_its_answer_away() -> None:
     s = Served()
     client = s.connect()
