--- a/moorusher/fleet/journal.py
+++ b/moorusher/fleet/journal.py
@@ -92,8 +92,10 @@
     if at + _HEAD.size > len(data):
         return None
     length, digest = _HEAD.unpack_from(data, at)
+    if length > MOST or at + _HEAD.size + length > len(data):
+        return None
     body = data[at + _HEAD.size : at + _HEAD.size + length]
-    if length > MOST or len(body) < length or xxhash.xxh64_intdigest(body) != digest:
+    if xxhash.xxh64_intdigest(body) != digest:
         return None
     try:
         return _decoder.decode(body), at + _HEAD.size + length
@@ -119,8 +121,12 @@
         image.good = end
     if image.good == 0:
         raise ValueError("it has no beginning")
-    if image.good + _HEAD.size <= len(data):
-        length, _ = _HEAD.unpack_from(data, image.good)
-        if _whole(data, image.good + _HEAD.size + length) is not None:
-            raise ValueError(f"damaged at byte {image.good}")
+    if _has_whole_after(data, image.good + 1):
+        raise ValueError(f"damaged at byte {image.good}")
     return image
+
+
+def _has_whole_after(data: bytes, start: int) -> bool:
+    """Whether a record stands anywhere behind that byte: what comes before it is damage, not an end. Each byte may be
+    its first, since the length of the damaged one may be what is damaged."""
+    return any(_whole(data, at) is not None for at in range(start, len(data) - _HEAD.size + 1))
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import fcntl
+import random
 import resource
+import time
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -47,13 +49,30 @@
         assert image.remembers == (whole >= 4)
 
 
-@pytest.mark.parametrize("at", range(0, 12))
-def test_a_bad_record_before_a_good_one_is_damage_and_not_an_end(at: int) -> None:
-    first = len(pack([WHOSE]))
-    data = bytearray(pack([WHOSE, line(1), line(2)]))
-    data[first + 4 + at * 3] ^= 0x40  # in the checksum or the body of the second record
-    with pytest.raises(ValueError, match="damaged"):
-        read(bytes(data), WHOSE)
+@pytest.mark.parametrize("bit", range(8))
+def test_a_bad_record_before_a_good_one_is_damage_and_not_an_end(bit: int) -> None:
+    first, second = len(pack([WHOSE])), len(pack([WHOSE, line(1)]))
+    whole = pack([WHOSE, line(1), line(2)])
+    for at in range(first, second):  # its length, its checksum, its body
+        data = bytearray(whole)
+        data[at] ^= 1 << bit
+        with pytest.raises(ValueError, match="damaged"):
+            read(bytes(data), WHOSE)
+
+
+def test_bytes_of_a_record_that_are_missing_in_the_middle_are_damage() -> None:
+    first, second = len(pack([WHOSE])), len(pack([WHOSE, line(1)]))
+    whole = pack([WHOSE, line(1), line(2)])
+    for at in range(first + 1, second):
+        with pytest.raises(ValueError, match="damaged"):
+            read(whole[:at] + whole[second:], WHOSE)
+
+
+def test_a_long_torn_end_is_looked_through_in_time() -> None:
+    whole = pack([WHOSE, line(1)])
+    began = time.monotonic()
+    assert read(whole + random.Random(1).randbytes(1 << 20), WHOSE).good == len(whole)
+    assert time.monotonic() - began < 10
 
 
 def test_a_file_of_another_seat_fleet_or_version_is_not_read() -> None:
