--- a/tests/faults/kinds.py
+++ b/tests/faults/kinds.py
@@ -54,4 +54,5 @@
     Faults("clients walk away", walks_away=0.3, kernel_life_s=LINK_S),
     Faults("trouble after a quiet time", quiet_s=9.0, kernel_life_s=LINK_S, db_life_s=LINK_S, reloads=True),
     Faults("replacements that fail", replacements=True, failed_replacements=0.6, obeys=0.5),
+    Faults("replacements, clock stepped", replacements=True, inside=(("clock", -7, 1.0, 0, 0),)),
 )
