Listening sockets, their accept loop and their factories are named as such

Need: "door" stood for a listening port, its address, its factory and a name in $TMPDIR. Change: Door is AcceptingPort, doors are planned listeners, PeerFactory, _FurtherProcesses, _close_listeners, stop_accepting. Names only; wire, settings, metrics and CLI are as before.

--- a/moorusher/core/watch.py
+++ b/moorusher/core/watch.py
@@ -24,4 +24,4 @@
     def link_lost(self, now: int) -> None: ...
 
     def changed(self) -> None:
-        """Something that must be in the very next report: a notice to leave, closed doors."""
+        """Something that must be in the very next report: a notice to leave, closed listening sockets."""
--- a/moorusher/leaving.py
+++ b/moorusher/leaving.py
@@ -19,7 +19,7 @@
 FLUSH_S = 0.03  # for what was written last to go out
 # SIGKILL may come so long after SIGTERM: the longest deadline, at most the first, and the second.
 KILL_MOST_MS, KILL_MORE_MS = 3_000.0, 700.0
-CLIENT_DOORS = ("listen", "uwsgi")  # health and administration stay open to the end
+CLIENT_LISTENERS = ("listen", "uwsgi")  # health and administration stay open to the end
 
 
 class Departure:
@@ -40,9 +40,9 @@
         core.drain(stop_ms)
         if service.announcer is not None:
             service.announcer.stop()
-        # Front ends learn of it seconds late, and whoever takes over is cold: the doors stay open for a while.
+        # Front ends learn of it seconds late, and whoever takes over is cold: connections are still accepted.
         on = min(core.settings.drain_grace_ms, SERVE_ON * stop_ms)
-        core.alarms.at(core.clock.now + round(on * MS), self._close_doors)
+        core.alarms.at(core.clock.now + round(on * MS), self._close_listeners)
         self._leave_within(stop_ms)
 
     def finish(self) -> None:
@@ -71,13 +71,13 @@
         core = self._service.core
         core.alarms.at(core.clock.now + QUIET, self._look_again)
 
-    def _close_doors(self) -> None:
+    def _close_listeners(self) -> None:
         service = self._service
         self._heard = service.clock.now
-        service.reporter.close_doors()
+        service.reporter.stop_accepting()
         service.front.leave()
         service.serving = False
-        for label in CLIENT_DOORS:
+        for label in CLIENT_LISTENERS:
             service.listeners.close(label)
 
     def _connections(self) -> list[Any]:
@@ -86,9 +86,9 @@
     def _settled(self) -> None:
         """Once all is answered, and front ends have closed their connections or say nothing more on them."""
         service, core = self._service, self._service.core
-        open_doors = service.listeners.accepting() & set(CLIENT_DOORS)
+        accepting = service.listeners.accepting() & set(CLIENT_LISTENERS)
         runs = core.replaced and len(core.runs)  # their results go to the one that serves on
-        if core.owed or open_doors or runs or (service.fleet is not None and service.fleet.busy):
+        if core.owed or accepting or runs or (service.fleet is not None and service.fleet.busy):
             self._heard = core.clock.now
             return
         heard = max((c.active for c in service.front.connections), default=0)
@@ -106,7 +106,7 @@
         if service.keeper is not None:
             service.keeper.stop()
         if not service.core.replaced:
-            self._close_doors()
+            self._close_listeners()
         connections = self._connections()
         for connection in connections:
             connection.read_rest()  # a request that came in this moment is not closed over
--- a/moorusher/links/peers.py
+++ b/moorusher/links/peers.py
@@ -199,7 +199,7 @@
         self.link.unreached(self.seat, refused=code == 111)
 
 
-class Doors(Factory):
+class PeerFactory(Factory):
     """Listens for the other runners of the fleet."""
 
     noisy = False
--- a/moorusher/links/succession.py
+++ b/moorusher/links/succession.py
@@ -214,7 +214,7 @@
         return port
 
 
-class _Doors(Factory):
+class _FurtherProcesses(Factory):
     """Where a further process finds this one."""
 
     noisy = False
@@ -247,7 +247,7 @@
         self.life = Life()
         self.peer: Peer | None = None
         self._handed: dict[str, int] = {}  # sockets of the other process, by label, not yet listened on
-        self._doors: Any = None
+        self._listening: Any = None
         self._inode = 0
         self._alarm: Alarm | None = None
         self._told = Load()
@@ -300,7 +300,7 @@
         """The process ends in order: the other one need not wait for anything of it."""
         if self.peer is not None:
             self.peer.bye()
-        if self._doors is not None:
+        if self._listening is not None:
             with suppress(OSError):
                 if os.stat(self._path).st_ino == self._inode:  # else it is a successor's
                     os.unlink(self._path)
@@ -492,8 +492,8 @@
         """Under a name of its own first, then in one step in the place of whatever was there."""
         own = f"{self._path}.{os.getpid()}"
         mask = os.umask(0o177)
-        if self._doors is not None:  # the one that was here between has died
-            self._doors.stopListening()
+        if self._listening is not None:  # the one that was here between has died
+            self._listening.stopListening()
         try:
             Path(own).unlink(missing_ok=True)
             with socket.socket(
@@ -501,7 +501,7 @@
             ) as made:
                 made.bind(own)
                 made.listen(8)
-                self._doors = _Port.of(self._reactor, made, _Doors(self))
+                self._listening = _Port.of(self._reactor, made, _FurtherProcesses(self))
             self._inode = os.stat(own).st_ino
             os.rename(own, self._path)
         except OSError as exc:
--- a/moorusher/listening.py
+++ b/moorusher/listening.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from .loop import Door, listener, listens_at
+from .loop import AcceptingPort, listener, listens_at
 from .section import Address
 
 ACCEPTS_SHARE = (
@@ -15,36 +15,36 @@
 
 
 class Listeners:
-    """By label; `doors` says where each is to listen, and for which front."""
+    """By label; `planned` says where each is to listen, and for which front."""
 
     def __init__(self, reactor: Any, spare: int, count: Callable[[str], None]) -> None:
         self._reactor, self._count = reactor, count
         self._accepts = max(1, spare // ACCEPTS_SHARE)
-        self.doors: dict[str, tuple[Address, Any]] = {}
+        self.planned: dict[str, tuple[Address, Any]] = {}
         self._ports: dict[str, Any] = {}
         self._paused: set[str] = set()  # of them, those on which a further process accepts
 
     def adopt(self, made: socket.socket, factory: Any) -> Any:
         """Accept on this socket, which is Twisted's from here on."""
         with made:
-            return Door.of(self._reactor, made, factory, self._accepts, self._count)
+            return AcceptingPort.of(self._reactor, made, factory, self._accepts, self._count)
 
     def open(self, handed: dict[str, int]) -> None:
-        """Each door that is not open yet, on the descriptor that was handed over for it or on a socket of its own.
-        Raises OSError where an address is not free; what is open by then stays."""
-        for label, (address, factory) in self.doors.items():
+        """Each planned listener that is not open yet, on the descriptor that was handed over for it or on a socket of
+        its own. Raises OSError where an address is not free; what is open by then stays."""
+        for label, (address, factory) in self.planned.items():
             if label not in self._ports:
                 made = socket.socket(fileno=handed.pop(label)) if label in handed else listener(address)
                 self._ports[label] = self.adopt(made, factory)
 
     def usable(self, handed: dict[str, int]) -> dict[str, int]:
-        """Of descriptors handed over, those at the addresses of doors that are not open."""
+        """Of descriptors handed over, those at the addresses of planned listeners that are not open."""
         return {
             label: descriptor
             for label, descriptor in handed.items()
-            if label in self.doors
+            if label in self.planned
             and label not in self._ports
-            and listens_at(descriptor, self.doors[label][0])
+            and listens_at(descriptor, self.planned[label][0])
         }
 
     def descriptors(self) -> dict[str, int]:
--- a/moorusher/loop.py
+++ b/moorusher/loop.py
@@ -78,7 +78,7 @@
 _TcpPort: Any = tcp.Port  # Twisted's classes carry no types
 
 
-class Door(_TcpPort):  # type: ignore[misc]
+class AcceptingPort(_TcpPort):  # type: ignore[misc]
     """Twisted's listening port with an accept loop of its own.
 
     Accepts in one turn are bounded: a crowd must neither make it long, nor come in faster than those who make way for
@@ -94,12 +94,12 @@
     @classmethod
     def of(
         cls, reactor: Any, made: socket.socket, factory: Any, most: int, count: Callable[[str], None]
-    ) -> Door:
+    ) -> AcceptingPort:
         """Accept on this socket."""
-        door: Door = cls._fromListeningDescriptor(reactor, made.fileno(), made.family, factory)
-        door.most, door._count = most, count
-        door.startListening()
-        return door
+        port: AcceptingPort = cls._fromListeningDescriptor(reactor, made.fileno(), made.family, factory)
+        port.most, port._count = most, count
+        port.startListening()
+        return port
 
     def doRead(self) -> None:
         """Accept what waits, as far as the bound allows."""
--- a/moorusher/report.py
+++ b/moorusher/report.py
@@ -81,7 +81,7 @@
     def changed(self) -> None:
         self._last = None
 
-    def close_doors(self) -> None:
+    def stop_accepting(self) -> None:
         self.doors_closed, self._last = True, None
 
     def set_policy(self, policy: Policy) -> None:
--- a/moorusher/service.py
+++ b/moorusher/service.py
@@ -153,20 +153,20 @@
 
             self.console = Console(self.core, self.reporter, self._console_places(), lambda: self.serving)
             self._open_console(config.console)
-        doors = self.listeners.doors
-        doors["listen"] = config.listen, self.front
+        planned = self.listeners.planned
+        planned["listen"] = config.listen, self.front
         if config.uwsgi.listen is not None:
-            doors["uwsgi"] = config.uwsgi.listen, self.uwsgi
+            planned["uwsgi"] = config.uwsgi.listen, self.uwsgi
         if self.fleet is not None and config.fleet.listen is not None:
-            from .links.peers import Doors
+            from .links.peers import PeerFactory
 
-            doors["fleet"] = config.fleet.listen, Doors(self.fleet)
+            planned["fleet"] = config.fleet.listen, PeerFactory(self.fleet)
         probes = config.probes
         if probes.agent is not None:
             from .fronts.agent import AgentFront
 
             self.agent = AgentFront(self.core, self.reporter, probes.maxconn)
-            doors["agent"] = probes.agent, self.agent
+            planned["agent"] = probes.agent, self.agent
         if probes.health is not None or config.uwsgi.load_report:
             from .fronts.probes import LoadReport
 
@@ -179,7 +179,7 @@
             self.health = HealthFront(
                 self.core, self.reporter, probes.codes, load if probes.load_report else None
             )
-            doors["health"] = probes.health, self.health
+            planned["health"] = probes.health, self.health
         if config.admin.listen is not None:
             from .admin import admin_site  # Twisted's web server: 6 MB that the platform does not need
 
@@ -196,7 +196,7 @@
                 self.forecast,
                 self.outage,
             )
-            doors["admin"] = config.admin.listen, site
+            planned["admin"] = config.admin.listen, site
         if self.tier is not None and config.tier.knowledge is not None:
             from .links.knowledge import Keeper
 
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -15,7 +15,7 @@
 from moorusher.fronts.places import ASKED, CLOSING
 from moorusher.fronts.uwsgi import UwsgiFront
 from moorusher.leaving import Departure
-from moorusher.loop import ROOM_AGAIN_S, Door, listener
+from moorusher.loop import ROOM_AGAIN_S, AcceptingPort, listener
 
 from .by_hand import HOST, Client, Loop
 from .stand_ins import status, uwsgi_request
@@ -160,7 +160,7 @@
     address = made.getsockname()
     counts: list[str] = []
     with made:
-        door = Door.of(s.loop.reactor, made, s.front, 8, counts.append)
+        port = AcceptingPort.of(s.loop.reactor, made, s.front, 8, counts.append)
     clients = [socket.create_connection(address) for _ in range(ROOM + 2)]
     for i, client in enumerate(clients):
         client.send(call(1, rid=f"r{i}"))
@@ -179,7 +179,7 @@
     assert sorted(s.world.core.table.by_rid) == ["r4"]
     for client in clients:
         client.close()
-    door.stopListening()
+    port.stopListening()
 
 
 def test_a_fault_over_one_connection_does_not_end_the_listening_socket() -> None:
@@ -187,7 +187,7 @@
     made = listener((HOST, 0))
     address = made.getsockname()
     with made:
-        door = Door.of(s.loop.reactor, made, s.front, 8, lambda name: None)
+        port = AcceptingPort.of(s.loop.reactor, made, s.front, 8, lambda name: None)
     build, s.front.buildProtocol = s.front.buildProtocol, lambda addr: 1 / 0  # type: ignore[method-assign, assignment, return-value]
     first = socket.create_connection(address)
     s.loop.turn()
@@ -198,7 +198,7 @@
     assert first.recv(100) == b"" and b'"fit": true' in second.recv(1000)
     first.close()
     second.close()
-    door.stopListening()
+    port.stopListening()
 
 
 def test_a_line_too_long_behind_a_request_does_not_take_its_answer_away() -> None:
@@ -276,7 +276,7 @@
 
 def end(s: Served) -> None:
     """The program's own end, with no other part than the fronts and the core."""
-    nothing = SimpleNamespace(close=lambda *labels: None, close_doors=lambda: None)
+    nothing = SimpleNamespace(close=lambda *labels: None, stop_accepting=lambda: None)
     service: Any = SimpleNamespace(
         core=s.world.core,
         clock=s.world.core.clock,
@@ -339,9 +339,9 @@
     listening = listener((HOST, 0))
     address = listening.getsockname()
     with listening:
-        door = Door.of(s.loop.reactor, listening, s.front, 1, s.world.core.counters.add)
+        port = AcceptingPort.of(s.loop.reactor, listening, s.front, 1, s.world.core.counters.add)
     clients = [socket.create_connection(address) for _ in range(2)]
-    door.accept_last()
+    port.accept_last()
     if late:  # Twisted closes the socket in a later turn: somebody may come in between
         clients.append(socket.create_connection(address))
     for i, client in enumerate(clients):
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -202,7 +202,7 @@
     core.drain(4000)
     assert p.line().startswith("drain #draining: leaving, 4.0 s left")
     assert not p.reporter.maintain("late")
-    p.reporter.close_doors()
+    p.reporter.stop_accepting()
     assert p.line().startswith("drain stopped")
 
 
--- a/tests/test_replacing.py
+++ b/tests/test_replacing.py
@@ -181,7 +181,7 @@
 async def test_what_lies_about_in_tmpdir_stops_no_start() -> None:
     async with pair() as both:
         r = both.runner
-        (door,) = Path(r.spool).iterdir()
+        (place,) = Path(r.spool).iterdir()
         r.processes[0].kill()
         r.processes[0].wait()
         await both.replace()  # the file of a dead process: what it ran nobody knows
@@ -190,13 +190,13 @@
         assert "result" in await f.ask("check")
         r.processes[1].kill()
         r.processes[1].wait()
-        door.unlink()
-        door.write_bytes(b'{"t":"WELC')  # no socket at all
+        place.unlink()
+        place.write_bytes(b'{"t":"WELC')  # no socket at all
         await both.replace()
         f = await FrontEnd.connect(r.port)
         assert "result" in await f.ask("submit", token=key())
         with socket.socket(socket.AF_UNIX) as s:  # somebody who speaks nonsense to the one in service
-            s.connect(str(door))
+            s.connect(str(place))
             s.sendall(b"\x00\x00\x00\x05nonse\xff\xff\xff\xff")
         assert "result" in await f.ask("check")
 
