A run that was never commanded and that nobody waits for is not begun on the next link

Cause: found by reading what is said on a new kernel link: a request that the module had started while the link was down was answered as failed when it was due, and commanded all the same once there was a link: work for nobody, and with an effect that its caller had been told may or may not have happened, seconds later. Ruled out: those whose result a repeat waits for (they run), and those that were written. Change: such a run ends as never begun; its key stays used for its window, since its caller was not promised that it never ran.

--- a/moorusher/core/decide.py
+++ b/moorusher/core/decide.py
@@ -326,11 +326,14 @@
     def kernel_read_again(self, read: int) -> None:
         """A new link to the kernel has read its replay. `read`: how many commands the kernel is known to have read."""
         self.touch()
-        said = self.runs.say_again(read)
+        said = self.runs.say_again(read, self._is_wanted)
         self.counters.add("kernel commands said again", by=len(said.runs) + len(said.replies))
         self.counters.add("kernel replies that may be lost", by=len(said.uncertain))
         for number in said.uncertain:
             self._reply_is_uncertain(number)
+        for number in said.unwanted:
+            if (run := self.runs.get(number)) is not None:
+                self.run_over(run.request.rid, Ending.RUN_NEVER_BEGAN, b"")
         if said.runs or said.replies or said.uncertain:
             log.info(
                 "said again on a new link to the kernel: %d runs, %d replies; may be lost: %s",
@@ -339,6 +342,11 @@
                 self._rids(said.uncertain) or "none",
             )
 
+    def _is_wanted(self, request: Request) -> bool:
+        """Its caller waits, or that of a repeat of it."""
+        entry = self.keys.of_try(request.number)
+        return request.reply is not None or (entry is not None and bool(entry.waiters))
+
     def _rids(self, numbers: list[int]) -> str:
         return " ".join(
             self.table.by_number[n].rid for n in numbers[:MOST_NAMED] if n in self.table.by_number
--- a/moorusher/core/run.py
+++ b/moorusher/core/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -44,6 +45,7 @@
     runs: list[int]
     replies: list[int]
     uncertain: list[int]  # a reply may be lost, and nothing proves it: it must not be said again
+    unwanted: list[int]  # never written, and nobody waits any more: it is not begun
 
 
 @dataclass(slots=True, eq=False)
@@ -146,11 +148,14 @@
             self._crowd()
         return run
 
-    def say_again(self, read: int) -> SaidAgain:
+    def say_again(self, read: int, wanted: Callable[[Request], bool] = lambda request: True) -> SaidAgain:
         """After a broken link, once the kernel's replay has been read. `read`: how many commands it is known to have
-        read."""
-        said = SaidAgain([], [], [])
+        read; `wanted`: whether somebody still waits for a request."""
+        said = SaidAgain([], [], [], [])
         for number, run in list(self._runs.items()):
+            if not run.known and run.commanded == NOT_WRITTEN and not wanted(run.request):
+                said.unwanted.append(number)
+                continue
             if not run.known and _evidence(run.commanded, read) is not Evidence.SUCCEEDED:
                 self._command_again(number, run, said)
             if run.told is not None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -213,6 +213,27 @@
     assert again(w, read=2) == [("run", "b")]
 
 
+def test_what_was_never_commanded_and_nobody_waits_for_is_not_begun_on_the_next_link() -> None:
+    w = World()
+    w.kernel.up = False
+    for i, rid in enumerate("ab"):
+        w.take(rid, i, token=rid)
+    w.turn()
+    w.wait(2_000)
+    w.take("c", 2, token="a")  # a repeat waits for the result of the first
+    w.turn()
+    w.wait(1_100)
+    assert w.verdicts() == [(0, Verdict.FAILED), (1, Verdict.FAILED)]
+    assert again(w, read=0) == [("run", "a")]
+    assert len(w.core.runs) == 1
+    w.core.run_over("a", Ending.RUN_PASSED, b"r")
+    w.turn()
+    assert w.verdicts()[2:] == [(2, Verdict.SERVED)]
+    w.take("d", 3, token="b")
+    w.turn()
+    assert w.verdicts()[3:] == [(3, Verdict.FAILED)], "its key counts as used: the first try had no promise"
+
+
 def test_a_replayed_notice_makes_no_second_call() -> None:
     w = World(below=api.Below.TIER)
     calling(w, "a")
