--- a/moorusher/links/uwsgi.py
+++ b/moorusher/links/uwsgi.py
@@ -18,19 +18,17 @@
 def call_packet(asked: Asked) -> bytes:
     """A call below, as a uwsgi request."""
     # The peer gives the call a rid of its own: a second call for this request is a new try there.
-    variables = {
+    variables: dict[str, str | None] = {
         "REQUEST_METHOD": "POST",
         "REQUEST_URI": "/",
         "CONTENT_LENGTH": str(len(asked.body)),
         VARS["class"]: asked.klass,
         VARS["budget"]: str(asked.timeout_ms),
         "MOORUSHER_REF": asked.rid,
+        VARS["tenant"]: asked.tenant,
+        VARS["token"]: asked.token,
     }
-    if asked.tenant is not None:
-        variables[VARS["tenant"]] = asked.tenant
-    if asked.token is not None:
-        variables[VARS["token"]] = asked.token
-    return build_packet(variables) + asked.body
+    return build_packet({name: value for name, value in variables.items() if value is not None}) + asked.body
 
 
 def ending_of(status: int, headers: dict[bytes, bytes]) -> Ending:
