--- a/moorusher/loop.py
+++ b/moorusher/loop.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Callable
 from contextlib import suppress
-from errno import errorcode
+from errno import EMFILE, errorcode
 from typing import Any
 
 from twisted.internet import epollreactor, main, tcp
@@ -19,6 +19,7 @@
 
 ACCEPT_ALL = 1024  # the longest queue that a listening socket has here
 ROOM_AGAIN_S = 0.01
+MAKE_WAY_AGAIN_S = 0.1
 START_WITHIN_S = 15.0  # the loop has its descriptors, whatever the system is short of for a moment
 
 log = logging.getLogger("moorusher")
@@ -89,6 +90,9 @@
     most = 1
     _ends = False  # nothing more is accepted than what waits already
     _paused = False  # by its owner
+    _made_way = (
+        0.0  # when a connection was given up for want of descriptors, and no accept has succeeded since
+    )
     _count: Callable[[str], None]
 
     @classmethod
@@ -118,6 +122,7 @@
                     return self._wait_for_room(exc)
                 self._failed(exc)  # of that one connection; the next may be well
             else:
+                self._made_way = 0.0
                 self._let_in_safely(accepted, address)
 
     def _let_in_safely(self, accepted: socket.socket, address: tuple[Any, ...]) -> None:
@@ -167,12 +172,19 @@
             "no room to accept a connection: %s; raise limits.sockets or the system's limit on open files",
             name,
         )
-        make_way = getattr(self.factory, "make_way", None)
-        if make_way is not None:
-            make_way()
+        if exc.errno == EMFILE:
+            self._make_way()
         if not self._ends:
             self._rest()
 
+    def _make_way(self) -> None:
+        """Its own descriptors are used up: one of them helps. Where it does not, no further one is given up for it."""
+        make_way = getattr(self.factory, "make_way", None)
+        now = time.monotonic()
+        if make_way is not None and now - self._made_way >= MAKE_WAY_AGAIN_S:
+            self._made_way = now
+            make_way()
+
     def _rest(self) -> None:
         super().stopReading()
         self.reactor.callLater(ROOM_AGAIN_S, self._look_again)
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -238,6 +238,7 @@
             self.console = free_port()
             self.config |= {"kernel": f"{HOST}:{kernel_port}"} if kernel_port else {}
             (folder / "config.json").write_text(json.dumps(self.config))
+        self.began = time.monotonic()
         self.processes.append(
             subprocess.Popen(
                 [sys.executable, "-m", "moorusher", "serve", "--fronts", str(self.fronts)],
