Both fronts share what a bounded number of connections needs of them

Need: is_full, promise_place, make_way and buildProtocol stood in both fronts. Change: fronts/placed.py holds them; type-ignore comments that have become needless went.

--- a/moorusher/fronts/jsonrpc.py
+++ b/moorusher/fronts/jsonrpc.py
@@ -6,7 +6,6 @@
 from typing import Any, cast
 
 from twisted.internet.error import ConnectionDone
-from twisted.internet.protocol import Factory
 from twisted.protocols.basic import LineOnlyReceiver
 from twisted.python.failure import Failure
 
@@ -34,6 +33,7 @@
     result_line,
 )
 from .pending import read_pending
+from .placed import PlacedFront
 from .places import Places
 
 MOST_OPEN = 32  # requests on one connection
@@ -298,38 +298,19 @@
         self._end_if_answered()
 
 
-class JsonRpcFront(Factory):
+class JsonRpcFront(PlacedFront):
     """The listening side: its connections, their bound, and leaving."""
 
-    noisy = False
-
     def __init__(self, core: Decider, most: int, fit: Callable[[], bool]) -> None:
-        self.core, self.draining = core, False
-        self.fit = fit  # what health checks hear
         idleness = round(core.settings.idle_connection_ms * MS) or IDLENESS
-        self.places = Places(core, most, SILENCE, idleness)
+        super().__init__(core, Places(core, most, SILENCE, idleness))
+        self.draining = False
+        self.fit = fit  # what health checks hear
 
-    def buildProtocol(self, addr: object) -> JsonRpcConnection | None:
-        self.core.touch()
-        if not self.places.room():
-            self.core.counters.add("connections: " + Ending.TOO_MANY.value)
-            return None
+    def connection(self) -> JsonRpcConnection:
+        """A new connection of a front end."""
         return JsonRpcConnection(self)
 
-    def is_full(self) -> bool:
-        """All places are taken."""
-        return self.places.full
-
-    def promise_place(self) -> bool:
-        """For the connection that waits to be accepted. False where each place is of use."""
-        self.core.touch()
-        return self.places.promise()
-
-    def make_way(self) -> None:
-        """The system has no room for one more connection."""
-        self.core.touch()
-        self.places.make_way()
-
     @property
     def connections(self) -> set[JsonRpcConnection]:
         return cast(set[JsonRpcConnection], self.places.all)
--- a/moorusher/fronts/uwsgi.py
+++ b/moorusher/fronts/uwsgi.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from typing import Any, cast
 
-from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.protocol import Protocol
 
 from ..core.answer import Answer, Cause, Verdict
 from ..core.clock import SECOND, Alarm
@@ -16,6 +16,7 @@
 from ..core.intake import BUSY_MS, NEVER_RAN, Fault
 from ..core.requests import Request
 from .pending import read_pending
+from .placed import PlacedFront
 from .places import Places
 from .uwsgi_packets import (
     FAILED_STATUS,
@@ -189,39 +190,22 @@
         self._alarm = self.core.alarms.at(self.core.clock.now + LINGER, self.cut)
 
 
-class UwsgiFront(Factory):
+class UwsgiFront(PlacedFront):
     """Listens for uwsgi clients."""
 
-    noisy = False
+    counted_as = "uwsgi connections"
 
     def __init__(
         self, core: Decider, most: int, most_body: int, idle_s: float, fit: Callable[[], bool]
     ) -> None:
-        self.core, self.most_body, self.fit = core, most_body, fit
+        super().__init__(core, Places(core, most, round(idle_s * SECOND), 0))
+        self.most_body, self.fit = most_body, fit
         self.load: Callable[[], str] | None = None  # the load report that goes with each answer
-        self.places = Places(core, most, round(idle_s * SECOND), 0)
 
-    def buildProtocol(self, addr: object) -> UwsgiConnection | None:
-        self.core.touch()
-        if not self.places.room():
-            self.core.counters.add("uwsgi connections: " + Ending.TOO_MANY.value)
-            return None
+    def connection(self) -> UwsgiConnection:
+        """A new connection of a client."""
         return UwsgiConnection(self)
 
-    def is_full(self) -> bool:
-        """All places are taken."""
-        return self.places.full
-
-    def promise_place(self) -> bool:
-        """For the connection that waits to be accepted. False where each place is of use."""
-        self.core.touch()
-        return self.places.promise()
-
-    def make_way(self) -> None:
-        """The system has no room for one more connection."""
-        self.core.touch()
-        self.places.make_way()
-
     @property
     def connections(self) -> set[UwsgiConnection]:
         return cast(set[UwsgiConnection], self.places.all)
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -188,7 +188,7 @@
     address = made.getsockname()
     with made:
         port = AcceptingPort.of(s.loop.reactor, made, s.front, 8, lambda name: None)
-    build, s.front.buildProtocol = s.front.buildProtocol, lambda addr: 1 / 0  # type: ignore[method-assign, assignment, return-value]
+    build, s.front.buildProtocol = s.front.buildProtocol, lambda addr: 1 / 0  # type: ignore[method-assign]
     first = socket.create_connection(address)
     s.loop.turn()
     s.front.buildProtocol = build  # type: ignore[method-assign]
--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -72,7 +72,7 @@
         Transport(),
     )
     assert connection is not None
-    connection.makeConnection(transport)  # type: ignore[no-untyped-call]
+    connection.makeConnection(transport)
     return connection, lambda: seen(world, transport)
 
 
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -40,7 +40,7 @@
     factory = JsonRpcFront(world.core, 10, lambda: world.core.healthy)
     connection, transport = factory.buildProtocol(None), Transport()
     assert connection is not None
-    connection.makeConnection(transport)  # type: ignore[no-untyped-call]
+    connection.makeConnection(transport)
     return world, factory, connection, transport
 
 
@@ -146,7 +146,7 @@
     for _ in range(count):
         one, transport = factory.buildProtocol(None), Transport()
         assert one is not None
-        one.makeConnection(transport)  # type: ignore[no-untyped-call]
+        one.makeConnection(transport)
         made.append((one, transport))
     return made
 
@@ -247,7 +247,7 @@
     assert connection.faults == 0
     other, transport = UwsgiFront(world.core, 10, 2048, 60.0, lambda: True).buildProtocol(None), Transport()
     assert other is not None
-    other.makeConnection(transport)  # type: ignore[no-untyped-call]
+    other.makeConnection(transport)
     other.dataReceived(uwsgi_request("write", b"body", token="t", tenant=""))
     assert transport.value().startswith(b"HTTP/1.1 503 ") and b"X-Moorusher-Never-Ran: 1" in transport.value()
 
@@ -260,7 +260,7 @@
     connection = UwsgiFront(world.core, 10, 2048, 60.0, lambda: True).buildProtocol(None)
     transport = Transport()
     assert connection is not None
-    connection.makeConnection(transport)  # type: ignore[no-untyped-call]
+    connection.makeConnection(transport)
     connection.dataReceived(sent)
     connection.close()
     assert transport.value()[:13] == got and transport.disconnecting
