A stamp of this very millisecond is fresh after a small step back of the wall clock, too

Cause: found by reading the change again: `t0` is in whole milliseconds and may seem to lie a moment ahead; after a step back of up to a second the former offset then made sense of it, and a fresh request was taken for one as old as the step. Change: a stamp is ahead only from 50 ms on, the least that counts as a step. Measured: the new test, which failed for -300 ms; the file passes (70).

--- a/moorusher/core/clock.py
+++ b/moorusher/core/clock.py
@@ -40,9 +40,8 @@
         before, self.now = self.now, self._monotonic() // 1_000
         self._gap = self.now - before
         unix = self._unix() // 1_000
-        for _ in range(
-            READINGS
-        ):  # a process that was held up between the two has read a step that there was not
+        # A process that was held up between the two has read a step that there was not.
+        for _ in range(READINGS):
             if (after := self._monotonic() // 1_000) - self.now < TOGETHER:
                 break
             self.now, unix = after, self._unix() // 1_000
--- a/moorusher/core/wall_clock.py
+++ b/moorusher/core/wall_clock.py
@@ -42,7 +42,7 @@
         offset makes sense of it. `unread`: how long it may have waited here to be read."""
         longest = unread + SENDING
         ages = [now + offset - unix for offset in self._offsets]
-        if not 0 <= ages[0] <= longest:
+        if not -STEP <= ages[0] <= longest:  # stamps are whole milliseconds: a fresh one may seem to be ahead
             plausible = [age for age in ages[1:] if 0 <= age <= longest]
             return now - min(plausible, default=ages[0])
         return now - ages[0]
--- a/moorusher/loop.py
+++ b/moorusher/loop.py
@@ -90,9 +90,7 @@
     most = 1
     _ends = False  # nothing more is accepted than what waits already
     _paused = False  # by its owner
-    _made_way = (
-        0.0  # when a connection was given up for want of descriptors, and no accept has succeeded since
-    )
+    _made_way = 0.0  # when a connection was given up for a descriptor, and no accept has succeeded since
     _count: Callable[[str], None]
 
     @classmethod
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -90,6 +90,15 @@
         assert c.clock.stamped(c.stamp() - age / MS) == pytest.approx(c.real - age, abs=MS)
 
 
+@pytest.mark.parametrize("by", [-MS * 300, MS * 300, -2 * SECOND, 2 * SECOND])
+def test_a_fresh_stamp_that_seems_to_be_ahead_is_fresh(by: int) -> None:
+    c = Clocks()
+    c.ours += by
+    c.theirs += by
+    c.go_on(SECOND)
+    assert c.clock.stamped(c.stamp() + 1) == pytest.approx(c.real, abs=2 * MS)
+
+
 def test_drift_is_no_step() -> None:
     wall = WallClock()
     for i in range(1_000):
