Accepts that all fail get a pause, and patience at listening begins anew once it succeeds

Cause: found on reading the whole change again. An error of one connection that comes back for seconds (ECONNABORTED) was tried again at once: 1.0 s of CPU in 1 s. Change: a turn in which each accept failed is followed by the pause of 10 ms; listening that has succeeded forgets the wait.

--- a/moorusher/loop.py
+++ b/moorusher/loop.py
@@ -105,9 +105,10 @@
 
     def doRead(self) -> None:
         """Accept what waits, as far as the bound allows."""
-        for accepted_before in range(self.most):
+        let_in = 0
+        for _ in range(self.most):
             if not self._ends and self._is_full():
-                if accepted_before:
+                if let_in:
                     return  # if more wait, the loop comes back: nobody makes way for nothing
                 if not self.factory.promise_place():
                     return self._wait_for_place()
@@ -121,7 +122,10 @@
                 self._failed(exc)  # of that one connection; the next may be well
             else:
                 self._made_way = 0.0
+                let_in += 1
                 self._let_in_safely(accepted, address)
+        if not let_in and not self._ends:
+            self._rest()  # each one failed: they are not looked at again without a pause
 
     def _let_in_safely(self, accepted: socket.socket, address: tuple[Any, ...]) -> None:
         """A fault over one connection must not end the listening socket, as it would in Twisted's loop."""
--- a/moorusher/service.py
+++ b/moorusher/service.py
@@ -235,6 +235,7 @@
             self.listeners.open(handed)
         except OSError as exc:
             return self._listen_again(exc, lambda: self.accept(handed))
+        self._listen_since = None
         if first and self.announcer is not None:
             self.announcer.core = self.core
             self.announcer.fit = self._fit
