--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -11,7 +11,7 @@
 import time
 from collections.abc import Callable, Coroutine
 from functools import wraps
-from typing import Any
+from typing import Any, ParamSpec
 
 import pytest
 
@@ -34,11 +34,13 @@
     uwsgi_request,
 )
 
+P = ParamSpec("P")
 
-def sockets(test: Callable[[], Coroutine[Any, Any, None]]) -> Callable[[], None]:
+
+def sockets(test: Callable[P, Coroutine[Any, Any, None]]) -> Callable[P, None]:
     @wraps(test)
-    def run() -> None:
-        asyncio.run(asyncio.wait_for(test(), 60))
+    def run(*fixtures: P.args, **named: P.kwargs) -> None:
+        asyncio.run(asyncio.wait_for(test(*fixtures, **named), 60))
 
     return run
 
