--- a/moorusher/links/disk.py
+++ b/moorusher/links/disk.py
@@ -11,26 +11,35 @@
 import logging
 import os
 import re
+import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, BinaryIO
 
 from twisted.internet.threads import deferToThreadPool
 from twisted.python.failure import Failure
 
-from ..fleet.journal import Image, Whose, pack, read
+from ..config_fleet import FleetConfig
+from ..fleet.journal import VERSION, Image, Whose, pack, read
 from ..fleet.keeper import Keeper
 from ..section import ConfigError
 
 log = logging.getLogger("moorusher")
 
 GROWN = 1 << 20  # bytes appended, at least, before a file is written anew without what no longer counts
+PATIENCE_S = 1.0  # at the start, for a folder that can't be read
+PAUSE_S = 0.05
 NAME = re.compile(r"(\d{1,20})\.log")
+UNFINISHED = re.compile(r"\d{1,20}\.log\.new")  # a life that was killed while it wrote a whole file
 
 
 class Files:
     """What is asked of the operating system; a test fails or ends it at each step."""
 
+    def read(self, file: BinaryIO) -> bytes:
+        return file.read()
+
     def write(self, fd: int, data: bytes) -> int:
         return os.write(fd, data)
 
@@ -44,16 +53,48 @@
         path.unlink(missing_ok=True)
 
 
-def opened(path: Path, whose: Whose, inc: int) -> tuple[Folder, int, Image | None, str]:
-    """The folder of a life that begins, the life's incarnation, what the last one has left, and why that is nothing, or
-    why nothing can be written. Raises ConfigError where not even what was there is known."""
-    folder = Folder(path, whose)
-    try:
-        return folder, *folder.open(inc)
-    except OSError as exc:
-        if not folder.name:
-            raise ConfigError(f"fleet.journal: {exc}") from exc
-        return folder, int(folder.name.split(".")[0]), None, f"can't be written: {exc}"
+@dataclass(slots=True, frozen=True)
+class Opened:
+    """The folder of a life that begins, and what the last life has left there."""
+
+    folder: Folder
+    inc: int  # the incarnation of the life that begins
+    image: Image | None
+    reason: str  # why there is no image, or why nothing can be written
+
+    @property
+    def written(self) -> bool:
+        return self.folder.size > 0
+
+
+def opened(path: Path, whose: Whose, inc: int, files: Files | None = None) -> Opened:
+    """What can't be read is tried for a second. What was read counts even where nothing can be written yet: then no
+    vote leaves until it is. Raises ConfigError where not even the names of earlier lives can be read."""
+    folder = Folder(path, whose, files)
+    until = time.monotonic() + PATIENCE_S
+    while True:
+        try:
+            inc, image, reason = folder.open(inc, last_try=time.monotonic() >= until)
+        except OSError as exc:
+            if folder.inc:
+                return Opened(folder, folder.inc, folder.image, f"can't be written: {exc}")
+            if time.monotonic() >= until:
+                raise ConfigError(
+                    f"fleet.journal: {path} can't be read: {exc}; check the disk, or name another folder"
+                ) from exc
+        else:
+            return Opened(folder, inc, image, reason)
+        time.sleep(PAUSE_S)
+
+
+@dataclass(slots=True, frozen=True)
+class _Last:
+    """The file of the last life. `damaged`: it is kept for whoever wants to look into it."""
+
+    image: Image | None
+    reason: str
+    data: bytes
+    damaged: bool = False
 
 
 class Folder:
@@ -62,43 +103,74 @@
     def __init__(self, path: Path, whose: Whose, files: Files | None = None) -> None:
         self.path, self.whose, self._files = path, whose, files or Files()
         self._fd = -1
-        self.name = ""
+        self.inc = 0  # of this life, once it is known
+        self.image: Image | None = None
         self.size = self.base = 0  # bytes of the file, and of what it began with
 
-    def open(self, inc: int) -> tuple[int, Image | None, str]:
+    @property
+    def name(self) -> str:
+        return f"{self.inc}.log"
+
+    def open(self, inc: int, last_try: bool = True) -> tuple[int, Image | None, str]:
         """A new life begins: its incarnation, above that of all that have a file here; what the last one has left,
-        or why nothing of it can be used."""
+        or why nothing of it can be used. Before the last try a file that can't be read raises OSError."""
         self.path.mkdir(parents=True, exist_ok=True)
-        lives = sorted(int(m[1]) for entry in self.path.iterdir() if (m := NAME.fullmatch(entry.name)))
-        image, why, data = None, "nothing is there", b""
+        entries = [entry.name for entry in self.path.iterdir()]
+        lives = sorted(int(m[1]) for name in entries if (m := NAME.fullmatch(name)))
+        last = _Last(None, "nothing is there", b"")
         if lives:
             inc = max(inc, lives[-1] + 1)
-            image, why, data = self._last(self.path / f"{lives[-1]}.log")
-        if image is not None:
-            inc = max(inc, image.incs.get(self.whose.seat, 0) + 1)
-        self.name = f"{inc}.log"
-        self.rewrite(pack([self.whose]) if image is None else data[: image.good])
-        for life in lives:  # only now: until here the last one is what counts
-            if self._is_free(self.path / f"{life}.log"):
-                self._files.remove(self.path / f"{life}.log")
-        return inc, image, why
-
-    def _last(self, path: Path) -> tuple[Image | None, str, bytes]:
-        writing = None, "another process of this seat is writing", b""
+            last = self._last(self.path / f"{lives[-1]}.log", last_try)
+        if last.image is not None:
+            inc = max(inc, last.image.incs.get(self.whose.seat, 0) + 1)
+        self.inc, self.image = inc, last.image
+        self.rewrite(pack([self.whose]) if last.image is None else last.data[: last.image.good])
+        # Only now: until here the last one is what counts.
+        if last.damaged:
+            self._tidy(self.path / f"{lives.pop()}.log", keep=True)
+        unfinished = [name for name in entries if UNFINISHED.fullmatch(name)]
+        for name in [*(f"{life}.log" for life in lives), *unfinished]:
+            self._tidy(self.path / name)
+        return inc, last.image, last.reason
+
+    def _last(self, path: Path, last_try: bool) -> _Last:
+        try:
+            return self._read(path)
+        except OSError as exc:
+            if not last_try:
+                raise
+            return _Last(None, f"{path.name} can't be read and is kept: {exc}", b"", damaged=True)
+
+    def _read(self, path: Path) -> _Last:
+        writing = _Last(None, "another process of this seat is writing", b"")
         with open(path, "rb") as file:
             try:
                 fcntl.flock(file, fcntl.LOCK_SH | fcntl.LOCK_NB)
             except BlockingIOError:
                 return writing
-            data = file.read()
+            data = self._files.read(file)
             # Written anew since it was opened: the lock is on what nobody uses any more.
             if os.fstat(file.fileno()).st_ino != path.stat().st_ino:
                 return writing
         try:
             image = read(data, self.whose)
         except ValueError as exc:
-            return None, str(exc), b""
-        return (image, "", data) if image.remembers else (None, "that life had forgotten, too", b"")
+            return _Last(None, f"{path.name} is not used, and is kept: {exc}", b"", damaged=True)
+        if not image.remembers:
+            return _Last(None, "that life had forgotten, too", b"")
+        return _Last(image, "", data)
+
+    def _tidy(self, path: Path, keep: bool = False) -> None:
+        """A file that no longer counts goes, unless another process has it; one that may be looked into is renamed."""
+        try:
+            if not self._is_free(path):
+                return
+            if keep:
+                self._files.rename(path, path.with_name(f"{path.name}.damaged"))
+            else:
+                self._files.remove(path)
+        except OSError as exc:
+            log.warning("fleet: journal: %s is left: %s", path, exc)
 
     def _is_free(self, path: Path) -> bool:
         fd = os.open(path, os.O_RDONLY)
@@ -145,6 +217,16 @@
             self._fd = -1
 
 
+def journal(config: FleetConfig, part: str, digest: str, seat: str, inc: int) -> Opened | None:
+    """The journal of one part of a seat, where the operator's file names a folder for journals."""
+    if not config.journal:
+        return None
+    found = opened(Path(config.journal) / part, Whose(VERSION, config.name, digest, seat), inc)
+    told = found.reason if found.image is None else f"{len(found.image.slots)} keys recalled"
+    log.info("fleet: journal: %s%s", f"{part}: " if part else "", told)
+    return found
+
+
 class Disk:
     """Between the keeper and its folder: what waits for the disk, in the order in which it came."""
 
--- a/moorusher/links/duties.py
+++ b/moorusher/links/duties.py
@@ -4,7 +4,6 @@
 
 import logging
 from collections.abc import Callable
-from pathlib import Path
 from typing import Any
 
 from ..core.clock import MS
@@ -17,9 +16,8 @@
 from ..duties.post import Intent, Life, Post, Settle, key_of
 from ..duties.report import KIND as REPORT
 from ..duties.report import Reporting
-from ..fleet.journal import Image, Whose
+from ..fleet.journal import Image
 from ..fleet.registers import LASTING
-from .disk import Disk, opened
 from .fleet import FleetLink
 from .receivers import Receivers
 
@@ -38,23 +36,13 @@
         self.namespaces: Any = None  # who does the work of those duties, where there are some
         self.forecast: Any = None
         self._receivers = Receivers(fleet.reactor, fleet.core)
-        folder, why = None, ""
-        if fleet.config.journal:
-            folder, inc, self._image, why = opened(
-                Path(fleet.config.journal) / "duties",
-                Whose(1, fleet.config.name, fleet.digest, fleet.name),
-                fleet.node.owner.inc,
-            )
-            if inc > fleet.node.owner.inc:
-                fleet.node.raised(inc)
+        found = fleet.journal_of("duties")
+        if found is not None:
+            self._image = found.image
         self.participant = Participant(fleet.node, self, policy)
-        if folder is not None:
+        if found is not None:
             self.participant.shelf.notes = True
-            disk = fleet.disks[LASTING] = Disk(
-                fleet.reactor, folder, self.participant.keeper, fleet.now, fleet.count
-            )
-            if not folder.size:
-                disk.fails(why)
+            fleet.write_to(found, LASTING, self.participant.keeper)
         for report in policy.reports:
             self.participant.want(report.name, REPORT)
 
--- a/moorusher/links/fleet.py
+++ b/moorusher/links/fleet.py
@@ -8,20 +8,19 @@
 import logging
 import time
 from collections.abc import Callable
-from pathlib import Path
 from typing import Any
 
 from ..config_fleet import FleetConfig
 from ..core.clock import MS
 from ..core.decide import Decider
 from ..core.keys import window_end
-from ..fleet.journal import VERSION as JOURNAL
-from ..fleet.journal import Image, Whose
+from ..fleet.journal import Image
+from ..fleet.keeper import Keeper
 from ..fleet.messages import VERSION, Hello, Message
 from ..fleet.node import Node
 from ..fleet.registers import WORK
 from ..fleet.seats import Seats
-from .disk import Disk, opened
+from .disk import Disk, Opened, journal
 from .peers import Dial, Peer
 from .work import HeldWork
 
@@ -55,19 +54,12 @@
         self.rules: Any = None  # customers' namespaces, where there are some
         self.forecast: Any = None
         self.outage: Any = None  # machines' outages, where they are settled among the runners
-        if config.journal:
-            folder, inc, self._image, why = opened(
-                Path(config.journal), Whose(JOURNAL, config.name, self.digest, name), inc
-            )
-            log.info(
-                "fleet: journal: %s",
-                why if self._image is None else f"{len(self._image.slots)} keys recalled",
-            )
+        found = journal(config, "", self.digest, name, inc)
+        if found is not None:
+            inc, self._image = found.inc, found.image
         self.node = Node(name, inc, seats, self, config.policy, self.longest())
-        if config.journal:
-            disk = self.disks[WORK] = Disk(reactor, folder, self.node.keeper, self.now, self.count)
-            if not folder.size:
-                disk.fails(why)
+        if found is not None:
+            self.write_to(found, WORK, self.node.keeper)
         self._dials = {
             seat.name: Dial(self, seat.name, seat.address) for seat in config.seats if seat.name != name
         }
@@ -102,6 +94,19 @@
         self.node.start()
         self._look()
 
+    def journal_of(self, part: str) -> Opened | None:
+        """The journal of a part of this runner beside keyed work. Its file may show that this life is a later one."""
+        found = journal(self.config, part, self.digest, self.name, self.node.owner.inc)
+        if found is not None and found.inc > self.node.owner.inc:
+            self.node.raised(found.inc)
+        return found
+
+    def write_to(self, found: Opened, space: int, keeper: Keeper) -> None:
+        """What this keeper promises is written there before it is said. It has no vote while nothing can be."""
+        disk = self.disks[space] = Disk(self.reactor, found.folder, keeper, self.now, self.count)
+        if not found.written:
+            disk.fails(found.reason)
+
     def longest(self) -> int:
         """The longest window, with its margin, in us."""
         return window_end(0, max(self.core.keyed_windows(), default=0.0))
--- a/moorusher/links/outage.py
+++ b/moorusher/links/outage.py
@@ -12,7 +12,7 @@
 
 from ..core.clock import MS
 from ..core.decide import Decider
-from ..fleet.journal import Image, Whose
+from ..fleet.journal import Image
 from ..fleet.registers import SHARED
 from ..outage.coordinator import OutageCoordinator, Waited
 from ..outage.errors import NoSuchSeat, NotHere, OutageError
@@ -23,7 +23,6 @@
 from ..outage.roster import Ask, Ends, How, Roster, Stage, Turn
 from ..report import Reporter
 from ..standing.states import Standing
-from .disk import Disk, opened
 from .fleet import FleetLink
 
 log = logging.getLogger("moorusher")
@@ -59,23 +58,13 @@
         self._settings = ""
         self._image: Image | None = None
         self._gauge = Gauge(self.core.settings.cores, round(policy.peak_s * 1e6))
-        folder, why = None, ""
-        if fleet.config.journal:
-            folder, inc, self._image, why = opened(
-                Path(fleet.config.journal) / "outage",
-                Whose(1, fleet.config.name, fleet.digest, fleet.name),
-                fleet.node.owner.inc,
-            )
-            if inc > fleet.node.owner.inc:
-                fleet.node.raised(inc)
+        found = fleet.journal_of("outage")
+        if found is not None:
+            self._image = found.image
         self.coordinator = OutageCoordinator(fleet.node, self, policy)
-        if folder is not None:
+        if found is not None:
             self.coordinator.keeper.notes = fleet.node.lasting = True
-            disk = fleet.disks[SHARED] = Disk(
-                fleet.reactor, folder, self.coordinator.keeper, fleet.now, fleet.count
-            )
-            if not folder.size:
-                disk.fails(why)
+            fleet.write_to(found, SHARED, self.coordinator.keeper)
         fleet.outage = self
 
     def start(self) -> None:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import fcntl
+import os
 import random
 import resource
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, BinaryIO
 
 import pytest
 
@@ -19,7 +21,8 @@
 from moorusher.fleet.keeper import Keeper
 from moorusher.fleet.messages import FAST, Ask
 from moorusher.fleet.work import Owner, State, Work
-from moorusher.links.disk import Files, Folder
+from moorusher.links import disk
+from moorusher.links.disk import Files, Folder, opened
 from moorusher.section import ConfigError
 
 from .fleets import Fleet, fleet, token
@@ -274,10 +277,123 @@
     folder = Folder(tmp_path, WHOSE, Full())
     with pytest.raises(OSError, match="No space"):
         folder.open(1)
-    assert folder.name and not folder.size, "its incarnation is known, and it may be written later"
+    assert folder.inc and not folder.size, "its incarnation is known, and it may be written later"
     a_life(tmp_path, Files(), left, known=True)
 
 
+@dataclass
+class Failing(Files):
+    """Each call of this kind fails, as many times as are left."""
+
+    kind: str
+    left: int
+    number: int = errno.EIO
+
+    def _call(self, kind: str) -> None:
+        if kind == self.kind and self.left > 0:
+            self.left -= 1
+            raise OSError(self.number, os.strerror(self.number))
+
+    def read(self, file: BinaryIO) -> bytes:
+        self._call("read")
+        return super().read(file)
+
+    def write(self, fd: int, data: bytes) -> int:
+        self._call("write")
+        return super().write(fd, data)
+
+    def sync(self, fd: int) -> None:
+        self._call("sync")
+        super().sync(fd)
+
+    def rename(self, old: Path, new: Path) -> None:
+        self._call("rename")
+        super().rename(old, new)
+
+    def remove(self, path: Path) -> None:
+        self._call("remove")
+        super().remove(path)
+
+
+FOR_EVER = 10_000
+
+
+def life_that_remembers(path: Path) -> None:
+    folder = Folder(path, WHOSE)
+    folder.open(10)
+    folder.append(pack([line(1), line(2), Remembers()]))
+    folder.close()
+
+
+@pytest.mark.parametrize("number", [errno.ENOSPC, errno.EIO, errno.EROFS])
+@pytest.mark.parametrize("kind", ["write", "sync", "rename"])
+def test_what_the_last_life_promised_is_known_though_nothing_can_be_written_yet(
+    tmp_path: Path, kind: str, number: int
+) -> None:
+    life_that_remembers(tmp_path)
+    found = opened(tmp_path, WHOSE, 1, Failing(kind, FOR_EVER, number))
+    assert not found.written and os.strerror(number) in found.reason
+    assert found.image is not None and found.image.remembers and len(found.image.slots) == 2
+    assert found.inc == 11
+
+
+def test_a_file_that_can_be_read_a_moment_later_is_read(tmp_path: Path) -> None:
+    life_that_remembers(tmp_path)
+    found = opened(tmp_path, WHOSE, 1, Failing("read", 3))
+    assert found.written and found.image is not None and len(found.image.slots) == 2
+    found.folder.close()
+
+
+def test_a_file_that_stays_unreadable_is_kept_and_the_life_begins_as_one_that_forgot(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(disk, "PATIENCE_S", 0.1)
+    life_that_remembers(tmp_path)
+    found = opened(tmp_path, WHOSE, 1, Failing("read", FOR_EVER))
+    assert found.written and found.image is None and "10.log can't be read and is kept" in found.reason
+    assert found.inc == 11 and (tmp_path / "10.log.damaged").exists()
+    found.folder.close()
+
+
+def test_a_damaged_file_is_kept_beside_the_new_one(tmp_path: Path) -> None:
+    life_that_remembers(tmp_path)
+    data = bytearray((tmp_path / "10.log").read_bytes())
+    data[len(pack([WHOSE])) + 15] ^= 1
+    (tmp_path / "10.log").write_bytes(data)
+    found = opened(tmp_path, WHOSE, 1)
+    assert found.image is None and "10.log is not used, and is kept: damaged at byte" in found.reason
+    assert (tmp_path / "10.log.damaged").read_bytes() == data
+    found.folder.close()
+    again = opened(tmp_path, WHOSE, 1)
+    assert again.image is None and "forgotten" in again.reason, "a file kept aside counts for nothing"
+    again.folder.close()
+
+
+def test_whole_files_that_killed_lives_did_not_finish_are_removed(tmp_path: Path) -> None:
+    life_that_remembers(tmp_path)
+    for name in ("7.log.new", "10.log.new"):
+        (tmp_path / name).write_bytes(b"half")
+    found = opened(tmp_path, WHOSE, 1)
+    assert found.image is not None and [p.name for p in tmp_path.iterdir()] == ["11.log"]
+    found.folder.close()
+
+
+def test_a_file_that_can_not_be_removed_does_not_matter(tmp_path: Path) -> None:
+    life_that_remembers(tmp_path)
+    found = opened(tmp_path, WHOSE, 1, Failing("remove", 1))
+    assert found.written and found.image is not None
+    found.folder.close()
+
+
+def test_a_folder_that_can_not_be_read_is_named_with_its_remedy(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(disk, "PATIENCE_S", 0.1)
+    (tmp_path / "file").write_text("no folder")
+    with pytest.raises(ConfigError, match="check the disk, or name another folder"):
+        opened(tmp_path / "file", WHOSE, 1)
+
+
 def test_the_folder_is_named_from_the_root(tmp_path: Path) -> None:
     fronts = tmp_path / "fronts.toml"
     fronts.write_text('[fleet]\nlisten = "127.0.0.1:1"\nname = "f"\njournal = "here"\n')
