Failing disks are played with real fleets: full, broken, short writes, dropped pages, half a record

Ruled out by these plays: a key that runs twice, a refusal of what ran, a result lost over a loss of power, a fleet that needs a restart. None found in the program.

--- a/tests/faults/inject/sitecustomize.py
+++ b/tests/faults/inject/sitecustomize.py
@@ -1,8 +1,10 @@
 """Loaded by the interpreter of a runner under test, by PYTHONPATH alone: makes system calls fail as FAULT_PLAN says.
 
 FAULT_PLAN is JSON: a list of [call, errno, from, to, share], in seconds after the start, and of
-["clock", seconds, at, 0, 0] for steps of the Unix clock. `read` and `write` are of all sockets, `link read` and
-`link write` of those that the process has connected; with errno "SHORT" they pass one byte.
+["clock", seconds, at, 0, 0] for steps of the Unix clock. Where FAULT_START names a file, times count from when it is
+there. `read` and `write` are of all sockets, `link read` and `link write` of those that the process has connected; with
+errno "SHORT" they pass one byte. `disk write`, `disk sync` and `disk rename` are of files; "SHORT" writes a half, and
+"KILL" ends the process after that half.
 """
 
 import errno
@@ -10,19 +12,33 @@
 import os
 import random
 import select
+import signal
 import socket
+import stat
 import time
 
 PLAN = json.loads(os.environ.get("FAULT_PLAN", "[]"))
 BEGAN = time.monotonic()
+START = os.environ.get("FAULT_START")
+SYNCED = {}  # bytes of a file that are on the disk, by its inode
 DRAW = random.Random(os.environ.get("FAULT_SEED", "1"))
 
 
+def age():
+    """Seconds since times count, negative before that."""
+    global BEGAN, START
+    if START is not None:
+        if not os.path.exists(START):
+            return -1.0
+        BEGAN, START = time.monotonic(), None
+    return time.monotonic() - BEGAN
+
+
 def due(call):
     """The errno that this call fails with now, or None."""
-    age = time.monotonic() - BEGAN
+    now = age()
     for what, error, since, until, share in PLAN:
-        if what == call and since <= age < until and DRAW.random() < share:
+        if what == call and since <= now < until and DRAW.random() < share:
             return error
     return None
 
@@ -94,10 +110,42 @@
         return getattr(self._inner, name)
 
 
+def failing_write(fd, data):
+    error = due("disk write") if stat.S_ISREG(os.fstat(fd).st_mode) else None
+    if error not in (None, "SHORT", "KILL"):
+        raise fail(error)
+    if error is None:
+        return os_write(fd, data)
+    written = os_write(fd, data[: max(1, len(data) // 2)])
+    if error == "KILL":
+        os.kill(os.getpid(), signal.SIGKILL)
+    return written
+
+
+def failing_sync(fd):
+    """What was written since the last success is gone after a failure, as where a system drops what it can't write."""
+    found = os.fstat(fd)
+    error = due("disk sync")
+    if error is None:
+        os_sync(fd)
+        SYNCED[found.st_ino] = found.st_size
+        return
+    if stat.S_ISREG(found.st_mode):
+        os.ftruncate(fd, SYNCED.get(found.st_ino, 0))
+    raise fail(error)
+
+
+def failing_replace(old, new):
+    error = due("disk rename")
+    if error is not None:
+        raise fail(error)
+    os_replace(old, new)
+
+
 def stepped(inner, unit):
     def wrapped():
-        age = time.monotonic() - BEGAN
-        return inner() + sum(int(by * unit) for what, by, at, _, _ in PLAN if what == "clock" and age >= at)
+        now = age()
+        return inner() + sum(int(by * unit) for what, by, at, _, _ in PLAN if what == "clock" and now >= at)
 
     return wrapped
 
@@ -108,4 +156,7 @@
     select_epoll = select.epoll
     socket.socket = FailingSocket
     select.epoll = FailingEpoll
+    os_write, os.write = os.write, failing_write
+    os_sync, os.fsync = os.fsync, failing_sync
+    os_replace, os.replace = os.replace, failing_replace
     time.time, time.time_ns = stepped(time.time, 1), stepped(time.time_ns, 10**9)
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -7,7 +7,7 @@
 import signal
 import tempfile
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -35,6 +35,7 @@
         more: Callable[[int], str] = lambda i: "",
         copies: int = 3,
         claim_ms: int = 250,
+        environment: Callable[[int], Mapping[str, str]] = lambda i: {},
         **kernel: Any,
     ) -> None:
         self.ports = [free_port() for _ in range(n)]
@@ -47,7 +48,17 @@
         settings = SETTINGS | {"classes": [check, submit | {"windowMs": window_ms, "aimMs": aim_ms}]}
         self.uncovered, self._more, self._copies, self._claim_ms = uncovered, more, copies, claim_ms
         self.runners = [
-            Runner(self.kernels[i].port, None, None, None, None, settings, self.toml(i), name=f"n{i}")
+            Runner(
+                self.kernels[i].port,
+                None,
+                None,
+                None,
+                None,
+                settings,
+                self.toml(i),
+                name=f"n{i}",
+                environment=environment(i),
+            )
             for i in range(n)
         ]
         self.stopped: set[int] = set()
