A key counts for its window though new settings give its class another effect

Cause: whether a request has a key was read off the settings of the moment it came.

Ruled out: held and running requests; they keep the class that they were taken under, and a test holds that.

Change: `core/former_keys.py`: for the window, the deadline and the margin after such a change a request with a token is taken as one of a keyed class. Not covered: a process that begins with the new settings (docs/design/repeats.md).

--- a/moorusher/core/intake.py
+++ b/moorusher/core/intake.py
@@ -8,6 +8,7 @@
 
 from .answer import Reply
 from .clock import MS, SECOND, Clock
+from .former_keys import FormerKeys
 from .keys import Keys, digest, window_end
 from .requests import Arrival, Request, Table
 
@@ -48,6 +49,7 @@
     def __init__(self, settings: api.Settings, clock: Clock, table: Table, keys: Keys) -> None:
         self._clock, self._table, self._keys = clock, table, keys
         self.former: dict[str, float] = {}  # classes that were dropped, with their windows; the latest last
+        self._former_keys = FormerKeys()
         self._know(settings)
 
     def _know(self, settings: api.Settings) -> None:
@@ -57,6 +59,7 @@
 
     def follow(self, settings: api.Settings) -> None:
         """New settings hold for what is read from here on."""
+        self._former_keys.follow(self._clock.now, self.settings, settings)
         windows = self.former | {c.name: c.window_ms for c in self.settings.classes}
         self._know(settings)
         longer = [cls.window_ms - windows.pop(cls.name, cls.window_ms) for cls in settings.classes]
@@ -73,6 +76,8 @@
         if tenant is not None and tenant not in self.tenants:  # whoever names none is nobody's
             return Fault.NO_SUCH_TENANT
         cls = self.settings.classes[klass]
+        if a.token:
+            cls = self._former_keys.taken_as(cls, now)
         keyed = cls.effect is api.Effect.KEYED
         if keyed and not a.token:
             return Fault.TOKEN_MISSING
--- a/tests/test_core_shape.py
+++ b/tests/test_core_shape.py
@@ -21,6 +21,7 @@
     "counters",
     "demand",
     "endings",
+    "former_keys",
     "intake",
     "keys",
     "others",
--- /dev/null
+++ b/tests/test_effect_changes.py
@@ -0,0 +1,161 @@
+"""New settings give a class another effect while its requests are held, running or over."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from moorusher.core.former_keys import MOST, FormerKeys
+from peattack import interface as api
+
+from .helpers import settings as base_settings
+from .stand_ins import SETTINGS, FrontEnd, Kernel, Runner, content, running
+from .test_sockets import has, key, sockets
+
+CHECK, SUBMIT = SETTINGS["classes"]
+FREE, KEYED, ONCE = "free", "guarded", "single_shot"
+
+
+def settings(**submit: Any) -> dict[str, Any]:
+    return {"settings": SETTINGS | {"classes": [CHECK, SUBMIT | submit]}}
+
+
+async def reload(runner: Runner, changes: dict[str, Any]) -> None:
+    """Until the runner says that it has taken the new settings."""
+    before = runner.text().count("configuration read again")
+    runner.reload(**changes)
+    await has(lambda: runner.text().count("configuration read again") > before)
+
+
+async def ask(runner: Runner, token: str, body: bytes = b"one", klass: str = "submit") -> dict[str, Any]:
+    front = await FrontEnd.connect(runner.port)
+    try:
+        return await front.ask(klass, token=token, body=body)
+    finally:
+        front.close()
+
+
+def ran(kernel: Kernel) -> list[bytes]:
+    return [body for _, _, body in kernel.runs]
+
+
+@pytest.mark.parametrize("more", [(), ({"effect": KEYED},), ({"effect": FREE}, {"effect": ONCE})])
+@sockets
+async def test_a_key_counts_for_its_window_though_its_class_has_none_any_more(
+    more: tuple[dict[str, Any], ...],
+) -> None:
+    kernel, token = Kernel(work=0.05), key()
+    async with running(kernel) as runner:
+        assert content(await ask(runner, token)) == b"did one"
+        for changes in ({"effect": ONCE}, *more):
+            await reload(runner, settings(**changes))
+        assert content(await ask(runner, token)) == b"did one"
+        assert ran(kernel) == [b"one"]
+
+
+@sockets
+async def test_a_repeat_of_a_run_that_goes_on_waits_for_it_though_its_class_has_no_keys_any_more() -> None:
+    kernel, token = Kernel(work=0.6), key()
+    async with running(kernel) as runner:
+        first = asyncio.create_task(ask(runner, token))
+        await has(lambda: len(kernel.runs) == 1)
+        await reload(runner, settings(effect=ONCE))
+        second = await ask(runner, token)
+        assert content(second) == content(await first) == b"did one"
+        assert ran(kernel) == [b"one"]
+
+
+@sockets
+async def test_a_repeat_under_the_class_that_took_the_place_of_a_keyed_one_runs_nothing() -> None:
+    kernel, token = Kernel(work=0.05), key()
+    other = SUBMIT | {"name": "submit-b", "effect": ONCE}
+    async with running(kernel) as runner:
+        assert content(await ask(runner, token)) == b"did one"
+        await reload(runner, {"settings": SETTINGS | {"classes": [CHECK, other]}})
+        assert content(await ask(runner, token, klass="submit-b")) == b"did one"
+        assert ran(kernel) == [b"one"]
+
+
+@sockets
+async def test_a_class_beside_a_keyed_one_takes_no_result_of_it() -> None:
+    kernel, token = Kernel(work=0.05), key()
+    other = SUBMIT | {"name": "once", "effect": ONCE}
+    extra = SETTINGS["extra"] | {"classCalls": [True] * 3, "worthWithout": [0.5, 0, 0]}
+    async with running(kernel, classes=[CHECK, SUBMIT, other], extra=extra) as runner:
+        await ask(runner, token)
+        await ask(runner, token, klass="once")
+        assert ran(kernel) == [b"one", b"one"], "the two are different requests"
+
+
+@sockets
+async def test_held_requests_keep_the_effect_that_they_were_taken_with() -> None:
+    kernel = Kernel(work=0.3)
+    async with running(kernel) as runner:
+        front = await FrontEnd.connect(runner.port)
+        tokens = [key() for _ in range(5)]
+        first = [front.send("submit", token=t, body=t.encode()) for t in tokens]
+        await has(lambda: len(kernel.runs) == 2)
+        await reload(runner, settings(effect=ONCE))
+        again = [front.send("submit", token=t, body=t.encode()) for t in tokens]
+        answers = await asyncio.gather(*first, *again)
+        results = [content(a) for a in answers if "result" in a]
+        bodies = ran(kernel)
+        assert len(bodies) == len(set(bodies)), "a key ran twice"
+        assert results and set(results) <= {b"did " + body for body in bodies}
+        for t, a in zip([*tokens, *tokens], answers, strict=True):
+            ended = "result" in a or a["error"]["code"] != -32014 or t.encode() not in bodies
+            assert ended, "refused, and it ran"
+
+
+S = 1_000_000  # us
+WINDOW_S, DEADLINE_S, MARGIN_S = 20, 8, 2
+
+
+def of(**effects: api.Effect) -> api.Settings:
+    classes = tuple(
+        api.RequestClass(3_000, DEADLINE_S * 1_000, name, effect=effect, window_ms=WINDOW_S * 1_000)
+        for name, effect in effects.items()
+    )
+    return base_settings(classes=classes)
+
+
+def test_a_class_counts_as_keyed_until_the_last_of_its_keys_is_over() -> None:
+    former, before, after = FormerKeys(), of(a=api.Effect.KEYED), of(a=api.Effect.UNSAFE)
+    former.follow(0, before, after)
+    cls = after.classes[0]
+    last = (WINDOW_S + DEADLINE_S + MARGIN_S) * S
+    assert former.taken_as(cls, last - 1).effect is api.Effect.KEYED
+    assert former.taken_as(cls, last) is cls
+
+
+def test_settings_in_a_row_do_not_shorten_that_and_one_that_is_keyed_again_is_itself() -> None:
+    former, keyed, safe, unsafe = (
+        FormerKeys(),
+        *(of(a=e) for e in (api.Effect.KEYED, api.Effect.SAFE, api.Effect.UNSAFE)),
+    )
+    former.follow(0, keyed, safe)
+    former.follow(1 * S, safe, unsafe)
+    former.follow(2 * S, unsafe, of(b=api.Effect.SAFE))
+    former.follow(3 * S, of(b=api.Effect.SAFE), unsafe)
+    assert former.taken_as(unsafe.classes[0], 10 * S).effect is api.Effect.KEYED
+    former.follow(11 * S, unsafe, keyed)
+    assert former.taken_as(keyed.classes[0], 12 * S) is keyed.classes[0]
+
+
+def test_only_classes_that_are_new_as_a_keyed_one_goes_may_stand_for_it() -> None:
+    former = FormerKeys()
+    before = of(a=api.Effect.KEYED, b=api.Effect.UNSAFE)
+    after = of(b=api.Effect.UNSAFE, c=api.Effect.UNSAFE)
+    former.follow(0, before, after)
+    b, c = after.classes
+    assert former.taken_as(b, S) is b
+    assert former.taken_as(c, S).effect is api.Effect.KEYED
+
+
+def test_what_is_remembered_of_former_classes_is_bounded() -> None:
+    former = FormerKeys()
+    for number in range(1_000):
+        former.follow(0, of(**{f"c{number}": api.Effect.KEYED}), of(**{f"c{number + 1}": api.Effect.KEYED}))
+    assert len(former._former) <= MOST + 1
