--- a/tests/faults/day.py
+++ b/tests/faults/day.py
@@ -217,6 +217,9 @@
     crowd: int = 0  # connections of others that say nothing, or half a line
     sockets: int = 0  # the limit on descriptors, where it is a narrow one
     failed_replacements: float = 0.0  # the share of new processes that are killed or stopped on the way
+    woken_replacements: float = 0.0  # that of new processes that are stopped for seconds, and go on
+    told_early: float = 0.0  # that of former processes that get SIGTERM before the new one says yes
+    drains: bool = False  # by the console, and back into service
     obeys: float = 1.0  # the share of clients that send nothing new once they were told so
     turned_away: float = 0.1
     failing: float = 0.1
@@ -343,7 +346,7 @@
         return judge(self.history, grace + SLACK_S + self.faults.stopped_s + 3 * self.lag_s, ends)
 
     def _troubles(self) -> list[Trouble]:
-        from .troubles import crowding, reloading, replacing, restarting, stopping
+        from .troubles import crowding, draining, reloading, replacing, restarting, stopping
 
         chosen: list[Trouble] = []
         if self.faults.reloads:
@@ -356,6 +359,8 @@
             chosen.append(crowding)
         if self.faults.replacements:
             chosen.append(replacing)
+        if self.faults.drains:
+            chosen.append(draining)
         return chosen
 
     async def _ask(self) -> None:
--- a/tests/faults/kinds.py
+++ b/tests/faults/kinds.py
@@ -54,5 +54,17 @@
     Faults("clients walk away", walks_away=0.3, kernel_life_s=LINK_S),
     Faults("trouble after a quiet time", quiet_s=9.0, kernel_life_s=LINK_S, db_life_s=LINK_S, reloads=True),
     Faults("replacements that fail", replacements=True, failed_replacements=0.6, obeys=0.5),
+    Faults("replacements stopped and woken", replacements=True, woken_replacements=0.7, obeys=0.5),
+    Faults("replaced processes told to end early", replacements=True, told_early=0.6, obeys=0.5),
+    Faults(
+        "drains, replacements, configurations, clock",
+        drains=True,
+        replacements=True,
+        failed_replacements=0.2,
+        told_early=0.3,
+        reloads=True,
+        kernel_life_s=LINK_S,
+        inside=(("clock", -7, 2.0, 0, 0),),
+    ),
     Faults("replacements, clock stepped", replacements=True, inside=(("clock", -7, 1.0, 0, 0),)),
 )
--- a/tests/faults/troubles.py
+++ b/tests/faults/troubles.py
@@ -19,6 +19,7 @@
     from .day import Day
 
 DEADLINE_S, KILL_MORE_S = 3.0, 0.7
+STILL_S = 4.0  # longer than a process waits for another one of its runner
 BAD = ("", '{"name": "n1"', "[]")
 
 
@@ -83,11 +84,39 @@
         node = day.nodes[day.draw.randrange(day.runners)]
         former = node.process
         node.start(day.kernel_port())
-        if day.draw.random() < day.faults.failed_replacements:
+        choice = day.draw.random()
+        if choice < day.faults.failed_replacements:
             await _fails(day, node)
+            continue
+        if choice < day.faults.failed_replacements + day.faults.woken_replacements:
+            await _stands_still(day, node)
+        if day.draw.random() < day.faults.told_early:
+            await asyncio.sleep(1.2 * day.draw.random())
         else:
             await node.says_yes()
-            await _told_to_end(former)
+        await _told_to_end(former)
+        await node.says_yes()
+
+
+async def _stands_still(day: Day, node: Runner) -> None:
+    """The new process is stopped at some step, for longer than the former one waits for it, and goes on."""
+    await asyncio.sleep(1.2 * day.draw.random())
+    node.process.send_signal(signal.SIGSTOP)
+    try:
+        await asyncio.sleep(STILL_S)
+    finally:
+        node.process.send_signal(signal.SIGCONT)
+
+
+async def draining(day: Day) -> None:
+    """An operator drains a runner by its console, and takes it back into service."""
+    while True:
+        await asyncio.sleep(0.3 + 0.5 * day.draw.random())
+        node = day.nodes[day.draw.randrange(day.runners)]
+        console = node.console
+        await node.asked("quiesce", console)
+        await asyncio.sleep(day.draw.random())
+        await node.asked("resume", console)
 
 
 async def _fails(day: Day, node: Runner) -> None:
