A configuration that can't be opened for a moment is read again, and early SIGHUPs end nobody

Cause: found on review of what fails for a moment (ENFILE, EMFILE, ENOBUFS; EIO). At SIGHUP the file's error counted as a configuration that is turned down: the word of a kernel or a database that had moved was lost for good, with calls failing until the next SIGHUP. At the start it ended the process. SIGHUP in the first third of a second of a process, before it had a handler, ended it by the signal's default; the same held for SIGTERM, as a death by signal.

Ruled out: a descriptor kept free for the file would not help against ENFILE, which is the system's.

Change: such an error is `ConfigUnreadable`, and `Reloads` reads again each 50 ms until it can, with a line of the log each second at most; at the start for 8 s. Tests: faults of `open`, and a SIGHUP at the import of a named module.

--- a/moorusher/config.py
+++ b/moorusher/config.py
@@ -22,7 +22,7 @@
 from .config_tier import TierConfig, read_tier
 from .forecast.policy import Policy as ForecastPolicy
 from .outage.policy import Policy as OutagePolicy
-from .section import Address, ConfigError, Section, loopback, parse_address
+from .section import Address, ConfigError, Section, loopback, parse_address, unreadable
 from .standing.policy import Policy
 from .standing.words import Codes
 
@@ -177,7 +177,9 @@
             ForecastPolicy(),
             OutagePolicy(),
         )
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as exc:
+    except OSError as exc:
+        raise unreadable(path.name, exc) from exc
+    except (UnicodeDecodeError, tomllib.TOMLDecodeError) as exc:
         raise ConfigError(f"{path.name}: {exc}") from exc
     root = Section(raw, "")
     root.unknown(
@@ -207,7 +209,7 @@
         try:
             token = (path.parent / name).read_text().strip()
         except OSError as exc:
-            raise ConfigError(f"admin.token_file: {exc}") from exc
+            raise unreadable("admin.token_file", exc) from exc
     d = UwsgiConfig()
     fleet = read_fleet(root.section("fleet"), root.section("duties"))
     tier = read_tier(root.section("tier"), path.parent, max(1, len(fleet.seats)))
@@ -276,7 +278,7 @@
     try:
         text = Path(path).read_bytes()
     except OSError as exc:
-        raise ConfigError(f"GW_CONFIG: {exc}") from exc
+        raise unreadable("GW_CONFIG", exc) from exc
     return read(text, env, read_fronts(fronts or FRONTS_FILE), running)
 
 
--- a/moorusher/lab/runners.py
+++ b/moorusher/lab/runners.py
@@ -26,7 +26,8 @@
 GAUGES = ("cpu_busy", "runnable", "mem_used", "sockets")
 
 
-_PORTS = itertools.cycle(range(15_000, 30_000))
+FIRST_PORT, PORTS = 15_000, 15_000
+_PORTS = itertools.cycle(range(FIRST_PORT, FIRST_PORT + PORTS))
 _begun: list[int] = []
 MOST_NAMED = 1_000
 _named: deque[socket.socket] = deque()
@@ -37,8 +38,8 @@
     between here and its start. Nor does another test or laboratory, which begins elsewhere and passes over what this
     one has named."""
     if not _begun:
-        _begun.extend(itertools.islice(_PORTS, os.getpid() * 61 % 15_000))
-    for port in itertools.islice(_PORTS, 1000):
+        _begun.extend(itertools.islice(_PORTS, os.getpid() * 61 % PORTS))
+    for port in itertools.islice(_PORTS, PORTS):
         if not _is_named_first(port):
             continue
         with socket.socket() as s, suppress(OSError):
--- a/moorusher/reloading.py
+++ b/moorusher/reloading.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from dataclasses import fields, replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from .config import Config
 from .core.retune import Plan, plan
-from .section import Address, ConfigError
+from .limited_log import LimitedLog
+from .section import Address, ConfigError, ConfigUnreadable
 
 if TYPE_CHECKING:
     from .service import Service
@@ -33,6 +35,46 @@
 )
 
 
+AGAIN_S = 0.05  # to the next look at a file that could not be read
+
+
+class Reloads:
+    """Reads the configuration at SIGHUP, and again where its files could not be read at that moment."""
+
+    def __init__(self, service: Service, reactor: Any) -> None:
+        self._service, self._reactor = service, reactor
+        self._limited = LimitedLog(log)
+        self._waiting: Any = None  # the next look, where one is due
+
+    def read(self, load: Callable[..., Config]) -> None:
+        """Read and checked whole, then taken; keys, runs and held requests stay as they are. The file is read as it is
+        by then: a later SIGHUP adds nothing to a look that is due."""
+        self._drop_next_look()
+        service = self._service
+        try:
+            follow(service, load(running=service.config.raw))
+        except ConfigUnreadable as exc:
+            self._limited.write(
+                logging.WARNING,
+                "unreadable",
+                "configuration: it can't be read for the moment, and is tried again: %s",
+                exc,
+            )
+            self._waiting = self._reactor.callLater(AGAIN_S, self._look_again, load)
+        except ConfigError as exc:
+            service.core.counters.add("configurations turned down")
+            log.error("configuration not changed: %s", exc)
+
+    def _look_again(self, load: Callable[..., Config]) -> None:
+        self._waiting = None
+        self.read(load)
+
+    def _drop_next_look(self) -> None:
+        waiting, self._waiting = self._waiting, None
+        if waiting is not None:
+            waiting.cancel()
+
+
 def follow(service: Service, new: Config) -> None:
     """Take it. Raises ConfigError before anything is changed."""
     old = service.config
--- a/moorusher/section.py
+++ b/moorusher/section.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import errno
 import ipaddress
 from collections.abc import Mapping
 from typing import Any, TypeVar, cast
 
+from .transient import PASSING
+
 T = TypeVar("T")
 Address = tuple[str, int]
 
@@ -14,6 +17,20 @@
     """The configuration can't be used; the text names the key."""
 
 
+class ConfigUnreadable(ConfigError):
+    """A file of the configuration could not be read at that moment; a moment later it may be."""
+
+
+# The system had no room, or the disk failed: neither says anything of the file.
+READ_LATER = PASSING | {errno.EIO}
+
+
+def unreadable(key: str, exc: OSError) -> ConfigError:
+    """The error for a file that could not be read; the key names it."""
+    kind = ConfigUnreadable if exc.errno in READ_LATER else ConfigError
+    return kind(f"{key}: {exc}")
+
+
 MOST_FIGURE = 1e15
 
 
--- a/moorusher/service.py
+++ b/moorusher/service.py
@@ -24,9 +24,9 @@
 from .links.uwsgi import UwsgiCalls
 from .listening import Listeners
 from .loop import LoopTimer, descriptors, limited, listener
-from .reloading import follow
+from .reloading import Reloads
 from .report import Reporter
-from .section import Address, ConfigError
+from .section import Address
 from .standing.observe import Maintenance
 from .succession.budget import Load, path_for
 from .transient import passes
@@ -52,6 +52,7 @@
 
     def __init__(self, config: Config, reactor: Any) -> None:
         self.config, self.reactor = config, reactor
+        self._reloads = Reloads(self, reactor)
         self.clock = Clock()
         self.timer = LoopTimer(reactor, lambda: self.core.ring())
         self.alarms = Alarms(self.clock, self.timer.arm)
@@ -361,11 +362,7 @@
 
     def reload(self, load: Callable[..., Config]) -> None:
         """SIGHUP: read and checked whole, then taken; keys, runs and held requests stay as they are."""
-        try:
-            follow(self, load(running=self.config.raw))
-        except ConfigError as exc:
-            self.core.counters.add("configurations turned down")
-            log.error("configuration not changed: %s", exc)
+        self._reloads.read(load)
 
     # ---- leaving ----
 
--- a/moorusher/start.py
+++ b/moorusher/start.py
@@ -8,15 +8,20 @@
 import socket
 import struct
 import sys
+import time
+from collections.abc import Callable
 from functools import partial
 from pathlib import Path
 
-from .config import load
-from .section import ConfigError
+from .config import Config, load
+from .section import ConfigError, ConfigUnreadable
 from .succession.budget import path_for, room_for_two
 
 log = logging.getLogger("moorusher")
 
+CONFIG_WITHIN_S = 8.0  # a process is to be ready within ten
+AGAIN_S = 0.05
+
 OK, UNREACHED, FAULTY, REFUSED, NOT_ROUTABLE = range(5)  # exit codes of all commands; README.md has the table
 
 
@@ -34,12 +39,29 @@
         return 0.0
 
 
+def _read_patiently(read: Callable[[], Config]) -> Config:
+    """Raises ConfigError. What can't be read for the moment is tried again for as long as a start may take."""
+    until = time.monotonic() + CONFIG_WITHIN_S
+    while True:
+        try:
+            return read()
+        except ConfigUnreadable:
+            if time.monotonic() >= until:
+                raise
+        time.sleep(AGAIN_S)
+
+
 def serve(fronts: Path | None = None) -> int:
     """One runner in the foreground, until it has left; the exit code. `fronts` says what else listens."""
     logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(levelname)s %(message)s")
+    # Nothing has been read yet: until the service takes the signal over, leaving is ending.
+    signal.signal(signal.SIGTERM, lambda *_: os._exit(OK))
+    # A new configuration that comes meanwhile is read once there is who can follow it.
+    hangups: list[int] = []
+    signal.signal(signal.SIGHUP, lambda number, _: hangups.append(number))
     read = partial(load, fronts=fronts)
     try:
-        config = read()
+        config = _read_patiently(read)
     except ConfigError as exc:
         print(f"moorusher: {exc}", file=sys.stderr)
         return FAULTY
@@ -51,12 +73,6 @@
             taken,
         )
         return FAULTY
-    # Nothing has been read yet: until the service takes the signal over, leaving is ending.
-    signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
-    hangups: list[
-        int
-    ] = []  # a new configuration that comes meanwhile is read once there is who can follow it
-    signal.signal(signal.SIGHUP, lambda number, _: hangups.append(number))
     from . import loop  # the loop is installed before any module can import Twisted's default one
 
     reactor = loop.install()
--- a/tests/faults/inject/sitecustomize.py
+++ b/tests/faults/inject/sitecustomize.py
@@ -3,11 +3,14 @@
 FAULT_PLAN is JSON: a list of [call, errno, from, to, share], in seconds after the start, and of
 ["clock", seconds, at, 0, 0] for steps of the Unix clock. Where FAULT_START names a file, times count from when it is
 there. `read` and `write` are of all sockets, `link read` and `link write` of those that the process has connected; with
-errno "SHORT" they pass one byte. `disk write`, `disk sync` and `disk rename` are of files; "SHORT" writes a half, and
-"KILL" ends the process after that half.
+errno "SHORT" they pass one byte. `open` is of files by `io.open`, `disk write`, `disk sync` and `disk rename` are of
+files; "SHORT" writes a half, and "KILL" ends the process after that half.
+
+FAULT_HANGUP names modules: the process gets SIGHUP as it imports each of them.
 """
 
 import errno
+import io
 import json
 import os
 import random
@@ -15,11 +18,13 @@
 import signal
 import socket
 import stat
+import sys
 import time
 
 PLAN = json.loads(os.environ.get("FAULT_PLAN", "[]"))
 BEGAN = time.monotonic()
 START = os.environ.get("FAULT_START")
+HANGUPS = [name for name in os.environ.get("FAULT_HANGUP", "").split(",") if name]
 SYNCED = {}  # bytes of a file that are on the disk, by its inode
 DRAW = random.Random(os.environ.get("FAULT_SEED", "1"))
 
@@ -135,6 +140,13 @@
     raise fail(error)
 
 
+def failing_open(*args, **kwargs):
+    error = due("open")
+    if error is not None:
+        raise fail(error)
+    return io_open(*args, **kwargs)
+
+
 def failing_replace(old, new):
     error = due("disk rename")
     if error is not None:
@@ -152,11 +164,23 @@
 
 failing_connect = returning("connect", socket.socket.connect_ex)
 
+
+class HangupAt:
+    def find_spec(self, name, path=None, target=None):
+        if name in HANGUPS:
+            HANGUPS.remove(name)
+            os.kill(os.getpid(), signal.SIGHUP)
+
+
+if HANGUPS:
+    sys.meta_path.insert(0, HangupAt())
+
 if PLAN:
     select_epoll = select.epoll
     socket.socket = FailingSocket
     select.epoll = FailingEpoll
     os_write, os.write = os.write, failing_write
     os_sync, os.fsync = os.fsync, failing_sync
+    io_open, io.open = io.open, failing_open
     os_replace, os.replace = os.replace, failing_replace
     time.time, time.time_ns = stepped(time.time, 1), stepped(time.time_ns, 10**9)
