--- a/tests/faults/day.py
+++ b/tests/faults/day.py
@@ -13,7 +13,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -257,6 +257,8 @@
         self._parts: list[Any] = []
         self.nodes: list[Runner] = []
         self.killed: dict[int, float] = {}  # when a process of a runner was, with what it had read
+        self.let_on: Counter[str] = Counter()  # successors of each runner, before the one under way
+        self.still: dict[str, list[tuple[float, float]]] = defaultdict(list)  # when who served was stopped
         self.lives: Counter[int] = Counter()  # of each runner; a new one knows no keys
         self.announce: Announce
         self._clients: dict[int, list[Client]] = defaultdict(list)
@@ -281,6 +283,16 @@
         call = relay.reactor.callLater(life_s * (0.5 + self.draw.random()), cut)
         self._parts.append(call)
 
+    def lets_on(self, node: Runner) -> int:
+        """How often a process of this runner has left its clients to a further one."""
+        return node.text().count("succession: finishes, and the other one serves")
+
+    def _due_once_woken(self, asked: Asked) -> Asked:
+        """Due when the process that serves goes on, or another one serves in its place."""
+        stops = self.still[asked.runner.split(".")[0]]
+        ends = [end for began, end in stops if began <= asked.due and asked.at <= end]
+        return replace(asked, due=max([asked.due, *ends]))
+
     def let_in_by(self, index: int) -> float:
         """When a connection that is made now is accepted at the latest, where the system refuses that for a while."""
         faults = [(since, until) for call, _, since, until, _ in self.faults.inside if call == "accept"]
@@ -343,7 +355,8 @@
         finally:
             self._close()
         grace = SETTINGS["invariants"]["graceToAnswerMs"] / 1000
-        return judge(self.history, grace + SLACK_S + self.faults.stopped_s + 3 * self.lag_s, ends)
+        history = [self._due_once_woken(s) if isinstance(s, Asked) else s for s in self.history]
+        return judge(history, grace + SLACK_S + self.faults.stopped_s + 3 * self.lag_s, ends)
 
     def _troubles(self) -> list[Trouble]:
         from .troubles import crowding, draining, reloading, replacing, restarting, stopping
--- a/tests/faults/troubles.py
+++ b/tests/faults/troubles.py
@@ -8,7 +8,8 @@
 import socket
 import subprocess
 import time
-from contextlib import suppress
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, cast
 
@@ -83,6 +84,7 @@
         await asyncio.sleep(0.3 + 0.5 * day.draw.random())
         node = day.nodes[day.draw.randrange(day.runners)]
         former = node.process
+        day.let_on[str(node.config["name"])] = day.lets_on(node)
         node.start(day.kernel_port())
         choice = day.draw.random()
         if choice < day.faults.failed_replacements:
@@ -101,9 +103,9 @@
 async def _stands_still(day: Day, node: Runner) -> None:
     """The new process is stopped at some step, for longer than the former one waits for it, and goes on."""
     await asyncio.sleep(1.2 * day.draw.random())
-    node.process.send_signal(signal.SIGSTOP)
     try:
-        await asyncio.sleep(STILL_S)
+        async with _stopped(day, node):
+            await asyncio.sleep(STILL_S)
     finally:
         node.process.send_signal(signal.SIGCONT)
 
@@ -122,13 +124,29 @@
 async def _fails(day: Day, node: Runner) -> None:
     """The new process is killed at some step, or stands still for so long that the former one gives it up."""
     await asyncio.sleep(1.2 * day.draw.random())
-    if day.draw.random() < 0.5:
-        node.process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(2 * day.draw.random())
-    day.killed[day.nodes.index(node)] = time.monotonic()
-    node.process.kill()
-    node.process.wait()
-    node.processes.pop()
+    stands_still = day.draw.random() < 0.5
+    try:
+        if stands_still:
+            async with _stopped(day, node):
+                await asyncio.sleep(2 * day.draw.random())
+    finally:
+        day.killed[day.nodes.index(node)] = time.monotonic()
+        node.process.kill()
+        node.process.wait()
+        node.processes.pop()
+
+
+@asynccontextmanager
+async def _stopped(day: Day, node: Runner) -> AsyncIterator[None]:
+    """Whoever asks a process that stands still, and is the one that serves, hears nothing until that is over. One that
+    has not been let on yet frees nobody of an answer."""
+    node.process.send_signal(signal.SIGSTOP)
+    name, began = str(node.config["name"]), time.monotonic()
+    try:
+        yield
+    finally:
+        if day.lets_on(node) > day.let_on[name]:
+            day.still[name].append((began, time.monotonic()))
 
 
 async def crowding(day: Day) -> None:
