A listening socket that can't be taken over for a moment stays open for another try

Cause: found on review of what fails with ENFILE. A further process duplicates each listening socket that it was handed. Where that failed, the handed descriptor was closed and the next try opened a socket of its own. The former process does not accept on the shared one by then: whoever came in there was let in by nobody, and reset as the former one ended.

Ruled out: descriptors that are not at a planned address, or that could not be looked at: those are not reported as shared, so the former process accepts what waits there before it closes.

Change: `Listeners` gives a handed descriptor away only once it is listened on.

--- a/moorusher/listening.py
+++ b/moorusher/listening.py
@@ -25,17 +25,33 @@
         self._paused: set[str] = set()  # of them, those on which a further process accepts
 
     def adopt(self, made: socket.socket, factory: Any) -> Any:
-        """Accept on this socket, which is Twisted's from here on."""
+        """Accept on this socket, which is Twisted's from here on. Raises OSError, and closes it."""
         with made:
             return AcceptingPort.of(self._reactor, made, factory, self._accepts, self._count)
 
+    def _adopt_handed(self, descriptor: int, factory: Any) -> Any:
+        """As `adopt`. Where that fails the descriptor stays open for another try: the process that handed it over no
+        longer accepts on it, and connections wait there."""
+        made = socket.socket(fileno=descriptor)
+        try:
+            port = AcceptingPort.of(self._reactor, made, factory, self._accepts, self._count)
+        except OSError:
+            made.detach()
+            raise
+        made.close()
+        return port
+
     def open(self, handed: dict[str, int]) -> None:
         """Each planned listener that is not open yet, on the descriptor that was handed over for it or on a socket of
         its own. Raises OSError where an address is not free; what is open by then stays."""
         for label, (address, factory) in self.planned.items():
-            if label not in self._ports:
-                made = socket.socket(fileno=handed.pop(label)) if label in handed else listener(address)
-                self._ports[label] = self.adopt(made, factory)
+            if label in self._ports:
+                continue
+            if label in handed:
+                self._ports[label] = self._adopt_handed(handed[label], factory)
+                del handed[label]
+            else:
+                self._ports[label] = self.adopt(listener(address), factory)
 
     def usable(self, handed: dict[str, int]) -> dict[str, int]:
         """Of descriptors handed over, those at the addresses of planned listeners that are not open."""
--- a/tests/faults/inject/sitecustomize.py
+++ b/tests/faults/inject/sitecustomize.py
@@ -3,8 +3,8 @@
 FAULT_PLAN is JSON: a list of [call, errno, from, to, share], in seconds after the start, and of
 ["clock", seconds, at, 0, 0] for steps of the Unix clock. Where FAULT_START names a file, times count from when it is
 there. `read` and `write` are of all sockets, `link read` and `link write` of those that the process has connected; with
-errno "SHORT" they pass one byte. `open` is of files by `io.open`, `disk write`, `disk sync` and `disk rename` are of
-files; "SHORT" writes a half, and "KILL" ends the process after that half.
+errno "SHORT" they pass one byte. `dup` is of sockets, `open` of files by `io.open`; `disk write`, `disk sync` and
+`disk rename` are of files, "SHORT" writes a half, and "KILL" ends the process after that half.
 
 FAULT_HANGUP names modules: the process gets SIGHUP as it imports each of them.
 """
@@ -165,6 +165,13 @@
 failing_connect = returning("connect", socket.socket.connect_ex)
 
 
+def failing_dup(fd):
+    error = due("dup")
+    if error is not None:
+        raise fail(error)
+    return socket_dup(fd)
+
+
 class HangupAt:
     def find_spec(self, name, path=None, target=None):
         if name in HANGUPS:
@@ -182,5 +189,6 @@
     os_write, os.write = os.write, failing_write
     os_sync, os.fsync = os.fsync, failing_sync
     io_open, io.open = io.open, failing_open
+    socket_dup, socket.dup = socket.dup, failing_dup
     os_replace, os.replace = os.replace, failing_replace
     time.time, time.time_ns = stepped(time.time, 1), stepped(time.time_ns, 10**9)
--- a/tests/test_replacing.py
+++ b/tests/test_replacing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import signal
 import socket
 import time
@@ -12,6 +13,7 @@
 
 from moorusher.succession.budget import path_for
 
+from .faults.day import INJECT
 from .stand_ins import HOST, FrontEnd, Kernel, Runner, content, running, until
 from .test_sockets import has, key, sockets
 
@@ -65,6 +67,34 @@
         further.close()
 
 
+@sockets
+async def test_sockets_that_can_not_be_taken_over_for_a_moment_lose_nobody_who_waits_on_them(
+    tmp_path: Path,
+) -> None:
+    """The former process no longer accepts on them: who is let in by nobody is lost as it ends."""
+    async with pair() as both:
+        runner = both.runner
+        plan = json.dumps([("dup", "ENFILE", 0, 2.5, 1.0)])
+        start = tmp_path / "start"
+        runner.environment = {"PYTHONPATH": str(INJECT), "FAULT_PLAN": plan, "FAULT_START": str(start)}
+        former = runner.process
+        await both.begin(late=1.5)
+        await has(lambda: "a further process of this runner has come" in runner.text())
+        start.touch()
+        answers = []
+        while "can't listen yet" not in runner.text() or not runner.text().count("finishes, and the other"):
+            await asyncio.sleep(0.02)
+        for _ in range(40):
+            front = await FrontEnd.connect(runner.port)
+            answers.append((front, front.send("check", body=b"one")))
+            await asyncio.sleep(0.02)
+        await runner.says_yes()
+        former.send_signal(signal.SIGTERM)
+        for _, answer in answers:
+            assert (await asyncio.wait_for(answer, 8)).keys() & {"result", "error"}
+        await asyncio.to_thread(former.wait)
+
+
 @sockets
 async def test_under_load_nothing_is_lost_at_the_door_and_the_old_process_ends_in_order() -> None:
     async with pair(work=0.05) as both:
