The log line of a damaged store keeps its words

Cause: `test_a_damaged_store_is_put_aside_and_others_tell_what_was_in_it` failed in the whole suite: the new line of the store said "is damaged" where operators and the test look for "is put aside".

Ruled out: the behaviour; the file was kept as `namespaces.damaged` and the others told what had been in it.

Change: the line says again that the file can't be read and is put aside, now with the name that it gets.

Measured: that test and tests/test_revisions.py pass.

--- a/moorusher/links/revisions.py
+++ b/moorusher/links/revisions.py
@@ -98,10 +98,10 @@
 
     def _begin_anew(self, exc: Exception) -> list[Stored]:
         log.error(
-            "namespaces: %s is damaged (%s): it is kept as %s, and others are asked for what it held",
+            "namespaces: %s can't be read, and is put aside as %s: %s",
             self.path,
-            exc,
             self.path.with_suffix(".damaged").name,
+            exc,
         )
         self._count("namespaces: a damaged store")
         try:
