One way to try again before the loop runs, and no copies of it

Cause: on re-reading, the start and the store of revisions each had a loop of their own for what `persist` does, a pause of 50 ms stood in four places, and two tests of the store had the same five lines.

Ruled out: `Folder`'s loop; its last try differs from the others, so it stays.

Change: `persist` takes which errors may pass; the others use it. Behaviour and assertions as they were.

The whole suite was not run again.

--- a/moorusher/links/revisions.py
+++ b/moorusher/links/revisions.py
@@ -9,7 +9,6 @@
 
 import logging
 import sqlite3
-import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -19,6 +18,7 @@
 from twisted.python.threadpool import ThreadPool
 
 from ..publishing.messages import At
+from ..transient import persist
 
 log = logging.getLogger("moorusher")
 
@@ -33,7 +33,6 @@
 )
 AGAIN_S = 1.0  # from a write that failed to the next one
 PATIENCE_S = 1.0  # at the start, while nothing is served yet, for a file that can't be read
-PAUSE_S = 0.05
 BUSY_S = 1.0  # for which SQLite itself waits for another process's lock
 
 # What says that the file's content is wrong. All other errors (full, input/output, locked, can't open) may pass.
@@ -83,18 +82,14 @@
 
     def open(self) -> list[Stored]:
         """What was had last. Called once, before the loop has work to do."""
-        until = time.monotonic() + PATIENCE_S
-        while True:
-            try:
-                return self._open()
-            except (OSError, sqlite3.Error) as exc:
-                self._drop()
-                if is_damage(exc):
-                    return self._begin_anew(exc)
-                if time.monotonic() >= until:
-                    self._fails(exc)
-                    return []
-            time.sleep(PAUSE_S)
+        try:
+            return persist(self._open, PATIENCE_S, may_pass=lambda exc: not is_damage(exc))
+        except (OSError, sqlite3.Error) as exc:
+            self._drop()
+            if is_damage(exc):
+                return self._begin_anew(exc)
+            self._fails(exc)
+            return []
 
     def _begin_anew(self, exc: Exception) -> list[Stored]:
         log.error(
@@ -113,6 +108,7 @@
             return []
 
     def _open(self) -> list[Stored]:
+        self._drop()
         self.path.parent.mkdir(parents=True, exist_ok=True)
         self._db = self._connect(self.path)
         self._db.execute("pragma journal_mode=delete")
--- a/moorusher/reloading.py
+++ b/moorusher/reloading.py
@@ -11,6 +11,7 @@
 from .core.retune import Plan, plan
 from .limited_log import LimitedLog
 from .section import Address, ConfigError, ConfigUnreadable
+from .transient import AGAIN_S
 
 if TYPE_CHECKING:
     from .service import Service
@@ -35,9 +36,6 @@
 )
 
 
-AGAIN_S = 0.05  # to the next look at a file that could not be read
-
-
 class Reloads:
     """Reads the configuration at SIGHUP, and again where its files could not be read at that moment."""
 
--- a/moorusher/start.py
+++ b/moorusher/start.py
@@ -8,19 +8,17 @@
 import socket
 import struct
 import sys
-import time
-from collections.abc import Callable
 from functools import partial
 from pathlib import Path
 
-from .config import Config, load
+from .config import load
 from .section import ConfigError, ConfigUnreadable
 from .succession.budget import path_for, room_for_two
+from .transient import persist
 
 log = logging.getLogger("moorusher")
 
 CONFIG_WITHIN_S = 8.0  # a process is to be ready within ten
-AGAIN_S = 0.05
 
 OK, UNREACHED, FAULTY, REFUSED, NOT_ROUTABLE = range(5)  # exit codes of all commands; README.md has the table
 
@@ -39,16 +37,8 @@
         return 0.0
 
 
-def _read_patiently(read: Callable[[], Config]) -> Config:
-    """Raises ConfigError. What can't be read for the moment is tried again for as long as a start may take."""
-    until = time.monotonic() + CONFIG_WITHIN_S
-    while True:
-        try:
-            return read()
-        except ConfigUnreadable:
-            if time.monotonic() >= until:
-                raise
-        time.sleep(AGAIN_S)
+def _can_be_read_later(exc: Exception) -> bool:
+    return isinstance(exc, ConfigUnreadable)
 
 
 def serve(fronts: Path | None = None) -> int:
@@ -61,7 +51,7 @@
     signal.signal(signal.SIGHUP, lambda number, _: hangups.append(number))
     read = partial(load, fronts=fronts)
     try:
-        config = _read_patiently(read)
+        config = persist(read, CONFIG_WITHIN_S, may_pass=_can_be_read_later)
     except ConfigError as exc:
         print(f"moorusher: {exc}", file=sys.stderr)
         return FAULTY
--- a/moorusher/transient.py
+++ b/moorusher/transient.py
@@ -14,9 +14,9 @@
 AGAIN_S = 0.05
 
 
-def passes(exc: OSError) -> bool:
+def passes(exc: Exception) -> bool:
     """Whether the same call may succeed a moment later, with nothing changed by anybody."""
-    return exc.errno in PASSING
+    return isinstance(exc, OSError) and exc.errno in PASSING
 
 
 def persist(
@@ -24,14 +24,15 @@
     within_s: float,
     sleep: Callable[[float], None] = time.sleep,
     clock: Callable[[], float] = time.monotonic,
+    may_pass: Callable[[Exception], bool] = passes,
 ) -> T:
-    """Do it again until it succeeds, as long as its errors pass by themselves. Blocks: for the time before the loop
-    runs. Raises OSError."""
+    """Do it again until it succeeds, as long as its errors may pass by themselves. Blocks: for the time before the loop
+    runs. Raises the last error."""
     until = clock() + within_s
     while True:
         try:
             return action()
-        except OSError as exc:
-            if not passes(exc) or clock() >= until:
+        except Exception as exc:
+            if not may_pass(exc) or clock() >= until:
                 raise
         sleep(AGAIN_S)
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -80,6 +80,14 @@
         return {c: (b, n, d) for c, b, n, d in db.execute("select customer, born, number, draft from had")}
 
 
+async def written(path: Path) -> None:
+    """A store that has one revision, and is closed."""
+    async with store(path) as (made, _):
+        made.open()
+        made.put("acme", (1, 1), b"one")
+        await has(lambda: bool(had(path)))
+
+
 @pytest.mark.parametrize("error", [FULL, BROKEN])
 @sockets
 async def test_what_a_failing_disk_did_not_take_is_written_when_it_does(
@@ -115,10 +123,7 @@
     tmp_path: Path, error: tuple[str, int]
 ) -> None:
     path, disk = tmp_path / "n.db", Disk()
-    async with store(path) as (made, _):
-        made.open()
-        made.put("acme", (1, 1), b"one")
-        await has(lambda: bool(had(path)))
+    await written(path)
     disk.fail(*error, times=2, statement="select")
     async with store(path, disk) as (made, _):
         assert made.open() == [("acme", (1, 1), b"one")]
@@ -128,10 +133,7 @@
 @sockets
 async def test_a_file_that_stays_locked_is_left_in_place_and_written_to_later(tmp_path: Path) -> None:
     path = tmp_path / "n.db"
-    async with store(path) as (made, _):
-        made.open()
-        made.put("acme", (1, 1), b"one")
-        await has(lambda: bool(had(path)))
+    await written(path)
     other = sqlite3.connect(path, isolation_level=None)
     other.execute("begin exclusive")
     async with store(path) as (made, counts):
