--- a/review/common/bench.py
+++ b/review/common/bench.py
@@ -358,6 +358,8 @@
         leaving: Whether the runner has asked for no new request.
     """
 
+    all_links: list[FrontEndLink] = []  # keeps them from being collected while they rest
+
     def __init__(self, front_end: FrontEnd, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.front_end = front_end
         self.writer = writer
@@ -366,6 +368,7 @@
         self.leaving = False
         self.closed = False
         self._last_id = 0
+        FrontEndLink.all_links.append(self)
         self._task = asyncio.get_running_loop().create_task(self._read(reader))
 
     @classmethod
@@ -421,25 +424,29 @@
             self.writer.close()
 
 
-async def call_http(port: int, method: str, path: str, body: bytes = b"", token: str = "", timeout_s: float = 5.0) -> tuple[int, bytes]:  # fmt: skip  # noqa: E501
-    """Make one HTTP call, and return the status and the body; status 0 if no connection could be made."""
+async def call_http(
+    port: int, method: str, path: str, body: bytes = b"", token: str = "", timeout_s: float = 5.0
+) -> tuple[int, bytes]:
+    """Make one HTTP call, and return the status and the body; status 0 if there was no answer."""
+    # The administration API sends bodies in chunks to HTTP/1.1. The console, which has no token, speaks HTTP/1.1.
+    version = "1.1" if path.startswith("/admin/") else "1.0"
     try:
         reader, writer = await asyncio.open_connection(HOST, port)
     except ConnectionError:
         return 0, b""
     authorization = f"Authorization: Bearer {token}\r\n" if token else ""
     writer.write(
-        f"{method} {path} HTTP/1.1\r\nHost: runner\r\n{authorization}Connection: close\r\n"
+        f"{method} {path} HTTP/{version}\r\nHost: runner\r\n{authorization}Connection: close\r\n"
         f"Content-Length: {len(body)}\r\n\r\n".encode()
         + body
     )
     try:
-        first, _, content = await asyncio.wait_for(read_http(reader), timeout_s)
-    except (ConnectionError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+        head, _, content = (await asyncio.wait_for(reader.read(), timeout_s)).partition(b"\r\n\r\n")
+    except (ConnectionError, asyncio.TimeoutError):
         return 0, b""
     finally:
         writer.close()
-    return int(first.split()[1]), content
+    return (int(head.split()[1]), content) if head else (0, b"")
 
 
 async def heartbeat(port: int, timeout_s: float = 1.0) -> bool:
