--- a/review/common/bench.py
+++ b/review/common/bench.py
@@ -208,14 +208,13 @@
     """The database proxy. Each call is answered with `reply to BODY` after `delay_s`.
 
     Attributes:
-        calls: (reference of the request, body) of each call, in order.
-        on_reply: Writes the reply; a case may replace it.
+        calls: (time of arrival on the monotonic clock, reference of the request, body) of each call, in order.
     """
 
     def __init__(self, record: Record, delay_s: float = 0.005) -> None:
         self.record = record
         self.delay_s = delay_s
-        self.calls: list[tuple[str, bytes]] = []
+        self.calls: list[tuple[float, str, bytes]] = []
         self.port = 0
 
     async def listen(self) -> int:
@@ -229,7 +228,7 @@
             while True:
                 _, headers, body = await read_http(reader)
                 reference = headers.get(b"request-ref", b"").decode()
-                self.calls.append((reference, body))
+                self.calls.append((time.monotonic(), reference, body))
                 self.record.write("call", rid=reference, body=body[:60], server=self.port)
                 await asyncio.sleep(self.delay_s)
                 await self.reply(writer, reference, body)
