Review: scripts end their processes when told to end; the record's path in each case

Change: review/common/bench.py handles SIGTERM, SIGINT and SIGHUP; each case passes the path of its record.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -115,4 +115,4 @@
     return not twice
 
 
-main(case, Path(__file__).resolve().parent)
+main(case, Path(__file__).resolve().parent / "record.txt")
--- a/review/common/bench.py
+++ b/review/common/bench.py
@@ -22,13 +22,14 @@
 import traceback
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, NoReturn
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 HOST = "127.0.0.1"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 REFUSED = -32014
 CASE_LIMIT_S = 110.0
+ENDING_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 class CouldNotRun(Exception):
@@ -657,28 +658,41 @@
     }
 
 
-def main(case: Callable[[Record, Path], Awaitable[bool]], folder: Path) -> None:
-    """Run a case, end all processes that it has started, and exit with 0, 1 or 2."""
-    record = Record(folder / "record.txt")
+def main(case: Callable[[Record, Path], Awaitable[bool]], record_file: Path) -> None:
+    """Run a case and exit with 0, 1 or 2.
+
+    All processes that the case has started are ended and its folder is removed: at its end, on an error, at the time
+    limit, and if this script is told to end (SIGTERM, SIGINT, SIGHUP).
+
+    :param record_file: Where to write what was sent, answered and run.
+    """
+    record = Record(record_file)
     scratch = Path(tempfile.mkdtemp(prefix="review-"))
-    code = 2
+
+    def finish(code: int, text: str) -> NoReturn:
+        for number in ENDING_SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
+        stop_processes(Runner.all_processes)
+        for log in sorted(scratch.glob("**/log")):
+            text_of_log = log.read_text(errors="replace")[-20_000:]
+            record.write("log", of=log.parent.name, text="\n" + text_of_log)
+        record.write("end", trouble=TROUBLE, code=code, text=text)
+        print(f"trouble={'yes' if TROUBLE else 'no'}: {text}")
+        shutil.rmtree(scratch, ignore_errors=True)
+        sys.stdout.flush()
+        os._exit(code)
+
+    for number in ENDING_SIGNALS:
+        signal.signal(
+            number, lambda got, _: finish(2, f"the case could not run: told to end by signal {got}")
+        )
     try:
         # The loop is not closed: the process ends at once, with the stand-ins' connections still open.
         held = asyncio.new_event_loop().run_until_complete(
             asyncio.wait_for(case(record, scratch), CASE_LIMIT_S)
         )
-        code = 0 if held else 1
-        text = "the rule held" if held else "THE RULE WAS BROKEN"
     except CouldNotRun as error:
-        text = f"the case could not run: {error}"
-    except Exception:
-        text = "the case could not run: " + traceback.format_exc()
-    finally:
-        stop_processes(Runner.all_processes)
-    for log in sorted(scratch.glob("*/log")):
-        record.write("log", of=log.parent.name, text="\n" + log.read_text(errors="replace")[-20_000:])
-    record.write("end", trouble=TROUBLE, code=code, text=text)
-    print(f"trouble={'yes' if TROUBLE else 'no'}: {text}")
-    shutil.rmtree(scratch, ignore_errors=True)
-    sys.stdout.flush()
-    os._exit(code)
+        finish(2, f"the case could not run: {error}")
+    except BaseException:
+        finish(2, "the case could not run: " + traceback.format_exc())
+    finish(0 if held else 1, "the rule held" if held else "THE RULE WAS BROKEN")
--- a/review/trials/moved_server.py
+++ b/review/trials/moved_server.py
@@ -156,4 +156,4 @@
     return not foreign
 
 
-main(case, Path(__file__).resolve().parent)
+main(case, Path(__file__).resolve().with_suffix(".record.txt"))
--- a/review/trials/quiesce_lost.py
+++ b/review/trials/quiesce_lost.py
@@ -75,4 +75,4 @@
     return not good_late
 
 
-main(case, Path(__file__).resolve().parent)
+main(case, Path(__file__).resolve().with_suffix(".record.txt"))
--- a/review/trials/refused_but_run.py
+++ b/review/trials/refused_but_run.py
@@ -44,4 +44,4 @@
     return not refused_but_run
 
 
-main(case, Path(__file__).resolve().parent)
+main(case, Path(__file__).resolve().with_suffix(".record.txt"))
--- a/review/trials/successor_dies.py
+++ b/review/trials/successor_dies.py
@@ -71,4 +71,4 @@
     return not twice
 
 
-main(case, Path(__file__).resolve().parent)
+main(case, Path(__file__).resolve().with_suffix(".record.txt"))
