Hot restart: log how many keys are sent and withheld in a key table, and received

The log could not tell whether the second successor was sent no keys (the sender withholds them), was sent keys and lost them, or took them for expired.

Change: the sender logs the number of keys that it sent and of those that it withheld, the receiver those that it received and the size of its table. Nothing else; no counter, as the golden files list them.

--- a/moorusher/cluster_transport/hot_restart/message_receiver.py
+++ b/moorusher/cluster_transport/hot_restart/message_receiver.py
@@ -43,7 +43,7 @@
             frames.LoadReport: lambda message: self._process.set_peer_load(message.load),
             frames.MaintenanceChanged: self._maintenance_changed,
             frames.Ready: self._ready,
-            frames.KeysSynced: lambda _: self._handle(Event.KEYS_SYNCED),
+            frames.KeysSynced: self._keys_synced,
             frames.AcceptPermitted: lambda _: self._handle(Event.ACCEPT_PERMITTED),
             frames.Busy: lambda _: self._peer_disconnects(Event.PEER_BUSY),
             frames.Bye: lambda _: self._peer_disconnects(Event.PEER_DISCONNECTED),
@@ -76,6 +76,10 @@
             record.key, record.body_digest, record.expires_us, record.finished, record.result
         )
 
+    def _keys_synced(self, synced: frames.KeysSynced) -> None:
+        self._claims.snapshot_complete()
+        self._handle(Event.KEYS_SYNCED)
+
     def _claim(self, claim: frames.Claim) -> None:
         self._claims.peer_claims(claim.serial, claim.key, claim.body_digest, claim.expires_us)
 
--- a/moorusher/core/key_claims.py
+++ b/moorusher/core/key_claims.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Protocol
@@ -19,6 +20,8 @@
 from .idempotency_keys import IdempotencyKey, IdempotencyKeyTable, KeyEntry
 from .requests import Request, RequestTable
 
+log = logging.getLogger("moorusher")
+
 CLAIM_TIMEOUT_US = 250 * MS  # the other process answers within one turn of its event loop, unless it hangs
 
 
@@ -101,6 +104,7 @@
         self.peer_unresponsive: Callable[[], bool] = lambda: False
         self._pending: dict[IdempotencyKey, _PendingClaim] = {}
         self._serial = 0
+        self._received = 0  # entries of the current snapshot that have been received
         keys.observers.append(self)
 
     # ---- this process's claims ----
@@ -251,18 +255,30 @@
     def snapshot(self) -> Iterator[KeyEntry]:
         """Iterate over the entries of this process's keys."""
         # Each entry is current at the time it is yielded. Later changes are sent as messages of their own.
+        sent = 0
+        withheld = 0
         for entry in self._keys.entries():
-            if not entry.remote:
+            if entry.remote:
+                withheld += 1
+            else:
+                sent += 1
                 yield entry
+        log.info("hot restart: sent the key table: keys=%d withheld=%d", sent, withheld)
 
     def snapshot_entry(
         self, key: IdempotencyKey, body_digest: int, expires_us: int, finished: bool, result: bytes | None
     ) -> None:
         """Store an entry of the other process's snapshot."""
+        self._received += 1
         entry = self._find_or_reserve(key, body_digest, expires_us)
         if finished and entry.remote:
             self._finish_remote(entry, result)
 
+    def snapshot_complete(self) -> None:
+        """Log the size of the key table once the other process's snapshot has been stored."""
+        log.info("hot restart: received the key table: keys=%d stored=%d", self._received, len(self._keys))
+        self._received = 0
+
     def peer_disconnected(self, died: bool) -> None:
         """Continue without the other process.
 
