Hot restart: hand on the keys of all earlier processes, not only one's own

So a process handed on only the keys of its own attempts, and told the new process that its table lacked nothing.

Evidence: the log of: "sent the key table: keys=0 withheld=20", "received the key table: keys=0 stored=0" at the second replacement; the same with 10 keys after a successor's death.

Change: `KeyOwner` tells the process beside this one, whose messages report the end, from those that are gone and from other runners. A window that was extended at the start of the run is passed on. Why it works: each process now knows a superset of what its predecessor knew, and hands it on.

--- a/moorusher/cluster_transport/keyed_work.py
+++ b/moorusher/cluster_transport/keyed_work.py
@@ -10,7 +10,7 @@
 
 from ..core.answer import Answer
 from ..core.idempotency_keys import IdempotencyKey as CoreKey
-from ..core.idempotency_keys import KeyEntry
+from ..core.idempotency_keys import KeyEntry, KeyOwner
 from ..core.request_engine import RequestEngine
 from ..core.requests import Arrival, Request
 from ..replication.node import Node
@@ -275,5 +275,5 @@
             )
         if entry is None:
             return WorkInHand(in_hand=False)
-        is_local = not entry.remote or has_sibling
+        is_local = entry.owner is not KeyOwner.ELSEWHERE
         return WorkInHand(is_local and not entry.finished, entry.finished, entry.result)
--- a/moorusher/core/idempotency_keys.py
+++ b/moorusher/core/idempotency_keys.py
@@ -7,6 +7,7 @@
 
 import heapq
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Protocol
 
 import xxhash
@@ -26,6 +27,15 @@
 RECHECK_INTERVAL_US = SECOND  # extension of an expired key while its attempt is still open
 
 
+class KeyOwner(Enum):
+    """The process whose attempt has a key."""
+
+    THIS_PROCESS = "this process"
+    # The other process of this runner during a hot restart. Its messages tell how the attempt ends.
+    PEER = "the other process of this runner"
+    ELSEWHERE = "a process of this runner that has exited, or another runner"
+
+
 @dataclass(slots=True, eq=False)
 class KeyEntry:
     """A key, the attempt that has it, and the state of that attempt.
@@ -39,7 +49,7 @@
         finished: Whether the outcome of the attempt is known.
         result: Cached result of a successful run.
         waiters: Numbers of the requests that wait for the result.
-        remote: Whether the attempt belongs to another process or runner. A remote attempt counts as started.
+        owner: Process that the attempt belongs to.
         former_numbers: Numbers of the attempts that had the key before.
     """
 
@@ -51,15 +61,20 @@
     finished: bool = False
     result: bytes | None = None
     waiters: list[int] = field(default_factory=list)
-    remote: bool = False
+    owner: KeyOwner = KeyOwner.THIS_PROCESS
     former_numbers: list[int] = field(default_factory=list)
 
-    def transfer_to(self, number: int, remote: bool) -> None:
+    @property
+    def remote(self) -> bool:
+        """Whether the attempt belongs to another process or runner. A remote attempt counts as started."""
+        return self.owner is not KeyOwner.THIS_PROCESS
+
+    def transfer_to(self, number: int, owner: KeyOwner) -> None:
         """Transfer the key to another attempt."""
         self.former_numbers.append(self.number)
         self.number = number
-        self.remote = remote
-        self.started = remote
+        self.owner = owner
+        self.started = self.remote
 
 
 class KeyObserver(Protocol):
@@ -142,23 +157,25 @@
         self.extend(number, expires_us)
         return entry
 
-    def reserve_remote(self, key: IdempotencyKey, number: int, body_digest: int, expires_us: int) -> KeyEntry:
-        """Add a key for an attempt of another process or runner."""
+    def reserve_for_peer(
+        self, key: IdempotencyKey, number: int, body_digest: int, expires_us: int
+    ) -> KeyEntry:
+        """Add a key for an attempt that the other process of this runner has reported."""
         entry = self.reserve(key, number, body_digest, expires_us)
-        entry.remote = True
+        entry.owner = KeyOwner.PEER
         entry.started = True
         return entry
 
-    def cede(self, entry: KeyEntry, number: int, body_digest: int, expires_us: int) -> None:
-        """Transfer the key from an attempt of this process to the remote attempt `number`."""
+    def cede(self, entry: KeyEntry, number: int, body_digest: int, expires_us: int, owner: KeyOwner) -> None:
+        """Transfer the key from an attempt of this process to the attempt `number` of another owner."""
         entry.body_digest = body_digest
-        entry.transfer_to(number, remote=True)
+        entry.transfer_to(number, owner)
         self._by_number[number] = entry
         self.extend(number, expires_us)
 
     def take_over(self, entry: KeyEntry, number: int, expires_us: int) -> None:
         """Transfer the key from a remote attempt to this process's attempt `number`. Its waiters remain."""
-        entry.transfer_to(number, remote=False)
+        entry.transfer_to(number, KeyOwner.THIS_PROCESS)
         self._by_number[number] = entry
         self.extend(number, expires_us)
 
--- a/moorusher/core/key_claims.py
+++ b/moorusher/core/key_claims.py
@@ -2,8 +2,9 @@
 
 A new key is claimed with the other process before its request is reported to the scheduler. Before the other process
 grants the claim, it stores the key as one that may have run, so that each process knows the key if the other one exits.
-If both processes claim a key at the same time, the successor gets it. The transport between the processes is
-implemented elsewhere.
+If both processes claim a key at the same time, the successor gets it. A new process receives all keys that this process
+knows, also those of processes that have exited, so that a key outlasts any number of replacements within its window.
+The transport between the processes is implemented elsewhere.
 """
 
 from __future__ import annotations
@@ -17,7 +18,7 @@
 
 from .clock import Alarm, Alarms, Clock
 from .counters import Counters
-from .idempotency_keys import IdempotencyKey, IdempotencyKeyTable, KeyEntry
+from .idempotency_keys import IdempotencyKey, IdempotencyKeyTable, KeyEntry, KeyOwner
 from .requests import Request, RequestTable
 
 log = logging.getLogger("moorusher")
@@ -185,7 +186,8 @@
         if entry is None:
             return
         same_body = entry.body_digest == body_digest
-        self._keys.cede(entry, self._table.allocate_number(), body_digest, expires_us)
+        number = self._table.allocate_number()
+        self._keys.cede(entry, number, body_digest, expires_us, KeyOwner.PEER)
         request.retry_of = entry.number
         self._counters.add("keys held by the other process")
         if same_body:
@@ -207,10 +209,13 @@
             if self._keys.is_full():
                 peer.key_table_full(serial, key)
                 return
-            self._keys.reserve_remote(key, self._table.allocate_number(), body_digest, expires_us)
+            self._keys.reserve_for_peer(key, self._table.allocate_number(), body_digest, expires_us)
             peer.claim_granted(serial, key)
             return
         if entry.remote and not entry.finished:
+            # If another runner has the key, the peer finds out by its own claim there. If it runs the key nevertheless,
+            # this process must know.
+            entry.owner = KeyOwner.PEER
             peer.claim_granted(serial, key)
             return
         pending = self._pending.get(key)
@@ -228,7 +233,7 @@
     def peer_released_key(self, key: IdempotencyKey) -> None:
         """Free the key of the other process's attempt, which never ran, and fail the requests that wait for it."""
         entry = self._keys.find(key, self._clock.now)
-        if entry is not None and entry.remote and not entry.finished:
+        if entry is not None and entry.owner is KeyOwner.PEER and not entry.finished:
             for waiter in self._keys.release_remote(entry):
                 self._share_result(waiter, None)
 
@@ -242,9 +247,11 @@
 
     def _find_or_reserve(self, key: IdempotencyKey, body_digest: int, expires_us: int) -> KeyEntry:
         entry = self._keys.find(key, self._clock.now)
-        if entry is None:
-            entry = self._keys.reserve_remote(key, self._table.allocate_number(), body_digest, expires_us)
-        return entry
+        if entry is not None:
+            if entry.remote:  # the window was extended when the run started
+                self._keys.extend(entry.number, expires_us)
+            return entry
+        return self._keys.reserve_for_peer(key, self._table.allocate_number(), body_digest, expires_us)
 
     def _finish_remote(self, entry: KeyEntry, result: bytes | None) -> None:
         for waiter in self._keys.finish(entry.number, result):
@@ -253,18 +260,24 @@
     # ---- the whole table ----
 
     def snapshot(self) -> Iterator[KeyEntry]:
-        """Iterate over the entries of this process's keys."""
+        """Iterate over the entries that the other process needs, also those of processes that have exited."""
         # Each entry is current at the time it is yielded. Later changes are sent as messages of their own.
         sent = 0
         withheld = 0
         for entry in self._keys.entries():
-            if entry.remote:
-                withheld += 1
-            else:
+            if self._is_needed_by_peer(entry):
                 sent += 1
                 yield entry
+            else:
+                withheld += 1
         log.info("hot restart: sent the key table: keys=%d withheld=%d", sent, withheld)
 
+    def _is_needed_by_peer(self, entry: KeyEntry) -> bool:
+        # Open attempts of other runners are recorded by the cluster, which each process asks itself.
+        if entry.owner is KeyOwner.PEER:
+            return False
+        return entry.owner is KeyOwner.THIS_PROCESS or entry.finished
+
     def snapshot_entry(
         self, key: IdempotencyKey, body_digest: int, expires_us: int, finished: bool, result: bytes | None
     ) -> None:
@@ -286,9 +299,12 @@
         """
         self.peer = None
         # Open attempts of a dead process may have run, so their keys are finished without a result and can't run again
-        # in their window. The keys of rejected requests are freed.
-        for entry in list(self._keys.entries()):
-            if not entry.remote or entry.finished:
+        # in their window. The keys of rejected requests are freed. All others are handed on to the next process.
+        for entry in self._keys.entries():
+            if entry.owner is not KeyOwner.PEER:
+                continue
+            entry.owner = KeyOwner.ELSEWHERE
+            if entry.finished:
                 continue
             for waiter in self._keys.finish(entry.number, None) if died else self._keys.release_remote(entry):
                 self._share_result(waiter, None)
--- a/moorusher/core/remote_claims.py
+++ b/moorusher/core/remote_claims.py
@@ -15,7 +15,7 @@
 from .completion import Completion
 from .engine_state import EngineState
 from .execution import Execution
-from .idempotency_keys import IdempotencyKey, KeyEntry
+from .idempotency_keys import IdempotencyKey, KeyEntry, KeyOwner
 from .intake import Intake
 from .outcomes import EndReason
 from .registration import RETRY_AFTER_MS, InvalidArrival
@@ -123,8 +123,9 @@
     def _cede_key(self, request: Request) -> None:
         entry = self._keys.of_attempt(request.number)
         if entry is not None and not entry.remote:
-            self._keys.cede(entry, self._table.allocate_number(), entry.body_digest, entry.expires_us)
-            request.retry_of = entry.number
+            number = self._table.allocate_number()
+            self._keys.cede(entry, number, entry.body_digest, entry.expires_us, KeyOwner.ELSEWHERE)
+            request.retry_of = number
 
     def take_over(
         self, arrival: Arrival, reply: Reply, tag: int, ruling: Ruling | None = None
--- /dev/null
+++ b/tests/test_key_chains.py
@@ -0,0 +1,82 @@
+"""Keys over chains of processes, in which a process knows the keys of earlier ones only from the one before it."""
+
+from __future__ import annotations
+
+import pytest
+
+from moorusher.core.answer import Answer, Verdict
+
+from .replaced_runner import RESULT, ReplacedRunner
+
+
+@pytest.fixture
+def runner(monkeypatch: pytest.MonkeyPatch) -> ReplacedRunner:
+    runner = ReplacedRunner(monkeypatch)
+    runner.start()
+    runner.settle()
+    return runner
+
+
+def is_served(answer: object) -> bool:
+    return isinstance(answer, Answer) and answer.verdict is Verdict.SERVED and answer.content == RESULT
+
+
+def test_each_key_outlasts_four_replacements_with_its_result(runner: ReplacedRunner) -> None:
+    """From the second replacement on, each request that ran before the first one ran again when it was repeated."""
+    for number in range(4):
+        runner.serve(f"k{number}")
+        runner.replace()
+    assert all(is_served(runner.ask(f"k{number}")) for number in range(4))
+    assert set(runner.runs().values()) == {1}
+
+
+def test_a_predecessor_hands_on_the_keys_of_its_dead_successor(runner: ReplacedRunner) -> None:
+    """The successor dies, its predecessor serves again and is replaced: what the successor had run ran again."""
+    first = runner.serving
+    second = runner.start()
+    runner.settle()
+    runner.serve("k")
+    second.submit("open")
+    runner.settle()
+    runner.kill(second)
+    runner.settle()
+    assert first.is_alone and runner.serving is first
+    runner.replace()
+    runner.replace()
+    assert is_served(runner.ask("k"))
+    answer = runner.ask("open")  # it may have run
+    assert isinstance(answer, Answer) and answer.verdict is Verdict.FAILED
+    assert runner.runs() == {"k": 1, "open": 1}
+
+
+def test_a_run_that_ends_in_a_replaced_process_is_known_to_all_later_ones(runner: ReplacedRunner) -> None:
+    """A run ends after its process has been replaced: its result was lost with the second replacement."""
+    first = runner.serving
+    first.submit("k")
+    runner.settle()
+    runner.start()
+    runner.settle()
+    (run,) = first.open_runs()
+    first.end_run(run)
+    runner.settle()
+    runner.exit(first)
+    runner.settle()
+    runner.replace()
+    runner.replace()
+    assert is_served(runner.ask("k")) and runner.runs() == {"k": 1}
+
+
+def test_a_key_whose_result_does_not_fit_the_next_process_does_not_run_there(runner: ReplacedRunner) -> None:
+    first = runner.serving
+    keys = [f"k{number}" for number in range(10)]
+    runner.serve(*keys)
+    second = runner.start()
+    second.core.keys.limits.max_result_bytes = 5 * len(RESULT)
+    runner.settle()
+    runner.exit(first)
+    runner.settle()
+    second.core.keys.limits.set_memory_limit(192.0)
+    runner.replace()
+    answers = [runner.ask(key) for key in keys]
+    assert [is_served(answer) for answer in answers] == [True] * 5 + [False] * 5
+    assert set(runner.runs().values()) == {1}
