Hot restart: a key that is freed while the key table is sent is not sent after that

What callers saw: a request was cancelled while its process sent its key table; its repeats at the new process failed for the whole window with "gave no result", although nothing had run.

Cause: the table is sent over several turns, 64 keys each. An entry that was removed in between was still sent, behind the message that frees its key, and stayed an open attempt at the new process. Found by reading.

Messages arrive in order, so a key is freed before it is sent, and then isn't sent, or after it.

Measured: test_a_key_that_is_freed_while_the_key_table_is_sent_can_run_in_the_next_process failed before and passes now.

--- a/moorusher/core/idempotency_keys.py
+++ b/moorusher/core/idempotency_keys.py
@@ -140,6 +140,10 @@
         """Return a list of all current entries."""
         return list(self._by_key.values())
 
+    def contains(self, entry: KeyEntry) -> bool:
+        """Return whether an entry that was in the table has not been removed since."""
+        return self._by_number.get(entry.number) is entry
+
     def of_attempt(self, number: int) -> KeyEntry | None:
         """Return the entry whose key this attempt has, or had until the key was transferred to another attempt."""
         return self._by_number.get(number)
--- a/moorusher/core/key_claims.py
+++ b/moorusher/core/key_claims.py
@@ -273,8 +273,9 @@
         log.info("hot restart: sent the key table: keys=%d withheld=%d", sent, withheld)
 
     def _is_needed_by_peer(self, entry: KeyEntry) -> bool:
-        # Open attempts of other runners are recorded by the cluster, which each process asks itself.
-        if entry.owner is KeyOwner.PEER:
+        # An entry that was removed while the snapshot was sent, because its attempt never ran, would never end at the
+        # other process. Open attempts of other runners are recorded by the cluster, which each process asks itself.
+        if not self._keys.contains(entry) or entry.owner is KeyOwner.PEER:
             return False
         return entry.owner is KeyOwner.THIS_PROCESS or entry.finished
 
--- a/tests/test_key_chains.py
+++ b/tests/test_key_chains.py
@@ -5,6 +5,7 @@
 import pytest
 
 from moorusher.core.answer import Answer, Verdict
+from moorusher.core.requests import Request
 
 from .replaced_runner import RESULT, ReplacedRunner
 
@@ -66,6 +67,31 @@
     assert is_served(runner.ask("k")) and runner.runs() == {"k": 1}
 
 
+def test_a_key_that_is_freed_while_the_key_table_is_sent_can_run_in_the_next_process(
+    runner: ReplacedRunner,
+) -> None:
+    """A request ends without a run while its process sends the key table, which takes several turns.
+
+    Its key was sent after the message that freed it. The next process waited for an attempt that had ended, and refused
+    the key for its window.
+    """
+    first = runner.serving
+    for number in range(100):
+        runner.serve(f"k{number}")
+    request = first.submit("refused")
+    second = runner.start()
+    for connection in runner.connections:  # the handshake, and a part of the key table
+        connection.read(first)
+        connection.read(second)
+    assert isinstance(request, Request)
+    first.core.caller_disconnected(request)
+    runner.settle()
+    runner.exit(first)
+    runner.settle()
+    runner.ask("refused")
+    assert runner.runs()["refused"] == 1 and len(second.open_runs()) == 1
+
+
 def test_a_key_whose_result_does_not_fit_the_next_process_does_not_run_there(runner: ReplacedRunner) -> None:
     first = runner.serving
     keys = [f"k{number}" for number in range(10)]
