Hot restart: a new process stores no more keys than its table may hold

What could happen: with a lower `limits.memory_mb` a new process stored all keys that it was sent, up to 8 MB, whatever its limit, and could be killed for memory.

Cause: keys that the other process sends were stored without a look at the limit on entries. Found by reading.

Change: a key for which there is no room is dropped, and keys that are not in the table are rejected until the last dropped one expires; the next process is told so (`unsure`). Only proof permits a run, so an unknown key must not run meanwhile.

--- a/moorusher/cluster_transport/hot_restart/instruction_executor.py
+++ b/moorusher/cluster_transport/hot_restart/instruction_executor.py
@@ -76,7 +76,7 @@
                 labels=list(sockets),
                 maintenance=self._process.maintenance_fields(),
                 key_table_bytes=keys.size_bytes,
-                keys_unknown_until_us=keys.unknown_until,
+                keys_unknown_until_us=keys.incomplete_until,
                 incarnation=self._process.incarnation(),
             )
         )
--- a/moorusher/core/idempotency_keys.py
+++ b/moorusher/core/idempotency_keys.py
@@ -105,6 +105,8 @@
         result_bytes: Total size of the cached results.
         observers: Notified of the end of this process's own attempts.
         unknown_until: Time (us) until which a key that is not in the table may have run in a process that has exited.
+        dropped_until: Time (us) at which the last key expires that another process has sent and the table had no room
+            for.
     """
 
     def __init__(self, memory_mb: float = 192.0) -> None:
@@ -116,6 +118,7 @@
         self.result_bytes = 0
         self.observers: list[KeyObserver] = []
         self.unknown_until = 0
+        self.dropped_until = 0
 
     def __len__(self) -> int:
         return len(self._by_key)
@@ -129,6 +132,15 @@
         """Return whether the table accepts no more keys. Lowering the limit does not remove cached results."""
         return self.limits.reached(len(self._by_key), self.result_bytes)
 
+    def has_all_entries(self) -> bool:
+        """Return whether the table has as many keys as it may have; results of other processes are optional."""
+        return len(self._by_key) >= self.limits.max_entries
+
+    @property
+    def incomplete_until(self) -> int:
+        """Time (us) until which a key that is not in the table may have run, so that it must not run here."""
+        return max(self.unknown_until, self.dropped_until)
+
     # ---- look-ups ----
 
     def find(self, key: IdempotencyKey, now: int) -> KeyEntry | None:
--- a/moorusher/core/key_claims.py
+++ b/moorusher/core/key_claims.py
@@ -242,15 +242,21 @@
     ) -> None:
         """Record the end of a run of the other process."""
         entry = self._find_or_reserve(key, body_digest, expires_us)
-        if entry.remote:  # otherwise this process has the key, and its own state is authoritative
+        if entry is not None and entry.remote:  # this process's own state of its own key is authoritative
             self._finish_remote(entry, result)
 
-    def _find_or_reserve(self, key: IdempotencyKey, body_digest: int, expires_us: int) -> KeyEntry:
+    def _find_or_reserve(self, key: IdempotencyKey, body_digest: int, expires_us: int) -> KeyEntry | None:
+        """Return the entry of a key that the other process has reported, or None if the table has no room for it."""
         entry = self._keys.find(key, self._clock.now)
         if entry is not None:
             if entry.remote:  # the window was extended when the run started
                 self._keys.extend(entry.number, expires_us)
             return entry
+        if self._keys.has_all_entries():
+            # This process's memory limit may be lower than the other one's. Until the key expires, keys that are not in
+            # the table are rejected.
+            self._keys.dropped_until = max(self._keys.dropped_until, expires_us)
+            return None
         return self._keys.reserve_for_peer(key, self._table.allocate_number(), body_digest, expires_us)
 
     def _finish_remote(self, entry: KeyEntry, result: bytes | None) -> None:
@@ -285,7 +291,7 @@
         """Store an entry of the other process's snapshot."""
         self._received += 1
         entry = self._find_or_reserve(key, body_digest, expires_us)
-        if finished and entry.remote:
+        if finished and entry is not None and entry.remote:
             self._finish_remote(entry, result)
 
     def snapshot_complete(self) -> None:
--- a/moorusher/core/registration.py
+++ b/moorusher/core/registration.py
@@ -154,7 +154,7 @@
                 self._keys.take_over(entry, request.number, expires_us)
             else:
                 request.retry_of = entry.number
-        elif now < self._keys.unknown_until and not takes_over:
+        elif now < self._keys.incomplete_until and not takes_over:
             return InvalidArrival.KEY_STATE_UNKNOWN
         elif self._keys.is_full():
             return InvalidArrival.KEY_TABLE_FULL  # without a stored key, the request could run twice
--- a/tests/test_key_chains.py
+++ b/tests/test_key_chains.py
@@ -5,10 +5,17 @@
 import pytest
 
 from moorusher.core.answer import Answer, Verdict
+from moorusher.core.idempotency_keys import WINDOW_MARGIN_US
+from moorusher.core.registration import InvalidArrival
 from moorusher.core.requests import Request
+from moorusher.time_units import MS
 
 from .replaced_runner import RESULT, ReplacedRunner
 
+SMALL_TABLE_MB = 27.0  # the smallest key table: 666 keys
+SMALL_TABLE_KEYS = 666
+WINDOW_MS = 8_000 + WINDOW_MARGIN_US / MS
+
 
 @pytest.fixture
 def runner(monkeypatch: pytest.MonkeyPatch) -> ReplacedRunner:
@@ -92,6 +99,22 @@
     assert runner.runs()["refused"] == 1 and len(second.open_runs()) == 1
 
 
+def test_keys_that_do_not_fit_the_next_process_are_not_run_there_until_they_expire(
+    runner: ReplacedRunner,
+) -> None:
+    """The next process has less memory, so that its key table can't hold all keys of its predecessor."""
+    keys = [f"k{number}" for number in range(SMALL_TABLE_KEYS + 5)]
+    runner.serve(*keys)
+    runner.replace(memory_mb=SMALL_TABLE_MB)
+    assert len(runner.serving.core.keys) == SMALL_TABLE_KEYS
+    runner.replace()  # this process has room for all keys, but its predecessor does not know them
+    assert is_served(runner.ask(keys[0])) and runner.ask(keys[-1]) is InvalidArrival.KEY_STATE_UNKNOWN
+    assert set(runner.runs().values()) == {1}
+    runner.wait(WINDOW_MS)
+    runner.ask(keys[-1])
+    assert runner.runs()[keys[-1]] == 2
+
+
 def test_a_key_whose_result_does_not_fit_the_next_process_does_not_run_there(runner: ReplacedRunner) -> None:
     first = runner.serving
     keys = [f"k{number}" for number in range(10)]
