--- a/moorusher/core/key_claims.py
+++ b/moorusher/core/key_claims.py
@@ -149,6 +149,18 @@
         if self.peer is not None:
             self.peer.key_finished(entry.key, entry.body_digest, entry.expires_us, entry.result)
 
+    # ---- attempts of other runners ----
+
+    def finished_elsewhere(self, entry: KeyEntry, result: bytes | None) -> None:
+        """Report the end of another runner's run to the other process, whose requests may wait for it here."""
+        if self.peer is not None:
+            self.peer.key_finished(entry.key, entry.body_digest, entry.expires_us, result)
+
+    def released_elsewhere(self, entry: KeyEntry) -> None:
+        """Report to the other process that another runner's attempt has ended without a run."""
+        if self.peer is not None:
+            self.peer.key_released(entry.key)
+
     # ---- the other process's answers ----
 
     def _pop_pending(self, serial: int, key: IdempotencyKey) -> Request | None:
--- a/moorusher/core/remote_claims.py
+++ b/moorusher/core/remote_claims.py
@@ -145,13 +145,15 @@
         if entry is not None:
             for waiter in self._keys.finish(entry.number, result):
                 self._completion.share_result(waiter, result)
+            self._intake.key_claims.finished_elsewhere(entry, result)
 
     def never_ran(self, key: IdempotencyKey) -> None:
         """Reject the requests that wait for another runner's attempt, which has not run and never will."""
         self._turn.start()
         entry = self._open_remote_entry(key)
-        if entry is None:
-            return
+        if entry is None or entry.owner is KeyOwner.PEER:
+            return  # the other process of this runner may have run it since, and reports how its attempt ends
+        self._intake.key_claims.released_elsewhere(entry)
         for number in self._keys.release_remote(entry):
             request = self._table.by_number.get(number)
             if request is not None:
--- a/tests/test_key_chains.py
+++ b/tests/test_key_chains.py
@@ -5,12 +5,13 @@
 import pytest
 
 from moorusher.core.answer import Answer, Verdict
-from moorusher.core.idempotency_keys import WINDOW_MARGIN_US
+from moorusher.core.idempotency_keys import WINDOW_MARGIN_US, IdempotencyKey
 from moorusher.core.registration import InvalidArrival
 from moorusher.core.requests import Request
+from moorusher.hot_restart.process_role import State
 from moorusher.time_units import MS
 
-from .replaced_runner import RESULT, ReplacedRunner
+from .replaced_runner import RESULT, Process, ReplacedRunner
 
 SMALL_TABLE_MB = 27.0  # the smallest key table: 666 keys
 SMALL_TABLE_KEYS = 666
@@ -129,3 +130,74 @@
     answers = [runner.ask(key) for key in keys]
     assert [is_served(answer) for answer in answers] == [True] * 5 + [False] * 5
     assert set(runner.runs().values()) == {1}
+
+
+class OtherRunners:
+    """The cluster's answer to a claim (`coordination.KeyCoordinator`), which the test gives later."""
+
+    def acquire_key(self, request: Request) -> bool:
+        return True
+
+    def announce_start(self, request: Request) -> bool:
+        return False
+
+
+def submit_key_of_another_runner(runner: ReplacedRunner, process: Process) -> IdempotencyKey:
+    """Send a request whose key another runner has, and return the key."""
+    process.core.hooks.coordinator = OtherRunners()
+    request = process.submit("k")
+    assert isinstance(request, Request) and request.key is not None
+    runner.settle()
+    process.core.remote_claims.joined(request)
+    runner.settle()
+    return request.key
+
+
+def test_an_attempt_of_another_runner_is_not_ended_when_the_old_process_exits(
+    runner: ReplacedRunner,
+) -> None:
+    """Another runner of the cluster runs a key that was requested here too, and this process's predecessor exits.
+
+    The request failed, and the result that came later was dropped.
+    """
+    first = runner.serving
+    second = runner.start()
+    runner.settle()
+    key = submit_key_of_another_runner(runner, second)
+    runner.exit(first)
+    runner.settle()
+    assert second.answer_to(second.last_tag) is None
+    second.core.remote_claims.result_received(key, RESULT)
+    runner.settle()
+    assert is_served(second.answer_to(second.last_tag))
+    runner.replace()
+    assert is_served(runner.ask("k")) and not runner.runs()
+
+
+@pytest.mark.parametrize("has_run", [True, False])
+def test_the_other_process_learns_how_the_attempt_of_another_runner_ends(
+    runner: ReplacedRunner, has_run: bool
+) -> None:
+    """A process claims a key with its successor, and then finds that another runner has it.
+
+    The successor waited for an attempt of its predecessor that did not exist, and never learned the result; if the
+    other runner had rejected the request, the successor refused the key for its window.
+    """
+    first = runner.serving
+    second = runner.start()
+    for connection in runner.connections:  # up to the key table, so that the old process still accepts
+        connection.read(first)
+    key = submit_key_of_another_runner(runner, first)
+    assert second.state is State.SUCCESSOR
+    second.submit("k")
+    runner.settle()
+    if has_run:
+        first.core.remote_claims.result_received(key, RESULT)
+    else:
+        first.core.remote_claims.never_ran(key)
+    runner.settle()
+    assert second.answer_to(second.last_tag) is not None
+    runner.exit(first)
+    runner.settle()
+    assert is_served(runner.ask("k")) == has_run
+    assert runner.runs() == ({} if has_run else {"k": 1})
