Hot restart: a dead socket is looked at twice, and a replaced process leaves its own

What callers saw: (1) a replaced process with SIGTERM exited after its successor had been killed, and the next process ran every key again. (2) A successor was killed and a third process looked for it before the predecessor had noticed: both served, without claims with each other, and after one window a key that one had run ran at the other.

Cause: (1) a replaced process removed its socket at its exit, the only sign that the keys were lost.

Change: a process that was replaced, or got SIGTERM as one, leaves its socket. A socket that could not be created at first may replace the one found then.

--- a/moorusher/cluster_transport/hot_restart/coordinator.py
+++ b/moorusher/cluster_transport/hot_restart/coordinator.py
@@ -45,6 +45,7 @@
         self._receiver = MessageReceiver(core, process, self._handover, self.handle)
         self._executor = InstructionExecutor(core, process, self._handover, self._rendezvous)
         self._timeout: Alarm | None = None
+        self._exits_as_replaced = False  # whether SIGTERM has come after a replacement
         core.key_claims.peer_unresponsive = self._claim_unanswered
 
     # ---- events ----
@@ -93,6 +94,7 @@
 
     def terminate(self) -> None:
         """Called on SIGTERM."""
+        self._exits_as_replaced = self.role.state is State.REPLACED
         self.handle(Event.SIGTERM)
 
     def maintenance_changed(self) -> None:
@@ -105,7 +107,10 @@
         """Disconnect and unpublish on a regular exit, so that the other process doesn't wait for this one."""
         if self._handover.peer is not None:
             self._handover.peer.disconnect()
-        self._rendezvous.unpublish()
+        # A replaced process leaves its socket for the successor to replace. If the successor has died instead, nobody
+        # knows the keys any more, and the next process finds out by the dead socket.
+        if not self._exits_as_replaced and self.role.state is not State.REPLACED:
+            self._rendezvous.unpublish()
 
     # ---- the connection ----
 
--- a/moorusher/cluster_transport/hot_restart/rendezvous.py
+++ b/moorusher/cluster_transport/hot_restart/rendezvous.py
@@ -100,6 +100,9 @@
         self._path = path
         self._listening: Any = None
         self._inode = 0  # inode of the socket that this process has published
+        self._found_inode = 0  # inode of the socket to which this process connects
+        self._dead_inode = 0  # inode of a socket that has refused a connection
+        self._replaced_inode = 0  # inode of the socket that this process could not replace by its own
 
     # ---- discovery ----
 
@@ -117,6 +120,7 @@
             )
             self._owner.handle(Event.NO_PEER)
             return
+        self._found_inode = found.st_ino
         factory = _ConnectingFactory(self._owner, self._not_connected)
         try:
             self._reactor.connectUNIX(self._path, factory, timeout=CONNECT_TIMEOUT_S)
@@ -137,12 +141,22 @@
     def _not_connected(self, error_number: int | None) -> None:
         self._owner.core.start_turn()
         if error_number == errno.ECONNREFUSED:
-            self._owner.handle(Event.DEAD_PEER_FOUND)
+            self._dead_socket_found()
         elif error_number == errno.ENOENT:
             self._owner.handle(Event.NO_PEER)
         else:  # the backlog of the process in service is full: it hangs, or many processes connect at once
             self.discover_later()
 
+    def _dead_socket_found(self) -> None:
+        """Notify the owner if the socket still refuses connections when it is tried again."""
+        # The process that the dead one has replaced may live, and know all keys. It publishes its own socket as soon as
+        # it notices the death. Without the second look, this process would serve beside it and know no keys.
+        if self._dead_inode == self._found_inode:
+            self._owner.handle(Event.DEAD_PEER_FOUND)
+        else:
+            self._dead_inode = self._found_inode
+            self.discover_later()
+
     # ---- publication ----
 
     def publish(self) -> None:
@@ -172,6 +186,7 @@
             )
             with suppress(OSError):
                 os.unlink(own_path)
+            self._replaced_inode = self._published_inode()
             core = self._owner.core
             core.alarms.at(core.clock.now + PUBLISH_RETRY_US, self._retry_publish)
         finally:
@@ -179,15 +194,19 @@
 
     def _retry_publish(self) -> None:
         # Publishes again, unless this process shuts down or another process has published meanwhile.
-        if not self._owner.core.drain_state.shutting_down and not self._path_is_socket():
+        if self._owner.core.drain_state.shutting_down:
+            return
+        if self._published_inode() in (0, self._replaced_inode):
             self._owner.core.start_turn()
             self.publish()
 
-    def _path_is_socket(self) -> bool:
+    def _published_inode(self) -> int:
+        """Return the inode of the socket at the runner's path; 0 if there is none."""
         try:
-            return stat.S_ISSOCK(os.lstat(self._path).st_mode)
+            found = os.lstat(self._path)
         except OSError:
-            return False
+            return 0
+        return found.st_ino if stat.S_ISSOCK(found.st_mode) else 0
 
     def unpublish(self) -> None:
         """Remove the socket from the runner's path, unless another process has replaced it."""
--- a/tests/test_key_chains.py
+++ b/tests/test_key_chains.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import random
+from collections import Counter
+
 import pytest
 
 from moorusher.core.answer import Answer, Verdict
 from moorusher.core.idempotency_keys import WINDOW_MARGIN_US, IdempotencyKey
+from moorusher.core.outcomes import EndReason
 from moorusher.core.registration import InvalidArrival
 from moorusher.core.requests import Request
 from moorusher.hot_restart.process_role import State
@@ -201,3 +205,57 @@
     runner.settle()
     assert is_served(runner.ask("k")) == has_run
     assert runner.runs() == ({} if has_run else {"k": 1})
+
+
+MAX_STEPS = 400
+MAX_WAITS = 25  # so that no key expires during a test
+WAIT_MS = 250.0
+PROCESSES = 3  # so many at once
+
+
+def step(runner: ReplacedRunner, rng: random.Random) -> None:  # noqa: C901 - one branch an event
+    """Let something happen that can happen to the processes of one runner."""
+    process = rng.choice(runner.alive or [runner.start()])
+    choice = rng.random()
+    if choice < 0.3:
+        if process.service.accepting:
+            process.submit(rng.choice("abcdef"))
+    elif choice < 0.6:
+        for connection in runner.connections:
+            if process in connection.ends:
+                connection.read(process, rng.randint(1, 3))
+    elif choice < 0.75:
+        process.harness.turn()
+    elif choice < 0.88:
+        if runs := process.open_runs():
+            ends = (EndReason.RUN_SUCCEEDED, EndReason.RUN_FAILED, EndReason.RUN_NEVER_STARTED)
+            process.end_run(rng.choice(runs), rng.choice(ends))
+    elif choice < 0.95:
+        if len(runner.alive) < PROCESSES:
+            runner.start()
+    elif choice < 0.98:
+        if process.state is State.REPLACED and not len(process.core.table):
+            runner.exit(process)
+    elif len(runner.alive) > 1:
+        runner.kill(process)
+
+
+# The last four seeds find a replaced process that exits before its successor has published its own socket.
+@pytest.mark.parametrize("seed", [*range(300), 582, 1130, 1164, 4140])
+def test_no_key_runs_twice_in_any_chain_of_processes(monkeypatch: pytest.MonkeyPatch, seed: int) -> None:
+    """Requests, messages, ends of runs, replacements, exits and kills come in an order that a seed determines.
+
+    A key that had run in an earlier process ran again in a later one.
+    """
+    rng = random.Random(seed)
+    runner = ReplacedRunner(monkeypatch)
+    runner.start()
+    runner.settle()
+    for number in range(MAX_STEPS):
+        step(runner, rng)
+        if number % (MAX_STEPS // MAX_WAITS) == 0:
+            runner.wait(WAIT_MS)
+    runner.settle()
+    assert all(count == 1 for count in runner.runs().values()), runner.runs()
+    for process in runner.processes:  # at most one answer to each request
+        assert max(Counter(tag for tag, _ in process.harness.answers).values(), default=1) == 1
