Hot restart: an order at the console of a waiting process outlasts its takeover

Cause: `MessageReceiver._welcome` replaced the new process's maintenance by that of the process in service.

Change: the hand-over records when an operator last set or ended maintenance here. `resume` counts as an order also where none was set.

--- a/moorusher/cluster_transport/hot_restart/coordinator.py
+++ b/moorusher/cluster_transport/hot_restart/coordinator.py
@@ -99,8 +99,9 @@
 
     def maintenance_changed(self) -> None:
         """Notify the other process that an operator has set or ended maintenance, since it applies to the runner."""
+        self._handover.operator_word_us = self.core.clock.now
         peer = self._handover.peer
-        if peer is not None and self.role.claims_keys:
+        if peer is not None and self.role.state is not State.DISCOVERING:
             peer.send(frames.MaintenanceChanged(self._process.maintenance_fields()))
 
     def close(self) -> None:
--- a/moorusher/cluster_transport/hot_restart/message_receiver.py
+++ b/moorusher/cluster_transport/hot_restart/message_receiver.py
@@ -62,12 +62,22 @@
         usable = self._process.usable_sockets(sockets)
         self._handover.sockets = usable
         close_descriptors([socket for label, socket in sockets.items() if label not in usable])
-        self._process.follow_maintenance(welcome.maintenance)
+        if self._overrules_maintenance(welcome.maintenance):
+            peer.send(frames.MaintenanceChanged(self._process.maintenance_fields()))
+        else:
+            self._process.follow_maintenance(welcome.maintenance)
         self._process.set_predecessor(welcome.incarnation)
         self._handover.peer_unknown_until_us = welcome.keys_unknown_until_us
         self._core.keys.limits.share_memory_with(welcome.key_table_bytes)
         self._handle(Event.WELCOMED)
 
+    def _overrules_maintenance(self, of_peer: frames.Fields | None) -> bool:
+        """Return whether an operator has set or ended maintenance here since the other process's state was set."""
+        # A process may have waited for minutes before the other one's welcome. An operator's order that was confirmed
+        # at its console in that time must not be lost, or the runner would be healthy again without another order.
+        word_us = self._handover.operator_word_us
+        return word_us is not None and (of_peer is None or of_peer["since"] <= word_us)
+
     def _unsupported_welcome(self, welcome: frames.UnsupportedWelcome) -> None:
         log.warning("hot restart: the other process has an unsupported version: version=%r", welcome.version)
 
@@ -92,6 +102,7 @@
         )
 
     def _maintenance_changed(self, changed: frames.MaintenanceChanged) -> None:
+        self._handover.operator_word_us = None
         self._process.follow_maintenance(changed.maintenance)
 
     def _ready(self, ready: frames.Ready) -> None:
--- a/moorusher/health_reporting/reporter.py
+++ b/moorusher/health_reporting/reporter.py
@@ -131,11 +131,12 @@
         self.core.start_turn()
         had_maintenance = self.tracker.maintenance is not None
         self._cached = None
-        if self.core.drain_state.draining or not self.tracker.set_maintenance(None) or not had_maintenance:
+        if self.core.drain_state.draining or not self.tracker.set_maintenance(None):
             return False
-        log.info("maintenance ended")
-        self.on_maintenance_changed()
-        return True
+        self.on_maintenance_changed()  # also if none was set here: another process of this runner may have some
+        if had_maintenance:
+            log.info("maintenance ended")
+        return had_maintenance
 
     def copy_maintenance(self, maintenance: Maintenance | None) -> None:
         """Apply the maintenance that an operator has set at another process of this runner; None for no maintenance."""
--- a/tests/replaced_runner.py
+++ b/tests/replaced_runner.py
@@ -134,10 +134,16 @@
 
 
 class Service:
-    """The service of one process (`handover.RunnerProcess`), which only records whether it accepts."""
+    """The service of one process (`handover.RunnerProcess`), which only records its state.
+
+    Attributes:
+        accepting: Whether it accepts connections.
+        maintenance: Fields of the maintenance that is in effect; None if there is none.
+    """
 
     def __init__(self) -> None:
         self.accepting = False
+        self.maintenance: dict[str, Any] | None = None
 
     def accept(self, handed_over: dict[str, int]) -> None:
         self.accepting = True
@@ -167,10 +173,10 @@
         """Do nothing."""
 
     def maintenance_fields(self) -> dict[str, Any] | None:
-        return None
+        return self.maintenance
 
     def follow_maintenance(self, fields: dict[str, Any] | None) -> None:
-        """Do nothing."""
+        self.maintenance = fields
 
     def incarnation(self) -> int:
         return 0
@@ -204,6 +210,14 @@
     def state(self) -> State:
         return self.hot_restart.role.state
 
+    def set_maintenance(self, reason: str | None) -> None:
+        """Set maintenance at this process as an operator does, or end it."""
+        now_us = self.core.clock.now
+        self.service.maintenance = (
+            None if reason is None else {"reason": reason, "since": now_us, "until": None}
+        )
+        self.hot_restart.maintenance_changed()
+
     @property
     def is_alone(self) -> bool:
         return self.state is State.SOLE
--- a/tests/test_replacing.py
+++ b/tests/test_replacing.py
@@ -264,6 +264,24 @@
         await until(maintenance_shared)
 
 
+@asynchronous_test
+async def test_maintenance_set_at_a_process_that_waits_for_an_earlier_replacement_outlasts_its_takeover() -> (
+    None
+):
+    """The console of the waiting process answered 200, and the process was healthy as soon as it had taken over."""
+    async with replaceable_runner() as replaceable:
+        runner = replaceable.runner
+        await replaceable.replace()
+        await replaceable.start_process()
+        await wait_until(lambda: runner.read_log().count("another process of this runner connected:") >= 2)
+        assert await runner.call_console("quiesce") == 200
+        runner.processes[0].send_signal(signal.SIGTERM)
+        await wait_until(lambda: runner.read_log().count("serves, and the other one finishes") == 2)
+        assert await runner.call_console("health") == 503
+        assert await runner.call_console("resume") == 200
+        await runner.wait_until_healthy()
+
+
 @asynchronous_test
 async def test_a_second_replacement_waits_for_the_first_and_sigterm_without_one_drains() -> None:
     async with replaceable_runner() as replaceable:
