Hot restart: a path of TMPDIR of any length, named through a descriptor of the folder

Cause: the address of a Unix socket has at most 107 bytes; for a longer path the hand-over was off, with a line in the log.

Change: a long path is addressed as /proc/self/fd/N/NAME. Without /proc the process says so with its remedy and rejects requests with unknown keys for the longest window.

--- a/moorusher/cluster_transport/hot_restart/rendezvous.py
+++ b/moorusher/cluster_transport/hot_restart/rendezvous.py
@@ -18,6 +18,7 @@
 
 from ...hot_restart.process_role import Event
 from ...time_units import MS
+from ...unix_addresses import socket_address
 from .peer_connection import ConnectionOwner, PeerConnection
 
 log = logging.getLogger("moorusher")
@@ -123,7 +124,7 @@
         self._found_inode = found.st_ino
         factory = _ConnectingFactory(self._owner, self._not_connected)
         try:
-            self._reactor.connectUNIX(self._path, factory, timeout=CONNECT_TIMEOUT_S)
+            self._reactor.connectUNIX(socket_address(self._path), factory, timeout=CONNECT_TIMEOUT_S)
         except OSError as error:  # Twisted raises it at once if the process is out of file descriptors
             log.warning(
                 "hot restart: can't connect to the rendezvous socket; retrying: path=%s reason=%s",
@@ -172,7 +173,7 @@
             with socket.socket(
                 socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC
             ) as bound:
-                bound.bind(own_path)
+                bound.bind(socket_address(own_path))
                 bound.listen(BACKLOG)
                 factory = _AcceptingFactory(self._owner)
                 self._listening = _ListeningPort.adopt(self._reactor, bound, factory)
--- a/moorusher/hot_restart/shared_budget.py
+++ b/moorusher/hot_restart/shared_budget.py
@@ -6,8 +6,6 @@
 
 import xxhash
 
-MAX_PATH_BYTES = 107  # maximum length of a Unix socket's path
-PID_SUFFIX_BYTES = 11  # length of the suffix with the process id that a new socket has before it is renamed
 MIN_PROCESS_MB = 21.0  # least memory that a process in service uses
 
 
@@ -28,16 +26,14 @@
     connections: int = 0
 
 
-def rendezvous_path(folder: str, name: str, address: tuple[str, int]) -> str | None:
+def rendezvous_path(folder: str, name: str, address: tuple[str, int]) -> str:
     """Return the path of the Unix socket by which the processes of one runner find each other.
 
-    :returns: None if the path is too long for a socket.
+    It may be too long for an address; see `unix_addresses`.
     """
     # Several runners may share a folder, so the path contains a hash of the runner's name and address.
     runner_id = xxhash.xxh64_hexdigest(f"{name} {address[0]}:{address[1]}".encode())
-    path = f"{folder.rstrip('/')}/moorusher-{runner_id}"
-    length = len(path.encode("utf-8", "surrogateescape")) + PID_SUFFIX_BYTES
-    return path if length <= MAX_PATH_BYTES else None
+    return f"{folder.rstrip('/')}/moorusher-{runner_id}"
 
 
 def fits_second_process(limit_mb: float, used_mb: float) -> bool:
--- a/moorusher/server/main.py
+++ b/moorusher/server/main.py
@@ -15,6 +15,7 @@
 from ..config.section import ConfigError, ConfigUnreadableError
 from ..hot_restart.shared_budget import fits_second_process, rendezvous_path
 from ..transient_errors import retry_transient
+from ..unix_addresses import socket_address
 
 log = logging.getLogger("moorusher")
 
@@ -30,7 +31,7 @@
 NOT_ROUTABLE = 4
 
 
-def _memory_of_other_process_mb(path: str | None) -> float:
+def _memory_of_other_process_mb(path: str) -> float:
     """Return the memory in MB of a process of this runner that is in service; 0 if there is none.
 
     Called before any large import, since two processes must fit into the memory limit together.
@@ -40,7 +41,7 @@
     try:
         with socket.socket(socket.AF_UNIX) as connection:
             connection.settimeout(PEER_TIMEOUT_S)
-            connection.connect(path or "")
+            connection.connect(socket_address(path))
             credentials = connection.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, struct.calcsize("3i"))
         pid, _, _ = struct.unpack("3i", credentials)
         status = Path(f"/proc/{pid}/status").read_text()
--- a/moorusher/server/server.py
+++ b/moorusher/server/server.py
@@ -21,6 +21,7 @@
 from ..health.observation import Maintenance
 from ..health_reporting.reporter import Reporter
 from ..hot_restart.shared_budget import ProcessLoad, rendezvous_path
+from ..unix_addresses import is_addressable
 from .composition import build_backend, build_cluster_parts, reports_health
 from .connection_budget import MIN_CLIENT_CONNECTIONS, ConnectionBudget
 from .graceful_shutdown import GracefulShutdown
@@ -120,15 +121,23 @@
 
     def _join_other_process(self) -> None:
         """Take over from a process of this runner that is in service, or accept at once if none can be found."""
-        path = None
-        if folder := os.environ.get("TMPDIR"):
-            from ..cluster_transport.hot_restart.coordinator import HotRestart
-
-            path = rendezvous_path(folder, self.config.name, self.config.listen)
-        if path is None:
-            log.info("hot restart is disabled: TMPDIR is not set or too long")
+        folder = os.environ.get("TMPDIR")
+        if not folder:
+            log.info("hot restart is disabled: TMPDIR is not set")
             self.accept({})
             return
+        path = rendezvous_path(folder, self.config.name, self.config.listen)
+        if not is_addressable(path):
+            log.warning(
+                "hot restart is disabled: TMPDIR is too long, and /proc is not mounted: shorten it; until the longest "
+                "window has passed, requests with unknown keys are rejected: path=%s",
+                path,
+            )
+            self.core.state.distrust_new_keys()
+            self.accept({})
+            return
+        from ..cluster_transport.hot_restart.coordinator import HotRestart
+
         self.hot_restart = HotRestart(self.reactor, self.core, self, path, self.config.name)
         self.core.hooks.kernel_up = self.hot_restart.kernel_up
         self.reporter.on_maintenance_changed = self.hot_restart.maintenance_changed
