Answers within a submission are sent at the end of the turn, once the front has the request

Cause: `core.submit` may end a request before it returns, by a rule or by a claim that fails at once. The fronts enter the request as open after that, and nothing removes it.

Change: `Completion` holds the answers that are given within a submission until the end of the turn, for both fronts and every cause. A caller that disconnects before gets none.

--- a/moorusher/core/completion.py
+++ b/moorusher/core/completion.py
@@ -5,7 +5,7 @@
 from moorusher.scheduling import interface as api
 from moorusher.time_units import MS
 
-from .answer import Answer, Cause, Verdict
+from .answer import Answer, Cause, Reply, Verdict
 from .engine_state import EngineState
 from .outcomes import SCHEDULER_OUTCOMES, EndReason
 from .requests import STARTED_STAGES, Request
@@ -20,6 +20,35 @@
         self._table = state.table
         self._keys = state.keys
         self._counters = state.counters
+        self._is_submitting = False
+        # Answers to requests that ended within the call that submitted them, by request number.
+        self._held_answers: dict[int, tuple[Reply, int, Answer]] = {}
+
+    # ---- answers within a submission ----
+
+    def hold_answers(self) -> None:
+        """Hold all answers until `deliver_answers`. Called when a frontend submits a request.
+
+        The frontend records the request as open once the submission returns. A connection whose request was answered
+        before that would count as busy for good.
+        """
+        self._is_submitting = True
+
+    def submission_returns(self) -> None:
+        """Send further answers at once. Called at the end of a submission."""
+        self._is_submitting = False
+
+    def deliver_answers(self) -> None:
+        """Send the held answers. Called at the end of the turn."""
+        while self._held_answers:
+            reply, tag, answer = self._held_answers.pop(next(iter(self._held_answers)))
+            reply.answer(tag, answer, self._state.load_signal)
+
+    def discard_answer(self, request: Request) -> None:
+        """Discard the held answer of a request whose caller has disconnected."""
+        self._held_answers.pop(request.number, None)
+
+    # ---- the end of a request ----
 
     def answer(self, request: Request, answer: Answer) -> None:
         """Send the answer of a request, unless it was answered before or its caller has disconnected."""
@@ -32,7 +61,10 @@
             self._state.hooks.demand.rejected(request)
         if answer.verdict is Verdict.FAILED:
             self._counters.add("failed: " + answer.cause.value)
-        reply.answer(request.tag, answer, self._state.load_signal)
+        if self._is_submitting:
+            self._held_answers[request.number] = (reply, request.tag, answer)
+        else:
+            reply.answer(request.tag, answer, self._state.load_signal)
 
     def end(self, request: Request, reason: EndReason) -> None:
         """End a request after its run or its wait for another attempt's result, and notify the scheduler."""
--- a/moorusher/core/dispatch.py
+++ b/moorusher/core/dispatch.py
@@ -67,6 +67,7 @@
     def end_turn(self) -> None:
         """Pass the turn's events to the scheduler and carry out the resulting actions."""
         events = self._turn.close()
+        self._completion.deliver_answers()
         scheduler = self.scheduler
         if scheduler is not None and events:
             try:
--- a/moorusher/core/intake.py
+++ b/moorusher/core/intake.py
@@ -46,8 +46,18 @@
         )
 
     def submit(self, arrival: Arrival, reply: Reply, tag: int) -> Request | InvalidArrival:
-        """Accept a request from a frontend. Invalid requests are answered by the frontend."""
+        """Accept a request from a frontend, which gets the answer after this call, at the end of the turn or later.
+
+        Invalid requests are answered by the frontend.
+        """
         self._turn.start()
+        self._completion.hold_answers()
+        try:
+            return self._submit(arrival, reply, tag)
+        finally:
+            self._completion.submission_returns()
+
+    def _submit(self, arrival: Arrival, reply: Reply, tag: int) -> Request | InvalidArrival:
         state = self._state
         if not state.hooks.routes.ready:
             return self.invalid(InvalidArrival.RULES_UNKNOWN)
@@ -140,6 +150,7 @@
     def caller_disconnected(self, request: Request) -> None:
         """Record that the caller has cancelled the request or lost its connection."""
         if request.reply is None:
+            self._completion.discard_answer(request)
             return
         self._turn.start()
         request.reply = None
