A subject has at most 16 hex digits, and a value that can't be encoded stops no other one

Cause: the parsers took up to 32 digits, msgpack holds 64 bits. `JournalWriter._save` raised with `_writing` set, and `PeerLinks.flush` raised and dropped the messages to all later peers.

Change: `parse_subject` reads the value for both fronts, 1 to 16 hex digits. A record or message that can't be encoded is left out, counted and logged. Callbacks that wait for a write with such a record are not called, as after a failed write: a vote needs its record on the disk.

--- a/moorusher/cluster_transport/peer_links.py
+++ b/moorusher/cluster_transport/peer_links.py
@@ -165,7 +165,11 @@
         peers = self._to_flush
         self._to_flush = []
         for peer in peers:
-            peer.flush()
+            try:
+                peer.flush()
+            except Exception:  # an error of one connection must not withhold the messages of the others
+                log.exception("fleet: sending messages failed: seat=%s", peer.seat)
+                self.count("faults")
 
     def count(self, name: str) -> None:
         """Add 1 to a counter."""
--- a/moorusher/cluster_transport/peers.py
+++ b/moorusher/cluster_transport/peers.py
@@ -160,13 +160,31 @@
         for message in messages:
             added = len(message.body) if isinstance(message, ComponentMessage) else 0
             if len(frame) >= MAX_MESSAGES_PER_FRAME or size + added > MAX_FRAME_BYTES // 2:
-                self.sendString(encode(frame))  # type: ignore[no-untyped-call]
+                self._send_frame(frame)
                 frame = []
                 size = 0
             frame.append(message)
             size += added
         if frame:
-            self.sendString(encode(frame))  # type: ignore[no-untyped-call]
+            self._send_frame(frame)
+
+    def _send_frame(self, frame: list[Message]) -> None:
+        try:
+            data = encode(frame)
+        except Exception:  # a value that the format can't hold; each type of value has its own error
+            data = encode([message for message in frame if self._is_encodable(message)])
+        self.sendString(data)  # type: ignore[no-untyped-call]
+
+    def _is_encodable(self, message: Message) -> bool:
+        try:
+            encode([message])
+        except Exception as error:
+            log.error(
+                "fleet: a message can't be sent: seat=%s message=%r reason=%s", self.seat, message, error
+            )
+            self.owner.count("faults")
+            return False
+        return True
 
     # ---- receiving ----
 
--- a/moorusher/core/requests.py
+++ b/moorusher/core/requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import string
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -14,6 +15,8 @@
 MAX_REQUEST_NUMBER = 0xFFFF_FFFF  # numbering restarts at 1 after it
 MAX_REQUEST_ID_LENGTH = 64
 MAX_TOKEN_LENGTH = 128
+MAX_SUBJECT_DIGITS = 16  # 64 bits, which requests have room for on the wire between runners and on disk
+HEX_DIGITS = frozenset(string.hexdigits)
 
 
 class RequestStage(Enum):
@@ -40,6 +43,16 @@
     return 0 < len(text) <= max_length and text.isascii() and all(c.isalnum() or c in "-_.:" for c in text)
 
 
+def parse_subject(text: str) -> int:
+    """Return the number of a subject, given in hex digits.
+
+    :raises ValueError: The text is empty, too long or has other characters.
+    """
+    if not 0 < len(text) <= MAX_SUBJECT_DIGITS or not set(text) <= HEX_DIGITS:
+        raise ValueError(f"expected 1 to {MAX_SUBJECT_DIGITS} hex digits")
+    return int(text, 16)
+
+
 @dataclass(slots=True, frozen=True)
 class ValueRange:
     """Range of valid values for a number in a request, shared by all frontends. NaN is in no range."""
--- a/moorusher/frontends/jsonrpc_messages.py
+++ b/moorusher/frontends/jsonrpc_messages.py
@@ -20,6 +20,7 @@
     Arrival,
     ValueRange,
     is_identifier,
+    parse_subject,
 )
 
 # Error codes: those of JSON-RPC, and the platform's for a request that failed (FAILED) or never ran (REFUSED).
@@ -118,13 +119,14 @@
     return value
 
 
-def _hex_number(text: str | None, key: str) -> int | None:
+def _subject(params: dict[str, Any], key: str) -> int | None:
+    text = params.get(key)
     if text is None:
         return None
     try:
-        return int(text, 16)
-    except ValueError:
-        raise InvalidParamsError(f"{key}: expected hex digits") from None
+        return parse_subject(text if isinstance(text, str) else "")
+    except ValueError as error:
+        raise InvalidParamsError(f"{key}: {error}") from None
 
 
 def read_arrival(method: str, params: Any, began_us: int | None = None) -> Arrival:
@@ -153,7 +155,7 @@
         memory_kb=_required_number(params, "mem", MEMORY_KB_RANGE),
         rank=_required_number(params, "prio", RANK_RANGE),
         token=token,
-        subject=_hex_number(_string(params, "obj", 32), "obj"),
+        subject=_subject(params, "obj"),
         is_retry=bool(params.get("again")),
         cost_hint_ms=_number(params, "est", BUDGET_MS_RANGE),
     )
--- a/moorusher/protocols/uwsgi_packets.py
+++ b/moorusher/protocols/uwsgi_packets.py
@@ -22,6 +22,7 @@
     Arrival,
     ValueRange,
     is_identifier,
+    parse_subject,
 )
 
 HEAD = struct.Struct("<BHB")  # modifier1, size of the variables in bytes, modifier2
@@ -179,9 +180,9 @@
         raise InvalidPacketError(400, f"{VARS['rid']}, {VARS['token']}: expected letters, digits and -_.:")
     subject = variables.get(VARS["obj"], "")
     try:
-        obj = int(subject, 16) if subject else None
-    except ValueError:
-        raise InvalidPacketError(400, f"{VARS['obj']}: expected hex digits") from None
+        obj = parse_subject(subject) if subject else None
+    except ValueError as error:
+        raise InvalidPacketError(400, f"{VARS['obj']}: {error}") from None
     return Arrival(
         rid,
         class_name,
--- a/moorusher/replication/journal.py
+++ b/moorusher/replication/journal.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import struct
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -109,13 +110,28 @@
 
 def encode_records(records: list[Any]) -> bytes:
     """Encode records for appending to a file, each with its length and checksum."""
+    return b"".join(map(_encode_record, records))
+
+
+def encode_valid_records(records: list[Any], on_error: Callable[[Record, Exception], None]) -> bytes:
+    """Encode records like `encode_records`, and leave out those that can't be encoded.
+
+    :param on_error: Called for each record that is left out.
+    """
     parts = []
     for record in records:
-        body = _encoder.encode(record)
-        parts += [_HEADER.pack(len(body), xxhash.xxh64_intdigest(body)), body]
+        try:
+            parts.append(_encode_record(record))
+        except Exception as error:  # a value that the format can't hold; each type of value has its own error
+            on_error(record, error)
     return b"".join(parts)
 
 
+def _encode_record(record: Record) -> bytes:
+    body = _encoder.encode(record)
+    return _HEADER.pack(len(body), xxhash.xxh64_intdigest(body)) + body
+
+
 def _record_at(data: bytes, start: int) -> tuple[Record, int] | None:
     """Return the record that begins at `start` and its end, or None if there is no complete record."""
     if start + _HEADER.size > len(data):
--- a/moorusher/storage/journal_writer.py
+++ b/moorusher/storage/journal_writer.py
@@ -14,7 +14,7 @@
 from twisted.python.failure import Failure
 
 from ..replication.acceptor import Acceptor
-from ..replication.journal import encode_records
+from ..replication.journal import Record, encode_valid_records
 from .journal_files import JournalFolder
 
 log = logging.getLogger("moorusher")
@@ -82,19 +82,25 @@
         records = self._acceptor.all_records(now) if compact else self._acceptor.unsaved_records(now)
         if not records:
             return self._call_all(waiting)
-        self._writing = True
         if compact:
             write = folder.rewrite
             records = [folder.header, *records]
         else:
             write = folder.append
-        written = deferToThreadPool(
-            self._reactor, self._reactor.getThreadPool(), write, encode_records(records)
-        )
+        # If a record can't be encoded, the callback for it must not be called. As it is unknown which one that is, none
+        # is: the members that wait retry.
+        data = encode_valid_records(records, lambda record, error: self._drop(record, error, waiting))
+        self._writing = True
+        written = deferToThreadPool(self._reactor, self._reactor.getThreadPool(), write, data)
         written.addCallbacks(lambda _: self._saved(waiting), self._failed)
         written.addErrback(lambda failure: log.error("fleet: %s", failure.getTraceback()))
         return None
 
+    def _drop(self, record: Record, error: Exception, waiting: list[Callable[[], None]]) -> None:
+        log.error("fleet: a record can't be written to the journal: record=%r reason=%s", record, error)
+        self._count("faults")
+        waiting.clear()
+
     def _saved(self, waiting: list[Callable[[], None]]) -> None:
         self._writing = False
         self._count("fleet: written to the disk")
