Database: acknowledge a reply at once, so that a copy of it can't come behind the next call

Cause: the copy was withheld by the server's system until the first reply was acknowledged (Nagle), and this system delays that by up to 200 ms or until it sends data: the next call. 20 ms of silence proved nothing.

Change: TCP_QUICKACK once a reply leaves its connection idle. The copy arrives within a round trip, and the connection is closed as one with a byte too many. One system call a call; no wait is longer. The pool of `[tier]` is the same.

--- a/moorusher/backends/database.py
+++ b/moorusher/backends/database.py
@@ -17,6 +17,7 @@
 from ..time_units import MS, SECOND
 from .http_client import HttpClientProtocol, HttpResponse
 from .owner import BackendOwner
+from .tcp_acknowledgement import acknowledge_now
 
 CONNECT_TIMEOUT_S = 30  # The time limit of a call is usually shorter.
 # Time between a response and the reuse of its connection, in which unexpected further data is detected.
@@ -85,6 +86,9 @@
         if number is None or not response.keep_alive or self._address != self._pool.address:
             self.transport.loseConnection()
         else:
+            # If the server has written more than the reply, its system may withhold the rest until the reply is
+            # acknowledged. It must arrive now, and not behind the next call, whose reply it would be taken for.
+            acknowledge_now(self.transport)
             self._pool.connection_idle(self)
         if number is not None:
             self._pool.call_ended(number, end_reason_of(response.status, response.headers), response.body)
