Keys that two processes report to each other are a module of their own, core/peer_keys.py

The table reserves a key for any owner by one method. maintenance_changed_us in place of operator_word_us. No behaviour changes. tests/test_hot_restart.py calls the methods where they are now; tests/test_core_shape.py lists the new module, which is held to the same rule on imports.

--- a/moorusher/cluster_transport/hot_restart/coordinator.py
+++ b/moorusher/cluster_transport/hot_restart/coordinator.py
@@ -99,7 +99,7 @@
 
     def maintenance_changed(self) -> None:
         """Notify the other process that an operator has set or ended maintenance, since it applies to the runner."""
-        self._handover.operator_word_us = self.core.clock.now
+        self._handover.maintenance_changed_us = self.core.clock.now
         peer = self._handover.peer
         if peer is not None and self.role.state is not State.DISCOVERING:
             peer.send(frames.MaintenanceChanged(self._process.maintenance_fields()))
--- a/moorusher/cluster_transport/hot_restart/handover.py
+++ b/moorusher/cluster_transport/hot_restart/handover.py
@@ -60,8 +60,8 @@
         peer: Connection to the other process; None while there is none.
         sockets: Sockets received from the other process, by label, that this process doesn't listen on yet.
         shared_labels: Labels of the sockets that the new process listens on, too.
-        operator_word_us: Time at which an operator last set or ended maintenance at this process; None if the state was
-            taken over from the other process, or nobody has changed it.
+        maintenance_changed_us: Time at which an operator last set or ended maintenance at this process; None if the
+            state was taken over from the other process, or nobody has changed it.
         peer_unknown_until_us: Time until which the other process's key table may lack keys that have run.
     """
 
@@ -70,7 +70,7 @@
         self.peer: PeerConnection | None = None
         self.sockets: dict[str, int] = {}
         self.shared_labels: set[str] = set()
-        self.operator_word_us: int | None = None
+        self.maintenance_changed_us: int | None = None
         self.peer_unknown_until_us = 0
 
     def pop_sockets(self) -> dict[str, int]:
--- a/moorusher/cluster_transport/hot_restart/instruction_executor.py
+++ b/moorusher/cluster_transport/hot_restart/instruction_executor.py
@@ -80,7 +80,7 @@
                 incarnation=self._process.incarnation(),
             )
         )
-        peer.send_keys(self._core.key_claims.snapshot())
+        peer.send_keys(self._core.key_claims.peer_keys.snapshot())
         self._reported_load = ProcessLoad()
         self._report_load()
 
--- a/moorusher/cluster_transport/hot_restart/message_receiver.py
+++ b/moorusher/cluster_transport/hot_restart/message_receiver.py
@@ -28,6 +28,7 @@
         """:param handle: Passes an event to the state machine."""
         self._core = core
         self._claims = core.key_claims
+        self._peer_keys = core.key_claims.peer_keys
         self._process = process
         self._handover = handover
         self._handle = handle
@@ -38,7 +39,7 @@
             frames.ClaimGranted: lambda message: self._claims.claim_granted(message.serial, message.key),
             frames.KeyInUse: self._key_in_use,
             frames.KeyTableFull: lambda message: self._claims.key_table_full(message.serial, message.key),
-            frames.KeyReleased: lambda message: self._claims.peer_released_key(message.key),
+            frames.KeyReleased: lambda message: self._peer_keys.released(message.key),
             frames.KeyFinished: self._key_finished,
             frames.LoadReport: lambda message: self._process.set_peer_load(message.load),
             frames.MaintenanceChanged: self._maintenance_changed,
@@ -75,19 +76,19 @@
         """Return whether an operator has set or ended maintenance here since the other process's state was set."""
         # A process may have waited for minutes before the other one's welcome. An operator's order that was confirmed
         # at its console in that time must not be lost, or the runner would be healthy again without another order.
-        word_us = self._handover.operator_word_us
-        return word_us is not None and (of_peer is None or of_peer["since"] <= word_us)
+        changed_us = self._handover.maintenance_changed_us
+        return changed_us is not None and (of_peer is None or of_peer["since"] <= changed_us)
 
     def _unsupported_welcome(self, welcome: frames.UnsupportedWelcome) -> None:
         log.warning("hot restart: the other process has an unsupported version: version=%r", welcome.version)
 
     def _key_record(self, record: frames.KeyRecord) -> None:
-        self._claims.snapshot_entry(
+        self._peer_keys.snapshot_entry(
             record.key, record.body_digest, record.expires_us, record.finished, record.result
         )
 
     def _keys_synced(self, synced: frames.KeysSynced) -> None:
-        self._claims.snapshot_complete()
+        self._peer_keys.snapshot_complete()
         self._handle(Event.KEYS_SYNCED)
 
     def _claim(self, claim: frames.Claim) -> None:
@@ -97,12 +98,10 @@
         self._claims.key_in_use(answer.serial, answer.key, answer.body_digest, answer.expires_us)
 
     def _key_finished(self, finished: frames.KeyFinished) -> None:
-        self._claims.peer_finished_key(
-            finished.key, finished.body_digest, finished.expires_us, finished.result
-        )
+        self._peer_keys.finished(finished.key, finished.body_digest, finished.expires_us, finished.result)
 
     def _maintenance_changed(self, changed: frames.MaintenanceChanged) -> None:
-        self._handover.operator_word_us = None
+        self._handover.maintenance_changed_us = None
         self._process.follow_maintenance(changed.maintenance)
 
     def _ready(self, ready: frames.Ready) -> None:
--- a/moorusher/core/idempotency_keys.py
+++ b/moorusher/core/idempotency_keys.py
@@ -132,10 +132,6 @@
         """Return whether the table accepts no more keys. Lowering the limit does not remove cached results."""
         return self.limits.reached(len(self._by_key), self.result_bytes)
 
-    def has_all_entries(self) -> bool:
-        """Return whether the table has as many keys as it may have; results of other processes are optional."""
-        return len(self._by_key) >= self.limits.max_entries
-
     @property
     def incomplete_until(self) -> int:
         """Time (us) until which a key that is not in the table may have run, so that it must not run here."""
@@ -152,10 +148,6 @@
         """Return a list of all current entries."""
         return list(self._by_key.values())
 
-    def contains(self, entry: KeyEntry) -> bool:
-        """Return whether an entry that was in the table has not been removed since."""
-        return self._by_number.get(entry.number) is entry
-
     def of_attempt(self, number: int) -> KeyEntry | None:
         """Return the entry whose key this attempt has, or had until the key was transferred to another attempt."""
         return self._by_number.get(number)
@@ -163,25 +155,22 @@
     # ---- ownership of keys ----
 
     def reserve(
-        self, key: IdempotencyKey, number: int, body_digest: int = 0, expires_us: int = 0
+        self,
+        key: IdempotencyKey,
+        number: int,
+        body_digest: int = 0,
+        expires_us: int = 0,
+        owner: KeyOwner = KeyOwner.THIS_PROCESS,
     ) -> KeyEntry:
-        """Add a key for an attempt of this process."""
+        """Add a key for an attempt."""
         # Called as soon as the request is read, so that a retry in the same turn is recognized.
-        entry = KeyEntry(key, number, body_digest)
+        entry = KeyEntry(key, number, body_digest, owner=owner)
+        entry.started = entry.remote
         self._by_key[key] = entry
         self._by_number[number] = entry
         self.extend(number, expires_us)
         return entry
 
-    def reserve_for_peer(
-        self, key: IdempotencyKey, number: int, body_digest: int, expires_us: int
-    ) -> KeyEntry:
-        """Add a key for an attempt that the other process of this runner has reported."""
-        entry = self.reserve(key, number, body_digest, expires_us)
-        entry.owner = KeyOwner.PEER
-        entry.started = True
-        return entry
-
     def cede(self, entry: KeyEntry, number: int, body_digest: int, expires_us: int, owner: KeyOwner) -> None:
         """Transfer the key from an attempt of this process to the attempt `number` of another owner."""
         entry.body_digest = body_digest
--- a/moorusher/core/key_claims.py
+++ b/moorusher/core/key_claims.py
@@ -2,15 +2,13 @@
 
 A new key is claimed with the other process before its request is reported to the scheduler. Before the other process
 grants the claim, it stores the key as one that may have run, so that each process knows the key if the other one exits.
-If both processes claim a key at the same time, the successor gets it. A new process receives all keys that this process
-knows, also those of processes that have exited, so that a key outlasts any number of replacements within its window.
-The transport between the processes is implemented elsewhere.
+If both processes claim a key at the same time, the successor gets it. The transport between the processes is
+implemented elsewhere.
 """
 
 from __future__ import annotations
 
-import logging
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -19,10 +17,9 @@
 from .clock import Alarm, Alarms, Clock
 from .counters import Counters
 from .idempotency_keys import IdempotencyKey, IdempotencyKeyTable, KeyEntry, KeyOwner
+from .peer_keys import PeerKeys
 from .requests import Request, RequestTable
 
-log = logging.getLogger("moorusher")
-
 CLAIM_TIMEOUT_US = 250 * MS  # the other process answers within one turn of its event loop, unless it hangs
 
 
@@ -75,6 +72,7 @@
     Attributes:
         peer: The other process, if there is one to claim keys with.
         is_successor: Whether this process gets a key that both claim at the same time.
+        peer_keys: Keys that the other process has reported.
         peer_unresponsive: Called when a claim is not answered in time. Returns whether the other process was abandoned;
             this process then has all keys.
     """
@@ -99,13 +97,12 @@
         self._alarms = alarms
         self._counters = counters
         self._listener = listener
-        self._share_result = share_result
         self.peer: ClaimPeer | None = None
         self.is_successor = False
         self.peer_unresponsive: Callable[[], bool] = lambda: False
         self._pending: dict[IdempotencyKey, _PendingClaim] = {}
         self._serial = 0
-        self._received = 0  # entries of the current snapshot that have been received
+        self.peer_keys = PeerKeys(keys, table, clock, share_result)
         keys.observers.append(self)
 
     # ---- this process's claims ----
@@ -221,7 +218,7 @@
             if self._keys.is_full():
                 peer.key_table_full(serial, key)
                 return
-            self._keys.reserve_for_peer(key, self._table.allocate_number(), body_digest, expires_us)
+            self.peer_keys.reserve(key, body_digest, expires_us)
             peer.claim_granted(serial, key)
             return
         if entry.remote and not entry.finished:
@@ -242,91 +239,13 @@
         if entry.finished:
             peer.key_finished(key, entry.body_digest, entry.expires_us, entry.result)
 
-    def peer_released_key(self, key: IdempotencyKey) -> None:
-        """Free the key of the other process's attempt, which never ran, and fail the requests that wait for it."""
-        entry = self._keys.find(key, self._clock.now)
-        if entry is not None and entry.owner is KeyOwner.PEER and not entry.finished:
-            for waiter in self._keys.release_remote(entry):
-                self._share_result(waiter, None)
-
-    def peer_finished_key(
-        self, key: IdempotencyKey, body_digest: int, expires_us: int, result: bytes | None
-    ) -> None:
-        """Record the end of a run of the other process."""
-        entry = self._find_or_reserve(key, body_digest, expires_us)
-        if entry is not None and entry.remote:  # this process's own state of its own key is authoritative
-            self._finish_remote(entry, result)
-
-    def _find_or_reserve(self, key: IdempotencyKey, body_digest: int, expires_us: int) -> KeyEntry | None:
-        """Return the entry of a key that the other process has reported, or None if the table has no room for it."""
-        entry = self._keys.find(key, self._clock.now)
-        if entry is not None:
-            if entry.remote:  # the window was extended when the run started
-                self._keys.extend(entry.number, expires_us)
-            return entry
-        if self._keys.has_all_entries():
-            # This process's memory limit may be lower than the other one's. Until the key expires, keys that are not in
-            # the table are rejected.
-            self._keys.dropped_until = max(self._keys.dropped_until, expires_us)
-            return None
-        return self._keys.reserve_for_peer(key, self._table.allocate_number(), body_digest, expires_us)
-
-    def _finish_remote(self, entry: KeyEntry, result: bytes | None) -> None:
-        for waiter in self._keys.finish(entry.number, result):
-            self._share_result(waiter, entry.result)
-
-    # ---- the whole table ----
-
-    def snapshot(self) -> Iterator[KeyEntry]:
-        """Iterate over the entries that the other process needs, also those of processes that have exited."""
-        # Each entry is current at the time it is yielded. Later changes are sent as messages of their own.
-        sent = 0
-        withheld = 0
-        for entry in self._keys.entries():
-            if self._is_needed_by_peer(entry):
-                sent += 1
-                yield entry
-            else:
-                withheld += 1
-        log.info("hot restart: sent the key table: keys=%d withheld=%d", sent, withheld)
-
-    def _is_needed_by_peer(self, entry: KeyEntry) -> bool:
-        # An entry that was removed while the snapshot was sent, because its attempt never ran, would never end at the
-        # other process. Open attempts of other runners are recorded by the cluster, which each process asks itself.
-        if not self._keys.contains(entry) or entry.owner is KeyOwner.PEER:
-            return False
-        return entry.owner is KeyOwner.THIS_PROCESS or entry.finished
-
-    def snapshot_entry(
-        self, key: IdempotencyKey, body_digest: int, expires_us: int, finished: bool, result: bytes | None
-    ) -> None:
-        """Store an entry of the other process's snapshot."""
-        self._received += 1
-        entry = self._find_or_reserve(key, body_digest, expires_us)
-        if finished and entry is not None and entry.remote:
-            self._finish_remote(entry, result)
-
-    def snapshot_complete(self) -> None:
-        """Log the size of the key table once the other process's snapshot has been stored."""
-        log.info("hot restart: received the key table: keys=%d stored=%d", self._received, len(self._keys))
-        self._received = 0
-
     def peer_disconnected(self, died: bool) -> None:
         """Continue without the other process.
 
         :param died: whether the other process died; else it has rejected its open requests.
         """
         self.peer = None
-        # Open attempts of a dead process may have run, so their keys are finished without a result and can't run again
-        # in their window. The keys of rejected requests are freed. All others are handed on to the next process.
-        for entry in self._keys.entries():
-            if entry.owner is not KeyOwner.PEER:
-                continue
-            entry.owner = KeyOwner.ELSEWHERE
-            if entry.finished:
-                continue
-            for waiter in self._keys.finish(entry.number, None) if died else self._keys.release_remote(entry):
-                self._share_result(waiter, None)
+        self.peer_keys.end_all(died)
         pending = list(self._pending.values())
         self._pending = {}
         # The other process can't have run a request under the key of a pending claim, because this process has not
--- a/tests/test_core_shape.py
+++ b/tests/test_core_shape.py
@@ -33,6 +33,7 @@
     "key_table_limits",
     "observer",
     "outcomes",
+    "peer_keys",
     "reconfiguration",
     "registration",
     "remote_claims",
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -263,14 +263,14 @@
     def read(self, reader: int, max_messages: int = 1_000) -> None:
         """Let this process read what its peer has sent."""
         claims: Any = self.worlds[reader].core.key_claims
-        names = {
-            "claim": "peer_claims",
-            "key_released": "peer_released_key",
-            "key_finished": "peer_finished_key",
+        methods = {
+            "claim": claims.peer_claims,
+            "key_released": claims.peer_keys.released,
+            "key_finished": claims.peer_keys.finished,
         }
         while self.unread[1 - reader] and max_messages:
             kind, args = self.unread[1 - reader].popleft()
-            getattr(claims, names.get(kind, kind))(*args)
+            (methods.get(kind) or getattr(claims, kind))(*args)
             max_messages -= 1
         self.worlds[reader].turn()
 
@@ -424,8 +424,8 @@
         old.submit(rid, i, token=rid[0])
     old.turn()
     old.core.execution.run_ended("k-1", EndReason.RUN_SUCCEEDED, b"did")
-    for entry in old.core.key_claims.snapshot():
-        new.core.key_claims.snapshot_entry(
+    for entry in old.core.key_claims.peer_keys.snapshot():
+        new.core.key_claims.peer_keys.snapshot_entry(
             entry.key, entry.body_digest, entry.expires_us, entry.finished, entry.result
         )
     new.submit("k-2", 1, token="k")
