Answers to a replaced process reach it, not its successor; it releases its leases

Cause on that path: registers and probes answer on the connection of the process that asked, but the fleet's components sent their answers to the seat, which belongs to the successor.

Change: ComponentChannel is the one place that sends a component's messages (it stood four times), and its replies reach the asker. PeerLinks closes a connection to a process if a later one of the seat is connected. A process that has been replaced accepts no work of the fleet, so its leases are released after patience_ms.

--- a/moorusher/cluster_transport/forecast.py
+++ b/moorusher/cluster_transport/forecast.py
@@ -116,9 +116,9 @@
 
     # ---- ForecasterHost ----
 
-    def send_to_member(self, seat: str, message: Message) -> None:
+    def member_replier(self, seat: str) -> Callable[[Message], None]:
         """See `ForecasterHost`."""
-        self.member.send(seat, message)
+        return self.member.replier(seat)
 
     def at(self, when_us: int, action: Callable[[], None]) -> None:
         """See `ForecasterHost`."""
--- a/moorusher/cluster_transport/peer_links.py
+++ b/moorusher/cluster_transport/peer_links.py
@@ -73,6 +73,10 @@
             peer.send_now([self.hello()])
         peer.seat = hello.seat
         peer.incarnation = hello.incarnation
+        if peer.is_outgoing and self._is_connected_to_later_process(hello):
+            # The connection was accepted just before the other process took over.
+            peer.transport.loseConnection()
+            return None
         outgoing = self._dialers[hello.seat].peer
         if outgoing is not None and 0 < outgoing.incarnation < hello.incarnation:
             # A later process has the seat by now. After the reconnection, messages are sent to that process.
@@ -80,6 +84,10 @@
         self._node.detector.record_contact(hello.seat, hello.incarnation)
         return None
 
+    def _is_connected_to_later_process(self, hello: Hello) -> bool:
+        """Return whether a later process of the seat is connected to this one, so that it is alive."""
+        return any(peer.seat == hello.seat and peer.incarnation > hello.incarnation for peer in self.incoming)
+
     def _handshake_error(self, peer: PeerConnection, hello: Hello) -> str | None:
         if hello.version != PROTOCOL_VERSION:
             return f"version {hello.version} of the messages, and {PROTOCOL_VERSION} is spoken here"
--- a/moorusher/config_distribution/anti_entropy.py
+++ b/moorusher/config_distribution/anti_entropy.py
@@ -167,7 +167,7 @@
             for bucket, peer_digest in enumerate(message.digests)
             if peer_digest != self._digest(bucket)
         )
-        self._member.send(
+        self._member.reply(
             seat, DigestDifference(differing, self._list_revisions(differing), bool(differing), self.ready)
         )
 
@@ -178,7 +178,7 @@
                 self._add_missing(customer, _Missing(revision_id, deleted, seat))
         if message.reply_wanted:
             buckets = tuple(bucket for bucket in message.buckets if 0 <= bucket < BUCKETS)
-            self._member.send(
+            self._member.reply(
                 seat, DigestDifference(buckets, self._list_revisions(buckets), False, self.ready)
             )
         if not self.ready:
--- a/moorusher/config_distribution/dissemination.py
+++ b/moorusher/config_distribution/dissemination.py
@@ -198,7 +198,8 @@
 
     def on_disseminate(self, seat: str, message: Disseminate) -> None:
         """Obtain the revision, cover the range, and send the result when both are finished."""
-        self._member.send(seat, DisseminateReceived(message.serial))
+        reply = self._member.replier(seat)
+        reply(DisseminateReceived(message.serial))
         deadline_us = self._member.now() + message.timeout_ms * MS
         pending = 2  # Obtaining the revision, and covering the range.
         lacking: Lacking = {}
@@ -209,7 +210,7 @@
             pending -= 1
             if not pending:
                 truncated = dict(list(lacking.items())[:MAX_LACKING])
-                self._member.send(seat, DisseminateResult(message.serial, truncated))
+                reply(DisseminateResult(message.serial, truncated))
 
         def on_obtained(reason: str) -> None:
             on_part_finished({self._member.me: reason} if reason else {})
--- a/moorusher/config_distribution/local_publishers.py
+++ b/moorusher/config_distribution/local_publishers.py
@@ -50,12 +50,13 @@
 
     def on_submit(self, seat: str, message: SubmitDraft) -> None:
         """Publish a submission that a member has forwarded, and send it the result."""
+        reply = self._member.replier(seat)
 
         def send_result(result: RevisionId | DistributionError) -> None:
             if isinstance(result, Exception):
-                self._member.send(seat, SubmitResult(message.serial, (0, 0), result.kind, str(result)))
+                reply(SubmitResult(message.serial, (0, 0), result.kind, str(result)))
             else:
-                self._member.send(seat, SubmitResult(message.serial, result))
+                reply(SubmitResult(message.serial, result))
 
         name = duty_of(message.submission.customer)
         publisher = self.by_lease.get(name)
--- a/moorusher/config_distribution/revision_fetching.py
+++ b/moorusher/config_distribution/revision_fetching.py
@@ -178,11 +178,11 @@
         customer = message.customer
         revision = self.customers.get(customer)
         if revision is not None and revision.revision_id >= message.revision_id:
-            self._member.send(seat, RevisionReply(customer, revision.revision_id, False, revision.draft))
+            self._member.reply(seat, RevisionReply(customer, revision.revision_id, False, revision.draft))
         elif (
             self.customers.is_deleted(customer) and self.customers.latest_id(customer) >= message.revision_id
         ):
-            self._member.send(seat, RevisionReply(customer, self.customers.latest_id(customer), True, b""))
+            self._member.reply(seat, RevisionReply(customer, self.customers.latest_id(customer), True, b""))
 
     def on_reply(self, seat: str, message: RevisionReply) -> None:
         """Process a requested revision. It is ignored if no fetch needs it any more."""
--- a/moorusher/config_distribution/services.py
+++ b/moorusher/config_distribution/services.py
@@ -11,7 +11,7 @@
 from ..namespaces.namespace import Namespace
 from ..namespaces.policy import Grant, PublishingLimits
 from ..namespaces.revision_id import RevisionId
-from ..replication.messages import ComponentMessage
+from ..replication.component_channel import ComponentChannel
 from . import messages
 from .messages import PART
 
@@ -36,6 +36,14 @@
         """Send a message of `messages` to a seat."""
         ...
 
+    def reply(self, seat: str, message: Any) -> None:
+        """Answer the process whose message is being handled."""
+        ...
+
+    def replier(self, seat: str) -> Callable[[Any], None]:
+        """Return a function that answers later the process whose message is being handled now."""
+        ...
+
     def call_at(self, when: int, action: Callable[[], None]) -> None:
         """Call `action` at a time (us)."""
         ...
@@ -109,12 +117,16 @@
 
     Attributes:
         participant: The participant.
+        send, reply, replier: Send a message, see `ComponentChannel`.
     """
 
     def __init__(self, participant: Participant, deliver_locally: Callable[[str, Any], None]) -> None:
         """Initialize; `deliver_locally` is called with this member's seat and a message that it sends to itself."""
         self.participant = participant
-        self._deliver_locally = deliver_locally
+        channel = ComponentChannel(participant.node, self.me, PART, messages.encode, deliver_locally)
+        self.send = channel.send
+        self.reply = channel.reply
+        self.replier = channel.replier
 
     @property
     def me(self) -> str:
@@ -131,13 +143,6 @@
         """Incarnation of this process."""
         return self.participant.node.owner.incarnation
 
-    def send(self, seat: str, message: Any) -> None:
-        """Send a message. A message to this member itself is delivered in a later turn."""
-        if seat == self.me:
-            self.call_at(self.now(), lambda: self._deliver_locally(seat, message))
-        else:
-            self.participant.node.send(seat, ComponentMessage(PART, messages.encode(message)))
-
     def call_at(self, when: int, action: Callable[[], None]) -> None:
         """Call `action` at a time (us)."""
         self.participant.services.at(when, action)
--- a/moorusher/forecast_service/forecaster.py
+++ b/moorusher/forecast_service/forecaster.py
@@ -45,8 +45,8 @@
 class ForecasterHost(ForecastCalculator, Protocol):
     """Services of the process that a forecaster uses."""
 
-    def send_to_member(self, seat: str, message: Message) -> None:
-        """Send a message to a member, which may be this one."""
+    def member_replier(self, seat: str) -> Callable[[Message], None]:
+        """Return a function that answers later the member whose message is being handled now."""
 
     def at(self, when_us: int, action: Callable[[], None]) -> None:
         """Call `action` when `clock` reaches `when_us`."""
@@ -71,7 +71,7 @@
 class _PendingAck:
     """A recorded report, which is acknowledged once a majority has it."""
 
-    seat: str
+    reply: Callable[[Message], None]
     serial: int
     buckets: list[BucketProgress]
 
@@ -148,7 +148,7 @@
                 self.ledger.record(bucket)
         # Buckets that were reported too late are acknowledged as well, so that their runner discards them.
         progress = [(bucket.bucket, bucket.counted_until_ms) for bucket in report.buckets]
-        self._pending.append(_PendingAck(seat, report.serial, progress))
+        self._pending.append(_PendingAck(self._host.member_replier(seat), report.serial, progress))
 
     def _compress_and_save(self) -> None:
         """Compress the changed series, then save. Uses several turns, since hundreds of series change each hour."""
@@ -168,7 +168,7 @@
                 return
             if isinstance(outcome, Completed):
                 for ack in saved:
-                    self._host.send_to_member(ack.seat, ReportAck(ack.serial, ack.buckets))
+                    ack.reply(ReportAck(ack.serial, ack.buckets))
             else:
                 self._host.count("forecast: counts not kept")
                 self._pending = saved + self._pending
--- a/moorusher/forecast_service/member.py
+++ b/moorusher/forecast_service/member.py
@@ -12,7 +12,7 @@
 from ..leadership.errors import LeadershipError
 from ..leadership.lease_holder import LeaseHolder
 from ..leadership.participant import Participant
-from ..replication.messages import ComponentMessage
+from ..replication.component_channel import ComponentChannel
 from ..time_units import MS
 from . import messages
 from .demand_reporter import DemandReporter
@@ -54,6 +54,7 @@
         zone: Zone of this runner.
         counter: Counter of this runner's demand.
         forecaster: Worker while this member leads the forecast; otherwise None.
+        send, replier: Send a message, see `ComponentChannel`.
     """
 
     def __init__(self, participant: Participant, host: MemberHost, policy: ForecastPolicy) -> None:
@@ -61,6 +62,9 @@
         self._host = host
         self._policy = policy
         self._services = participant.services
+        channel = ComponentChannel(participant.node, self._services.me, PART, messages.encode, self._dispatch)
+        self.send = channel.send
+        self.replier = channel.replier
         me, incarnation = self._services.me, self._services.incarnation
         self.zone = participant.node.placement.by_name[me].zone
         self.counter = DemandCounter(me, incarnation, self.zone, host.unix_ms(), policy.max_routes)
@@ -89,13 +93,6 @@
 
     # ---- messages ----
 
-    def send(self, seat: str, message: Message) -> None:
-        """Send a message to a member. A message to this member itself arrives in a later turn of the reactor."""
-        if seat == self._services.me:
-            self._services.at(self._services.now(), lambda: self._dispatch(seat, message))
-        else:
-            self.participant.node.send(seat, ComponentMessage(PART, messages.encode(message)))
-
     def _message_received(self, seat: str, body: bytes) -> None:
         try:
             message = messages.decode(body)
@@ -113,7 +110,7 @@
             case NotLeader():
                 self._reporter.not_leader_received(seat, message)
             case ForecastQuery():
-                self.send(seat, self._make_reply(message))
+                self.replier(seat)(self._make_reply(message))
             case HistoryImport():
                 self._import_received(seat, message)
             case LeaderReply():
@@ -125,7 +122,7 @@
         if self.forecaster is not None:
             self.forecaster.receive_report(seat, report)
         else:
-            self.send(seat, NotLeader(report.serial, self._lookup.last_known()))
+            self.replier(seat)(NotLeader(report.serial, self._lookup.last_known()))
 
     def _make_reply(self, query: ForecastQuery) -> LeaderReply:
         try:
@@ -139,11 +136,13 @@
         return LeaderReply(query.serial, document)
 
     def _import_received(self, seat: str, request: HistoryImport) -> None:
+        reply_to_member = self.replier(seat)
+
         def done(error: ForecastError | LeadershipError | None) -> None:
             reply = (
                 LeaderReply(request.serial, b"{}") if error is None else _error_reply(request.serial, error)
             )
-            self.send(seat, reply)
+            reply_to_member(reply)
 
         try:
             self._leading_forecaster().import_history(request.histories, done)
--- a/moorusher/leadership/held_leases.py
+++ b/moorusher/leadership/held_leases.py
@@ -71,7 +71,7 @@
             return
         if not self._election.is_fit() or (not offer.must_accept and self._is_overloaded()):
             self._services.count("duties: declined")
-            return self._services.send(seat, OfferDeclined(offer.key, offer.term))
+            return self._services.reply(seat, OfferDeclined(offer.key, offer.term))
         self._acquiring.add(offer.key)
         change = AcquireLease(
             self._services.owner,
--- a/moorusher/leadership/services.py
+++ b/moorusher/leadership/services.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from ..membership.failure_detector import FailureDetector
-from ..replication.messages import ComponentMessage
+from ..replication.component_channel import ComponentChannel
 from ..replication.node import Node
 from ..replication.proposer import CarriedPromise, ChangeResult
 from ..replication.register_space import DUTY_SPACE, RegisterSpace
@@ -25,6 +25,7 @@
     Attributes:
         node: Node of the member.
         registers: Register space of the duties.
+        send, reply, replier: Send a message, see `ComponentChannel`.
     """
 
     def __init__(
@@ -35,8 +36,10 @@
     ) -> None:
         self.node = node
         self.registers = registers
-        # Handles messages that this member sends to itself.
-        self._deliver_locally = deliver_locally
+        channel = ComponentChannel(node, node.me, messages.PART, messages.encode, deliver_locally)
+        self.send = channel.send
+        self.reply = channel.reply
+        self.replier = channel.replier
 
     @property
     def owner(self) -> Owner:
@@ -87,13 +90,6 @@
         """Return the highest known incarnation of a seat, or 0 if none is known."""
         return self.registers.acceptor.incarnations.get(seat, 0)
 
-    def send(self, seat: str, message: messages.Message) -> None:
-        """Send a message. A message to this member itself is delivered by a timer."""
-        if seat == self.me:
-            self.at(self.now(), lambda: self._deliver_locally(seat, message))
-        else:
-            self.node.send(seat, ComponentMessage(messages.PART, messages.encode(message)))
-
     def when_durable(self, callback: Callable[[], None]) -> None:
         """Call `callback` once all stored data is on the disk; immediately if there is no disk."""
         self.node.call_when_durable(callback, DUTY_SPACE)
--- a/moorusher/leadership/state_fetching.py
+++ b/moorusher/leadership/state_fetching.py
@@ -111,7 +111,7 @@
         """Handle a request at a replica: send the requested chunks."""
         for name in message.names[:CHUNKS_PER_FETCH]:
             chunk = self.store.find(message.key, name) or b""
-            self._services.send(seat, ChunkFetched(message.key, name, chunk))
+            self._services.reply(seat, ChunkFetched(message.key, name, chunk))
 
     def on_chunk_fetched(self, seat: str, message: ChunkFetched) -> None:
         """Store a requested chunk, and continue the fetches that wait for it."""
--- a/moorusher/leadership/state_replication.py
+++ b/moorusher/leadership/state_replication.py
@@ -121,11 +121,12 @@
             missing = chunk is None
         ok = chunk is not None and self.store.add(message.key, message.mark, chunk)
         answer = ChunkStored(message.serial, message.name, ok, missing, self._services.incarnation)
+        reply = self._services.replier(seat)
         if ok:
             self._chunks_repaired()
-            self._services.when_durable(lambda: self._services.send(seat, answer))
+            self._services.when_durable(lambda: reply(answer))
         else:
-            self._services.send(seat, answer)
+            reply(answer)
 
     def on_chunk_stored(self, seat: str, message: ChunkStored) -> None:
         """Handle the answer of a replica; replication is complete once a majority has stored all chunks."""
--- a/moorusher/model_checking/forecast_simulation.py
+++ b/moorusher/model_checking/forecast_simulation.py
@@ -100,9 +100,9 @@
         zones = {f"n{seat}": f"z{seat % 2}" for seat in range(self.sim.scenario.seats)}
         return self.forecast_simulation.forecaster_class(lease, self, POLICY, zones)
 
-    def send_to_member(self, seat: str, message: Message) -> None:
-        """Send a message of the forecaster to the member of a seat."""
-        self.member.send(seat, message)
+    def member_replier(self, seat: str) -> Callable[[Message], None]:
+        """Return a function that answers later the member whose message is being handled now."""
+        return self.member.replier(seat)
 
     def at(self, when_us: int, action: Callable[[], None]) -> None:
         """Call `action` at a time in us."""
--- a/moorusher/server/server.py
+++ b/moorusher/server/server.py
@@ -251,9 +251,11 @@
         return self.reporter.is_fit
 
     def _accepts_more_work(self) -> bool:
-        """Return whether to take over orphaned work of another runner: only if this one is fit and not overloaded."""
+        """Return whether to take over work and leases of other runners: not if replaced, unfit or overloaded."""
         from ..health.states import HealthState
 
+        if self.jsonrpc.draining:
+            return False  # Other runners can reach only the process that has replaced this one.
         return self.reporter.is_fit and self.reporter.report().state is not HealthState.OVERLOADED
 
     def load_condition(self) -> Any:
--- a/tests/test_forecaster.py
+++ b/tests/test_forecaster.py
@@ -43,8 +43,8 @@
     def submit(self, effect: Any, callback: Callable[[Outcome], None]) -> None:
         self.submitted.append((effect.state, callback))
 
-    def send_to_member(self, seat: str, message: ReportAck) -> None:
-        self.sent.append((seat, message))
+    def member_replier(self, seat: str) -> Callable[[ReportAck], None]:
+        return lambda message: self.sent.append((seat, message))
 
     def at(self, when_us: int, action: Callable[[], None]) -> None:
         self._timers.append(action)
--- a/tests/test_leadership_real.py
+++ b/tests/test_leadership_real.py
@@ -248,6 +248,22 @@
         kernel.close()
 
 
+@asynchronous_test
+async def test_a_replaced_leader_stores_its_state_until_its_lease_is_handed_over() -> None:
+    """The other runners' answers went to the successor: the leader stored no state, and its reports were repeated."""
+    async with watch_duty() as duty:
+        first_leader, kernel, term = duty.leader, Kernel(), duty.term
+        kernel.listen()
+        duty.fleet.runners[first_leader].start(kernel.port)
+        await wait_until(lambda: duty.term > term)  # The replaced process releases the lease without SIGTERM.
+        await duty.wait_for_reports()
+        report_counts = [request.body["reports"] for request in duty.receiver.accepted]
+        assert report_counts == sorted(set(report_counts))
+        _, document = await duty.request(first_leader)
+        assert document["lost"] == 0, "no leader was lost"
+        kernel.close()
+
+
 @asynchronous_test
 async def test_leaders_killed_one_after_another_suspend_the_duty_until_it_is_resumed() -> None:
     """Three leaders in a row are killed soon after they acquired the lease."""
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -232,6 +232,12 @@
     def unreachable_reason(self, seat: str) -> str:
         return "down" if seat in self.network.down else ""
 
+    def reply(self, seat: str, message: Any) -> None:
+        self.send(seat, message)
+
+    def replier(self, seat: str) -> Callable[[Any], None]:
+        return partial(self.send, seat)
+
     def send(self, seat: str, message: Any) -> None:
         self.network.sent[self.me] += 1
         if (
@@ -337,6 +343,12 @@
     def live_peers(self) -> list[str]:
         return [self.peer.me]
 
+    def reply(self, seat: str, message: Any) -> None:
+        self.send(seat, message)
+
+    def replier(self, seat: str) -> Callable[[Any], None]:
+        return partial(self.send, seat)
+
     def send(self, seat: str, message: Any) -> None:
         handlers: dict[Any, Any] = {
             DigestSummary: self.peer.anti_entropy.on_summary,
