Waiting calls go only to servers that are granted when they are sent; a drain reaches later routes

`servers drain` did not reach routes that were first used, published or granted later.

Cause: a route's load balancer learned of new grants at its next call, and waiting calls need no next call; a drain was a state of the load balancers that existed at that time.

Change: RouteBalancers keeps the drained servers, and _granted_servers is the one rule on what a route may use. After a reload or a drain, MembershipChanged updates all routes: waiting calls are sent to the servers that remain, or use their next hop. Without any server left a call ends as rejected, or as failed if an earlier attempt of it may have run.

--- a/moorusher/backends/server_pool.py
+++ b/moorusher/backends/server_pool.py
@@ -22,6 +22,7 @@
     CompleteCall,
     EndpointRemoved,
     Instruction,
+    MembershipChanged,
     SendAttempt,
     TimerFired,
 )
@@ -224,9 +225,10 @@
         self._backends.update(server)
 
     def drain(self, name: str) -> bool:
-        """Stop sending new calls to a server. Return False if there is no server of that name."""
-        balancers = self.routes.balancers
-        return balancers.drain(name) or name in balancers.servers
+        """Send no new calls to a server until it is put again. Return False if there is no server of that name."""
+        is_known = self.routes.balancers.drain(name)
+        self._membership_changed()
+        return is_known
 
     def remove(self, name: str) -> bool:
         """Remove a server and end its attempts in flight. Return False if there is no server of that name."""
@@ -252,6 +254,10 @@
             self._close_if_unused(name)
         for server in listed.values():
             self.put(server)
+        self._membership_changed()
+
+    def _membership_changed(self) -> None:
+        self._execute(self.routes.handle(MembershipChanged(self.core.clock.now)))
 
     # ---- status and learned state ----
 
--- a/moorusher/load_balancing/endpoint_set.py
+++ b/moorusher/load_balancing/endpoint_set.py
@@ -68,6 +68,11 @@
 
     # ---- membership ----
 
+    @property
+    def has_members(self) -> bool:
+        """Whether any endpoint is not draining."""
+        return any(endpoint.state is not EndpointState.DRAINING for endpoint in self._ordered)
+
     def add(self, now: int, config: EndpointConfig, established: bool = False) -> None:
         """Add an endpoint in slow start, or replace the configuration of the endpoint with that name.
 
--- a/moorusher/load_balancing/load_balancer.py
+++ b/moorusher/load_balancing/load_balancer.py
@@ -27,6 +27,7 @@
     EndpointRemoved,
     Event,
     Instruction,
+    MembershipChanged,
     SendAttempt,
     TimerFired,
 )
@@ -111,6 +112,8 @@
                 return self._on_timer_fired(event.now)
             case EndpointRemoved():
                 return self._on_endpoint_removed(event.now, event.name)
+            case MembershipChanged():
+                return self._on_membership_changed(event.now)
 
     # ---- events ----
 
@@ -170,6 +173,18 @@
             instructions += self._on_attempt_ended(now, attempt_id, AttemptOutcome.FAILED)
         return instructions
 
+    def _on_membership_changed(self, now: int) -> list[Instruction]:
+        if self.endpoints.has_members:
+            return self._serve_queue(now)
+        return [self._end_waiting(call) for call in list(self._calls.values()) if not call.attempts]
+
+    def _end_waiting(self, call: OpenCall) -> Instruction:
+        """End a call that has no attempt in flight. An earlier attempt of it may have run."""
+        del self._calls[call.call_id]
+        self._queue.discard(call)
+        outcome = AttemptOutcome.FAILED if call.attempts_made else AttemptOutcome.REJECTED
+        return CompleteCall(call.call_id, NO_ATTEMPT, outcome)
+
     # ---- transitions of a call ----
 
     def _start_attempt(self, now: int, call: OpenCall, avoid: Endpoint | None = None) -> list[Instruction]:
--- a/moorusher/load_balancing/messages.py
+++ b/moorusher/load_balancing/messages.py
@@ -88,7 +88,14 @@
     name: str
 
 
-Event = Union[CallStarted, CallCancelled, AttemptEnded, TimerFired, EndpointRemoved]
+@dataclass(slots=True, frozen=True)
+class MembershipChanged:
+    """Endpoints were added, drained or retired: waiting calls are sent to those that remain, or end without any."""
+
+    now: int
+
+
+Event = Union[CallStarted, CallCancelled, AttemptEnded, TimerFired, EndpointRemoved, MembershipChanged]
 
 
 # ---- instructions ----
--- a/moorusher/routing/route_balancers.py
+++ b/moorusher/routing/route_balancers.py
@@ -53,8 +53,11 @@
         self.default = self._make([s for s in self.servers.values() if s.name not in reserved], now)
         # Least recently used first.
         self._by_route: OrderedDict[RouteKey, LoadBalancer] = OrderedDict()
-        # Hop from which each balancer's endpoints were last updated; without an entry the next call updates them.
-        self._hops: dict[RouteKey, Hop] = {}
+        # Servers that an operator drains, until they are put again.
+        self._drained: set[str] = set()
+        # Hop and version of the servers from which each balancer's endpoints were last updated.
+        self._updated_for: dict[RouteKey, tuple[Hop, int]] = {}
+        self._version = 0  # of `servers`, `grants` and `_drained`
 
     def _make(self, servers: list[EndpointConfig], now: int) -> LoadBalancer:
         return LoadBalancer(servers, self._policy, self._runner, self._draw, now, self._attempt_ids)
@@ -68,7 +71,7 @@
         return self._by_route.get(key)
 
     def for_hop(self, now: int, path: RoutePath, hop: Hop) -> LoadBalancer | None:
-        """Return the load balancer of a hop; None if none of its servers is currently listed and granted."""
+        """Return the load balancer of a hop; None if none of its servers is listed, granted and not drained."""
         servers = self._granted_servers(path.customer, hop)
         if not servers:
             return None
@@ -79,11 +82,23 @@
             balancer = self._by_route[key] = self._make(servers, now)
         else:
             self._by_route.move_to_end(key)
-            if self._hops.get(key) is not hop:
+            if self._updated_for.get(key) != (hop, self._version):
                 self._update(now, balancer, servers)
-        self._hops[key] = hop
+        self._updated_for[key] = hop, self._version
         return balancer
 
+    def update_routes(self, now: int) -> list[LoadBalancer]:
+        """Update the endpoints of all routes, whose calls may wait for servers that they may no longer use.
+
+        :returns: The load balancers of all routes.
+        """
+        for key, balancer in self._by_route.items():
+            hop, version = self._updated_for[key]
+            if version != self._version:
+                self._update(now, balancer, self._granted_servers(key.customer, hop))
+                self._updated_for[key] = hop, self._version
+        return list(self._by_route.values())
+
     def _granted_servers(self, customer: str, hop: Hop) -> list[EndpointConfig]:
         if hop.pool:
             if not self.grants.pool_quota(customer, hop.pool):
@@ -95,7 +110,7 @@
         return [
             replace(self.servers[name], weight=self.servers[name].weight * weight)
             for name, weight in weights.items()
-            if name in self.servers
+            if name in self.servers and name not in self._drained
         ]
 
     @staticmethod
@@ -116,36 +131,41 @@
         unused = [key for key, balancer in self._by_route.items() if not balancer.open_calls]
         for key in unused[: MAX_BALANCERS // 10]:
             del self._by_route[key]
-            self._hops.pop(key, None)
+            del self._updated_for[key]
 
     # ---- membership ----
 
     def put(self, now: int, server: EndpointConfig) -> None:
-        """Add a server, or replace the server with that name.
+        """Add a server, or replace the server with that name. A server that was drained is used again.
 
         :raises TooManyEndpointsError: The default load balancer already has the maximum number of endpoints.
         """
         self.servers[server.name] = server
+        self._drained.discard(server.name)
         if server.name not in self.grants.reserved_servers():
             self.default.endpoints.add(now, server)
-        self._hops.clear()  # routes update their endpoints at their next calls
+        self._version += 1  # routes update their endpoints at their next calls
 
     def drain(self, name: str) -> bool:
-        """Send no new calls to a server. Return False if no load balancer has it."""
+        """Send no new calls to a server until it is put again. Return False if there is no server of that name."""
+        is_listed = name in self.servers
+        if is_listed:
+            self._drained.add(name)
+            self._version += 1
         drained = [balancer.endpoints.drain(name) for balancer in self.all()]
-        return any(drained)
+        return is_listed or any(drained)
 
     def retire(self, name: str) -> None:
         """Drain a server that is no longer listed, and remove it when its last call has ended."""
-        self.servers.pop(name, None)
+        self.unlist(name)
         for balancer in self.all():
             balancer.endpoints.retire(name)
-        self._hops.clear()
 
     def unlist(self, name: str) -> None:
         """Remove a server from the list; the caller has to remove it from each load balancer."""
         self.servers.pop(name, None)
-        self._hops.clear()
+        self._drained.discard(name)
+        self._version += 1
 
     def set_grants(self, now: int, grants: Grants) -> None:
         """Apply new grants: the default load balancer retires servers that are granted now, and adds those released."""
@@ -156,7 +176,9 @@
                 self.default.endpoints.retire(name)
             elif name not in self.default.endpoints.by_name:
                 self.default.endpoints.add(now, server)
-        self._hops.clear()
+                if name in self._drained:
+                    self.default.endpoints.drain(name)
+        self._version += 1
 
     def find_server(self, name: str) -> EndpointConfig | None:
         """Return a server by name, including one that is no longer listed but still draining; None if unknown."""
--- a/moorusher/routing/route_table.py
+++ b/moorusher/routing/route_table.py
@@ -25,6 +25,7 @@
     EndpointRemoved,
     Event,
     Instruction,
+    MembershipChanged,
     SendAttempt,
     TimerFired,
 )
@@ -109,6 +110,8 @@
                 return self._on_timer_fired(event.now)
             case EndpointRemoved():
                 return self._on_endpoint_removed(event)
+            case MembershipChanged():
+                return self._on_membership_changed(event)
 
     def _on_call_started(self, event: CallStarted, path: RoutePath | None) -> list[Instruction]:
         instructions = self._on_call_cancelled(CallCancelled(event.now, event.call_id))
@@ -142,6 +145,12 @@
             instructions += self._dispatch(balancer, event)
         return instructions
 
+    def _on_membership_changed(self, event: MembershipChanged) -> list[Instruction]:
+        instructions: list[Instruction] = []
+        for balancer in self.balancers.update_routes(event.now):
+            instructions += self._dispatch(balancer, event)
+        return instructions
+
     def _dispatch(self, balancer: LoadBalancer, event: Event) -> list[Instruction]:
         """Pass an event to a load balancer; a call that ends on one hop may start on the next."""
         from_balancer = balancer.handle(event)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -4,6 +4,7 @@
 
 import json
 import random
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -16,6 +17,7 @@
     CancelAttempt,
     CompleteCall,
     EndpointRemoved,
+    MembershipChanged,
     SendAttempt,
     TimerFired,
 )
@@ -43,6 +45,10 @@
 )
 
 
+# An endpoint serves two calls at once; further ones wait.
+QUEUEING_POLICY = replace(POLICY, max_concurrency=2, max_queued_calls=8)
+
+
 def route_table(grants: Grants = GRANTS, policy: LoadBalancingPolicy = POLICY) -> RouteTable:
     servers = [EndpointConfig(n, ("127.0.0.1", 1)) for n in ("a1", "a2", "b1", "p1", "free")]
     return RouteTable(servers, policy, "r", random.Random(1).random, 0, grants)
@@ -214,6 +220,51 @@
     ]
 
 
+def test_waiting_calls_go_to_servers_that_are_granted_when_they_are_sent() -> None:
+    """Calls that waited for a server were sent to it after it had become another customer's alone."""
+    table = route_table(policy=QUEUEING_POLICY)
+    route_path = path(hop("main", "a1"), hop("spare", "a2"))
+    first, second = (attempt_id_of(start_call(table, n, route_path)) for n in (1, 2))
+    assert not start_call(table, 3, route_path) and not start_call(table, 4, path(hop("main", "a1")))
+    table.balancers.set_grants(1_000, Grants({"acme": frozenset({"a2"})}))
+    changed = table.handle(MembershipChanged(1_000))
+    assert endpoints_of(changed) == ["a2"] and CompleteCall(4, 0, AttemptOutcome.REJECTED) in changed
+    ended = [table.handle(AttemptEnded(2_000, n, AttemptOutcome.ANSWERED)) for n in (first, second)]
+    assert not [endpoint for instructions in ended for endpoint in endpoints_of(instructions)]
+
+
+def test_a_waiting_call_is_sent_to_a_server_that_is_granted_meanwhile() -> None:
+    table = route_table(Grants({"acme": frozenset({"a1"})}), QUEUEING_POLICY)
+    route_path = path(hop("main", "a1", "a2"))
+    for call_id in (1, 2):
+        start_call(table, call_id, route_path)
+    assert not start_call(table, 3, route_path)
+    table.balancers.set_grants(1_000, Grants({"acme": frozenset({"a2"})}))
+    assert endpoints_of(table.handle(MembershipChanged(1_000))) == ["a2"]
+
+
+def test_a_call_that_may_have_run_is_not_reported_as_rejected_when_its_last_server_is_gone() -> None:
+    policy = replace(QUEUEING_POLICY, base_backoff_ms=50.0, max_backoff_ms=50.0)
+    table = route_table(policy=policy)
+    instructions = start_call(table, 1, path(hop("main", "a1", max_attempts=3)))
+    assert not table.handle(AttemptEnded(1_000, attempt_id_of(instructions), AttemptOutcome.FAILED))
+    table.balancers.set_grants(2_000, Grants({}))
+    assert table.handle(MembershipChanged(2_000)) == [CompleteCall(1, 0, AttemptOutcome.FAILED)]
+
+
+def test_a_drained_server_gets_no_calls_of_routes_and_grants_that_come_later() -> None:
+    """`servers drain` reached only the balancers that existed: the next new route sent its calls to the server."""
+    table = route_table()
+    assert table.balancers.drain("a1")
+    assert endpoints_of(start_call(table, 1, path(hop("first", "a1", "a2")))) == ["a2"]
+    assert endpoints_of(start_call(table, 2, path(hop("second", "a1"), hop("spare", "a2")))) == ["a2"]
+    table.balancers.set_grants(1_000, Grants({}))
+    assert "a1" not in {endpoints_of(start_call(table, n, None, now=2_000))[0] for n in range(3, 30)}
+    table.balancers.set_grants(3_000, GRANTS)
+    table.balancers.put(3_000, EndpointConfig("a1", ("127.0.0.1", 1)))
+    assert endpoints_of(start_call(table, 40, path(hop("first", "a1")), now=4_000)) == ["a1"]
+
+
 def test_the_weights_of_a_new_revision_apply_from_the_next_call() -> None:
     table = route_table()
     assert endpoints_of(start_call(table, 1, path(Hop("main", (("a1", 1), ("a2", 0)), "", 0, 1)))) == ["a1"]
