A rejection of claimed work is answered once its release is chosen, else the request fails

Cause: the rejection was sent at once, and the release of the key was written to the registers afterwards. The simulation could not find it: no request ran out of time in a queue there, and its check exempted processes that crash.

If it is not chosen by the due time and half of the slack, or the process exits, the request fails with "others may go on with it". The simulation rejects queued requests, and its check has no exemption any more.

The answer of a run before its end is at a majority was judged likewise and left: a repeat gets an error and never runs.

--- a/moorusher/cluster_transport/keyed_work.py
+++ b/moorusher/cluster_transport/keyed_work.py
@@ -119,9 +119,21 @@
         """Announce the start of a run, before it is commanded. Return whether a majority must acknowledge it first."""
         return request.key is not None and self.node.start_work(key_of(*request.key))
 
+    def must_confirm_rejection(self, request: Request) -> bool:
+        """Return whether the cluster's registers name this runner as the owner of the request's work."""
+        entry = None if request.key is None else self.core.keys.of_attempt(request.number)
+        if entry is None or entry.number != request.number or self._serves_without_majority:
+            return False
+        tenure = self.node.tenures.get(key_of(*entry.key))
+        return tenure is not None and tenure.is_queued
+
     def key_released(self, entry: KeyEntry) -> None:
         """Called when an attempt has ended and never ran."""
-        self.node.release_work(key_of(*entry.key))
+        number = entry.number
+        self.node.release_work(
+            key_of(*entry.key),
+            on_released=lambda confirmed: self.core.completion.key_released(number, confirmed),
+        )
 
     def key_finished(self, entry: KeyEntry) -> None:
         """Called when a run has ended."""
--- a/moorusher/core/completion.py
+++ b/moorusher/core/completion.py
@@ -5,10 +5,11 @@
 from moorusher.scheduling import interface as api
 from moorusher.time_units import MS
 
-from .answer import Answer, Cause, Reply, Verdict
+from .answer import Answer, Cause, Verdict
 from .engine_state import EngineState
 from .outcomes import SCHEDULER_OUTCOMES, EndReason
 from .requests import STARTED_STAGES, Request
+from .unconfirmed_rejections import HeldAnswer, UnconfirmedRejections
 
 
 class Completion:
@@ -22,7 +23,8 @@
         self._counters = state.counters
         self._is_submitting = False
         # Answers to requests that ended within the call that submitted them, by request number.
-        self._held_answers: dict[int, tuple[Reply, int, Answer]] = {}
+        self._held_answers: dict[int, HeldAnswer] = {}
+        self._unconfirmed = UnconfirmedRejections(state.clock, state.alarms)
 
     # ---- answers within a submission ----
 
@@ -41,12 +43,27 @@
     def deliver_answers(self) -> None:
         """Send the held answers. Called at the end of the turn."""
         while self._held_answers:
-            reply, tag, answer = self._held_answers.pop(next(iter(self._held_answers)))
-            reply.answer(tag, answer, self._state.load_signal)
+            held = self._held_answers.pop(next(iter(self._held_answers)))
+            held.reply.answer(held.tag, held.answer, self._state.load_signal)
 
     def discard_answer(self, request: Request) -> None:
         """Discard the held answer of a request whose caller has disconnected."""
         self._held_answers.pop(request.number, None)
+        self._unconfirmed.pop(request.number, is_released=True)
+
+    # ---- rejections that the cluster confirms ----
+
+    def key_released(self, number: int, is_confirmed: bool) -> None:
+        """Send the rejection of a request whose key was released in the cluster, or a failure without confirmation."""
+        held = self._unconfirmed.pop(number, is_confirmed)
+        if held is not None:
+            self._turn.start()
+            self._send(number, held)
+
+    def fail_unconfirmed(self) -> None:
+        """Send the failures of all rejections that are not confirmed. Called before the process exits."""
+        for number in self._unconfirmed.numbers():
+            self.key_released(number, is_confirmed=False)
 
     # ---- the end of a request ----
 
@@ -56,15 +73,27 @@
         request.reply = None
         if reply is None:
             return
-        self._counters.add(answer.verdict.value, request.tenant)
+        held = HeldAnswer(reply, request.tag, request.tenant, answer)
         if answer.verdict is Verdict.REJECTED:
-            self._state.hooks.demand.rejected(request)
+            state = self._state
+            state.hooks.demand.rejected(request)
+            if state.hooks.coordinator.must_confirm_rejection(request):
+                slack_ms = state.settings.answer_slack_ms
+                self._unconfirmed.add(
+                    request, held, slack_ms, lambda number: self.key_released(number, False)
+                )
+                return
+        self._send(request.number, held)
+
+    def _send(self, number: int, held: HeldAnswer) -> None:
+        answer = held.answer
+        self._counters.add(answer.verdict.value, held.tenant)
         if answer.verdict is Verdict.FAILED:
             self._counters.add("failed: " + answer.cause.value)
         if self._is_submitting:
-            self._held_answers[request.number] = (reply, request.tag, answer)
+            self._held_answers[number] = held
         else:
-            reply.answer(request.tag, answer, self._state.load_signal)
+            held.reply.answer(held.tag, answer, self._state.load_signal)
 
     def end(self, request: Request, reason: EndReason) -> None:
         """End a request after its run or its wait for another attempt's result, and notify the scheduler."""
--- a/moorusher/core/coordination.py
+++ b/moorusher/core/coordination.py
@@ -27,6 +27,12 @@
         :returns: whether to wait for `RemoteClaims.start_confirmed`, `moved_away` or `start_unconfirmed`.
         """
 
+    def must_confirm_rejection(self, request: Request) -> bool:
+        """Return whether another runner may run the request until the release of its key is confirmed.
+
+        `Completion.key_released` follows the release of the key.
+        """
+
 
 class NoCoordinator:
     """Coordinator of a runner that is in no cluster: no request has to wait."""
@@ -38,3 +44,7 @@
     def announce_start(self, request: Request) -> bool:
         """Return False: the run need not wait for an acknowledgement."""
         return False
+
+    def must_confirm_rejection(self, request: Request) -> bool:
+        """Return False: no other runner can run the request."""
+        return False
--- a/moorusher/core/request_engine.py
+++ b/moorusher/core/request_engine.py
@@ -165,6 +165,7 @@
         self.dispatcher.end_turn()
         for request in [r for r in self.table.by_number.values() if r.reply is not None]:
             self.completion.answer(request, self._shutdown_answer(request))
+        self.completion.fail_unconfirmed()
 
     def _shutdown_answer(self, request: Request) -> Answer:
         """Return a rejection if the request can't run anywhere, else a failure."""
--- a/moorusher/model_checking/cluster_invariants.py
+++ b/moorusher/model_checking/cluster_invariants.py
@@ -28,7 +28,7 @@
         repeated_run(history, window_us=round(sim.scenario.window_s * SECOND))
         or unknown_result(history)
         or conflicting_results(history)
-        or run_after_rejection(history, sim.now)
+        or run_after_rejection(history)
         or abandoned_work(sim)
     )
 
@@ -60,23 +60,17 @@
     return "a key has more than one result" if has_conflict else None
 
 
-def run_after_rejection(history: History, now_us: int) -> str | None:
+def run_after_rejection(history: History) -> str | None:
     """Check that no key runs after all requests for it were rejected.
 
-    A rejection counts only for requests that its process received before it, because later ones are new attempts. It
-    doesn't count if the process has crashed: a process answers before the replicas store the rejection, and after a
-    crash in between another process may run the key.
+    A rejection counts only for requests that its process received before it, because later ones are new attempts.
     """
     requests: defaultdict[KeyDigest, list[Request]] = defaultdict(list)
     for request in history.requests:
         requests[request.key].append(request)
     for run in history.runs:
         earlier = [request for request in requests[run.key] if request.at <= run.started_at]
-        if all(
-            _was_rejected(history, run, request)
-            and history.crashed_at.get(request.process, now_us + 1) > run.started_at
-            for request in earlier
-        ):
+        if all(_was_rejected(history, run, request) for request in earlier):
             ran = f"{run.key!r} ran at process {run.process} at {run.started_at}"
             return f"{ran} although all requests for it had been rejected"
     return None
--- a/moorusher/model_checking/scenario.py
+++ b/moorusher/model_checking/scenario.py
@@ -56,6 +56,7 @@
         loss: Share of messages that are lost, from 0 to 1.
         duplication: Share of messages that are duplicated, from 0 to 1.
         rejection: Share of the work that a process rejects after taking it over.
+        expiry: Share of the queued requests that a process rejects before their runs.
         repeats: Probability that another request for the same key follows a request.
         journals: Whether acceptors write a journal, which a restarted process recovers.
         fault_kinds: Kinds that faults are drawn from, all with the same probability.
@@ -69,6 +70,7 @@
     loss: float = 0.01
     duplication: float = 0.01
     rejection: float = 0.1
+    expiry: float = 0.0
     repeats: float = 0.6
     journals: bool = False
     fault_kinds: tuple[FaultKind, ...] = (
--- a/moorusher/model_checking/simulated_request_engine.py
+++ b/moorusher/model_checking/simulated_request_engine.py
@@ -29,6 +29,7 @@
 MEAN_QUEUE_S = 0.3
 MEAN_RUN_S = 0.2
 REJECTION_DELAY_US = 5 * MS  # Time from a takeover until the work is rejected.
+MEAN_EXPIRY_S = 1.0  # Time that a request which is rejected spends in the queue.
 BODY_DIGEST = 1  # Digest of the request body, which is the same for all requests.
 
 
@@ -105,7 +106,8 @@
         match event:
             case ClaimGranted():
                 self._history.granted[key] = self._process.number
-                self._enqueue(key)
+                if not self._may_expire(key):
+                    self._enqueue(key)
             case ClaimJoined() | StartLost() | HandedOver():
                 self.states[key] = KeyState.ELSEWHERE
             case BodyDiffers():
@@ -134,6 +136,32 @@
     def _answer(self, key: KeyDigest, result: bytes | None, kind: AnswerKind) -> None:
         self._history.answers.append(Answer(key, self._process.number, self._sim.now, result, kind))
 
+    # ---- requests that are rejected before their runs ----
+
+    def _may_expire(self, key: KeyDigest) -> bool:
+        """Queue a request that is never started but rejected, with the scenario's probability."""
+        scenario, random = self._sim.scenario, self._sim.random
+        if not scenario.expiry or random.random() >= scenario.expiry:
+            return False
+        self.states[key] = KeyState.QUEUED
+        wait_us = round(random.expovariate(1 / MEAN_EXPIRY_S) * SECOND)
+        self._sim.at(self._sim.now + wait_us, self._process, lambda: self._expire(key))
+        return True
+
+    def _expire(self, key: KeyDigest) -> None:
+        if self.states.get(key) is not KeyState.QUEUED:
+            return
+        del self.states[key]
+        self.reject(key)
+
+    def reject(self, key: KeyDigest) -> None:
+        """Reject a queued request: answer it once the release of its key is confirmed."""
+
+        def released(is_confirmed: bool) -> None:
+            self._answer(key, None, AnswerKind.REJECTED if is_confirmed else AnswerKind.FAILED)
+
+        self._process.node.release_work(key, on_released=released)
+
     # ---- queue and kernel ----
 
     def _enqueue(self, key: KeyDigest) -> None:
--- a/moorusher/replication/interfaces.py
+++ b/moorusher/replication/interfaces.py
@@ -17,6 +17,9 @@
 from .work_events import WorkEvent, WorkInHand
 from .work_record import KeyDigest, Owner, WorkRecord, WorkRequest
 
+# Receives whether a majority has accepted the release, so that no runner will run the attempt.
+ReleaseCallback = Callable[[bool], None]
+
 
 class RegisterHost(Protocol):
     """The member that owns a `RegisterSpace`. Times are in us."""
@@ -152,8 +155,10 @@
     def adopt(self, tenure: Tenure, result: ChangeResult) -> None:
         """Apply the register's value: this runner owns the work, another runner owns it, or it is finished."""
 
-    def release_work(self, key: KeyDigest, rejected: bool = False) -> None:
-        """Release an attempt of this runner that ended before its run."""
+    def release_work(
+        self, key: KeyDigest, rejected: bool = False, on_released: ReleaseCallback | None = None
+    ) -> None:
+        """Release an attempt of this runner that ended before its run; see `OwnedWork.release`."""
 
     def continue_work(self, tenure: Tenure) -> None:
         """End or take over work whose owner does not answer or is lost; see `WatchedWork.continue_work`."""
--- a/moorusher/replication/owned_work.py
+++ b/moorusher/replication/owned_work.py
@@ -4,7 +4,7 @@
 
 from moorusher.time_units import MS
 
-from .interfaces import WorkNode
+from .interfaces import ReleaseCallback, WorkNode
 from .key_tenure import Tenure, TenureStage
 from .messages import OwnershipReply
 from .proposer import ChangeFunction, ChangeResult
@@ -230,12 +230,15 @@
 
         tenure.run_step(write)
 
-    def release(self, key: KeyDigest, rejected: bool = False) -> None:
+    def release(
+        self, key: KeyDigest, rejected: bool = False, on_released: ReleaseCallback | None = None
+    ) -> None:
         """Release an attempt of this runner that ended before its run.
 
         Work that was taken over, or for which other runners wait, is offered to the next seat.
 
         :param rejected: Whether this runner rejected the work; the work is then not offered to it again.
+        :param on_released: Called when the release has ended, unless this runner does not own the work.
         """
         tenure = self._node.tenures.get(key)
         if tenure is None or tenure.stage is TenureStage.OWNED_ELSEWHERE:
@@ -249,20 +252,29 @@
                 ReleaseWork(self._node.owner, tenure.attempt or 1, request, rejected),
                 tenure.expires_at,
                 self._remaining_time(tenure),
-                lambda result: self._released(tenure, result),
+                lambda result: self._released(tenure, result, on_released),
                 tenure.consume_promise(),
             )
 
         tenure.run_step(release)
 
-    def _released(self, tenure: Tenure, result: ChangeResult | None) -> None:
+    def _released(
+        self, tenure: Tenure, result: ChangeResult | None, on_released: ReleaseCallback | None
+    ) -> None:
         self._node.forget(tenure)
         work: WorkRecord | None = None if result is None else result.value
+        if on_released is not None:
+            on_released(self._is_released_by_this_runner(tenure, work))
         if work is not None and work.state is WorkState.RELEASED and work.request is not None:
             self._node.offer_work(tenure.key, work)
         self._notify_waiting_seats(tenure)
         tenure.finish_step()
 
+    def _is_released_by_this_runner(self, tenure: Tenure, work: WorkRecord | None) -> bool:
+        if work is None or work.owner != self._node.owner or work.attempt != (tenure.attempt or 1):
+            return False
+        return work.state is WorkState.RELEASED
+
     def hand_over(self, key: KeyDigest) -> None:
         """Release queued work for another runner. `HandedOver` follows once a majority has accepted the release."""
         tenure = self._node.tenures.get(key)
--- a/tests/test_answers_within_submission.py
+++ b/tests/test_answers_within_submission.py
@@ -8,6 +8,7 @@
 import pytest
 
 from moorusher.core.answer import Verdict
+from moorusher.core.coordination import NoCoordinator
 from moorusher.core.outcomes import EndReason
 from moorusher.core.requests import Arrival, Request
 from moorusher.frontends.jsonrpc_session import MAX_OPEN_REQUESTS, JsonRpcSession
@@ -27,8 +28,8 @@
         return self
 
 
-class FailingCluster:
-    """A cluster in which every claim fails at once (`coordination.KeyCoordinator`)."""
+class FailingCluster(NoCoordinator):
+    """A cluster in which every claim fails at once."""
 
     def __init__(self, harness: EngineHarness) -> None:
         self._harness = harness
@@ -37,9 +38,6 @@
         self._harness.core.remote_claims.unavailable(request, "no majority", never_ran=False)
         return True
 
-    def announce_start(self, request: Request) -> bool:
-        return False
-
 
 def refuse(harness: EngineHarness) -> None:
     harness.core.hooks.routes = Refusing()
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from moorusher.core.answer import Verdict
+from moorusher.core.answer import Answer, Cause, Verdict
 from moorusher.core.outcomes import EndReason
 from moorusher.core.requests import Arrival, Request
 
@@ -28,6 +28,9 @@
         self.starting.append(request)
         return True
 
+    def must_confirm_rejection(self, request: Request) -> bool:
+        return request.retry_of is None
+
 
 def coordinated_engine() -> tuple[EngineHarness, RecordingCoordinator]:
     harness, coordinator = EngineHarness(), RecordingCoordinator()
@@ -135,6 +138,55 @@
     assert harness.verdicts() == [(1, Verdict.REJECTED)] and len(harness.core.keys) == 0
 
 
+def rejected_request(harness: EngineHarness) -> Request:
+    """Submit a request, which gets its key and is then rejected."""
+    request = harness.submit("a", 1)
+    harness.core.remote_claims.granted(request)
+    harness.core.completion.answer(request, Answer(Verdict.REJECTED, cause=Cause.REJECTED))
+    harness.core.completion.drop_unstarted(request.number)
+    harness.turn()
+    assert harness.verdicts() == [] and len(harness.core.table) == len(harness.core.keys) == 0
+    return request
+
+
+@pytest.mark.parametrize("is_confirmed, verdict", [(True, Verdict.REJECTED), (False, Verdict.FAILED)])
+def test_a_rejection_is_sent_once_the_release_of_its_key_is_confirmed(
+    is_confirmed: bool, verdict: Verdict
+) -> None:
+    """A runner that was cut off promised that requests never ran, which the others had taken over and ran."""
+    harness, _ = coordinated_engine()
+    request = rejected_request(harness)
+    harness.core.completion.key_released(request.number, is_confirmed)
+    harness.core.completion.key_released(request.number, True)
+    assert harness.verdicts() == [(1, verdict)]
+
+
+def test_a_rejection_that_is_not_confirmed_in_time_becomes_a_failure() -> None:
+    harness, _ = coordinated_engine()
+    request = rejected_request(harness)
+    harness.wait(2_900)
+    assert harness.verdicts() == []
+    harness.wait(130)
+    harness.core.completion.key_released(request.number, True)
+    assert harness.verdicts() == [(1, Verdict.FAILED)]
+
+
+def test_an_unconfirmed_rejection_fails_when_the_process_exits() -> None:
+    harness, _ = coordinated_engine()
+    rejected_request(harness)
+    harness.core.answer_all()
+    assert harness.verdicts() == [(1, Verdict.FAILED)]
+
+
+def test_an_unconfirmed_rejection_is_dropped_when_its_caller_disconnects() -> None:
+    harness, _ = coordinated_engine()
+    request = rejected_request(harness)
+    harness.core.caller_disconnected(request)
+    harness.core.completion.key_released(request.number, True)
+    harness.wait(4_000)
+    assert harness.verdicts() == []
+
+
 def test_a_request_that_is_taken_over_runs_here_and_its_result_is_shared_with_its_retries() -> None:
     harness, coordinator = coordinated_engine()
     retry = harness.submit("b", 2)
--- a/tests/test_core_shape.py
+++ b/tests/test_core_shape.py
@@ -42,6 +42,7 @@
     "routes",
     "run",
     "turn",
+    "unconfirmed_rejections",
     "wall_clock",
 }
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -15,6 +15,7 @@
 from moorusher.membership.messages import Ping, PingAck, PingRequest
 from moorusher.membership.placement import Placement
 from moorusher.membership.policy import Seat
+from moorusher.model_checking.cluster_history import AnswerKind
 from moorusher.model_checking.cluster_process import Process
 from moorusher.model_checking.cluster_simulation import ClusterSimulation, find_counterexample
 from moorusher.model_checking.explorer import explore, replay
@@ -409,6 +410,34 @@
     )
 
 
+EXPIRING = Scenario(faults=10, expiry=0.5)
+
+
+def test_no_request_runs_anywhere_after_its_rejection() -> None:
+    """A runner that was cut off rejected requests that the others had taken over, or took over later."""
+    counterexample = find_counterexample(range(40), partial(ClusterSimulation, scenario=EXPIRING))
+    assert counterexample is None, counterexample and f"{counterexample.seed}: {counterexample.violation}"
+
+
+class RejectsAtOnce(SimulatedRequestEngine):
+    """A deliberate fault: a rejection is sent before the replicas have confirmed the release of the key."""
+
+    def reject(self, key: bytes) -> None:
+        self._answer(key, None, AnswerKind.REJECTED)
+        self._process.node.release_work(key)
+
+
+class RejectsAtOnceProcess(Process):
+    """A process with `RejectsAtOnce` as its engine."""
+
+    engine_class = RejectsAtOnce
+
+
+def test_some_seed_finds_a_rejection_that_is_sent_too_early() -> None:
+    simulation = partial(ClusterSimulation, scenario=EXPIRING, process_class=RejectsAtOnceProcess)
+    assert find_counterexample(range(60), simulation) is not None
+
+
 class UnconfirmedStart(SimulatedRequestEngine):
     """A deliberate fault: work runs before the replicas have confirmed its start."""
 
--- a/tests/test_key_chains.py
+++ b/tests/test_key_chains.py
@@ -8,6 +8,7 @@
 import pytest
 
 from moorusher.core.answer import Answer, Verdict
+from moorusher.core.coordination import NoCoordinator
 from moorusher.core.idempotency_keys import WINDOW_MARGIN_US, IdempotencyKey
 from moorusher.core.outcomes import EndReason
 from moorusher.core.registration import InvalidArrival
@@ -136,15 +137,12 @@
     assert set(runner.runs().values()) == {1}
 
 
-class OtherRunners:
-    """The cluster's answer to a claim (`coordination.KeyCoordinator`), which the test gives later."""
+class OtherRunners(NoCoordinator):
+    """The cluster's answer to a claim, which the test gives later."""
 
     def acquire_key(self, request: Request) -> bool:
         return True
 
-    def announce_start(self, request: Request) -> bool:
-        return False
-
 
 def submit_key_of_another_runner(runner: ReplacedRunner, process: Process) -> IdempotencyKey:
     """Send a request whose key another runner has, and return the key."""
