A claim ends at the latest when its request's caller stops waiting

Related path: the same during a replacement beside a hung process.

Cause: the scheduler watches deadlines, and a request reaches it once its key is claimed. Before that only the claim's own limit of 250 ms counted.

Change: both claims end after their limit or at the request's deadline, whichever comes first. A process that leaves one such claim open does not count as hanging before the full limit.

--- a/moorusher/cluster_transport/keyed_work.py
+++ b/moorusher/cluster_transport/keyed_work.py
@@ -95,7 +95,8 @@
             return False
         key = key_of(*entry.key)
         self._core_keys[key] = entry.key
-        self.node.claim(key, entry.body_digest, self._work_request(request, entry), entry.expires_us)
+        work = self._work_request(request, entry)
+        self.node.claim(key, entry.body_digest, work, entry.expires_us, request.deadline_us)
         return True
 
     def _work_request(self, request: Request, entry: KeyEntry) -> WorkRequest:
--- a/moorusher/core/key_claims.py
+++ b/moorusher/core/key_claims.py
@@ -115,8 +115,13 @@
         if entry is None:
             return False  # the request has no key, or retries an attempt in this process's table
         self._serial += 1
-        timeout = self._alarms.at(self._clock.now + CLAIM_TIMEOUT_US, lambda: self._timed_out(entry.key))
-        self._pending[entry.key] = _PendingClaim(request, self._serial, timeout)
+        key = entry.key
+        give_up_at = self._clock.now + CLAIM_TIMEOUT_US
+        if request.deadline_us < give_up_at:
+            timeout = self._alarms.at(request.deadline_us, lambda: self._reject_pending(key))
+        else:
+            timeout = self._alarms.at(give_up_at, lambda: self._timed_out(key))
+        self._pending[key] = _PendingClaim(request, self._serial, timeout)
         self._counters.add("keys claimed")
         self.peer.claim(self._serial, entry.key, entry.body_digest, entry.expires_us)
         return True
@@ -125,10 +130,13 @@
         if key not in self._pending:
             return
         self._counters.add("claims unanswered")
-        if self.peer_unresponsive():
-            return
-        pending = self._pending.pop(key)
-        if pending.request.number in self._table.by_number:
+        if not self.peer_unresponsive():
+            self._reject_pending(key)
+
+    def _reject_pending(self, key: IdempotencyKey) -> None:
+        """Reject a request whose claim is not answered in time. It has run in neither process."""
+        pending = self._pending.pop(key, None)
+        if pending is not None and pending.request.number in self._table.by_number:
             self._listener.reject_before_scheduling(
                 pending.request, "the other process did not answer the claim of this key"
             )
--- a/moorusher/model_checking/simulated_request_engine.py
+++ b/moorusher/model_checking/simulated_request_engine.py
@@ -77,7 +77,8 @@
         self._history.requests.append(Request(key, self._process.number, now))
         request = WorkRequest("r", "write", None, key.decode(), b"", now / MS, None, 0, 0.0, 0.0, None)
         self.states[key] = KeyState.CLAIMING
-        self._process.node.claim(key, BODY_DIGEST, request, now + self._sim.longest_window_us)
+        expires_at = now + self._sim.longest_window_us
+        self._process.node.claim(key, BODY_DIGEST, request, expires_at, answer_by=expires_at)
 
     def accept_takeover(self, key: KeyDigest, request: WorkRequest) -> None:
         """Queue work of another runner. With the scenario's probability, reject it after `REJECTION_DELAY_US`."""
--- a/moorusher/replication/owned_work.py
+++ b/moorusher/replication/owned_work.py
@@ -37,38 +37,45 @@
 
     # ---- claim ----
 
-    def claim(self, key: KeyDigest, body_digest: int, request: WorkRequest, expires_at: int) -> None:
+    def claim(
+        self, key: KeyDigest, body_digest: int, request: WorkRequest, expires_at: int, answer_by: int
+    ) -> None:
         """Claim a key that is new at this runner.
 
         `ClaimGranted`, `ClaimJoined`, `ResultKnown`, `BodyDiffers` or `ClaimUncovered` follows, possibly during this
         call.
 
         :param expires_at: Time (us) at which the key expires.
+        :param answer_by: Time (us) at which the request's caller stops waiting.
         """
         previous = self._node.tenures.get(key)
         tenure = Tenure(key, body_digest, request, expires_at, TenureStage.CLAIMING)
         self._node.tenures[key] = tenure
         if previous is None or not previous.busy:
-            return tenure.run_step(lambda: self._claim(tenure, request))
+            return tenure.run_step(lambda: self._claim(tenure, request, answer_by))
         # An earlier claim is still being withdrawn; the new claim waits for that.
-        give_up_at = self._node.clock() + self._node.claim_timeout_us
+        give_up_at = self._node.clock() + self._claim_timeout(answer_by)
         self._node.at(give_up_at, lambda: self._give_up_claim(tenure))
 
         def claim_after_previous() -> None:
-            tenure.run_step(lambda: self._claim(tenure, request))
+            tenure.run_step(lambda: self._claim(tenure, request, answer_by))
             previous.finish_step()
 
         previous.run_step(claim_after_previous)
         return None
 
-    def _claim(self, tenure: Tenure, request: WorkRequest) -> None:
+    def _claim_timeout(self, answer_by: int) -> int:
+        """Return the time (us) for a claim, whose request has to be answered when its caller stops waiting."""
+        return min(self._node.claim_timeout_us, max(MS, answer_by - self._node.clock()))
+
+    def _claim(self, tenure: Tenure, request: WorkRequest, answer_by: int) -> None:
         if tenure.stage is not TenureStage.CLAIMING:
             return tenure.finish_step()
         self._node.change(
             tenure.key,
             ClaimWork(self._node.owner, tenure.body_digest, request),
             tenure.expires_at,
-            self._node.claim_timeout_us,
+            self._claim_timeout(answer_by),
             lambda result: self._claimed(tenure, result),
         )
         return None
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -22,7 +22,7 @@
 from moorusher.model_checking.register_interleavings import RegisterModel
 from moorusher.model_checking.register_state import RegisterModelLimits
 from moorusher.model_checking.scenario import Scenario
-from moorusher.model_checking.simulated_request_engine import KeyState, SimulatedRequestEngine
+from moorusher.model_checking.simulated_request_engine import BODY_DIGEST, KeyState, SimulatedRequestEngine
 from moorusher.replication import node as node_module
 from moorusher.replication import watched_work as watched_module
 from moorusher.replication import work_takeover as takeover_module
@@ -43,6 +43,7 @@
     WorkState,
     key_of,
 )
+from moorusher.time_units import MS, SECOND
 
 REQUEST = WorkRequest("r", "write", None, "t", b"body", 0.0, None, 0, 1.0, 0.0, None)
 A, B = Owner("a", 1), Owner("b", 2)
@@ -410,6 +411,18 @@
     )
 
 
+def test_a_claim_without_a_majority_ends_when_its_caller_stops_waiting() -> None:
+    """Requests with little time left at a runner that was cut off were answered after 250 ms."""
+    simulation = ClusterSimulation(1, Scenario(seats=3, keys=0, faults=0))
+    simulation.network.cut_links |= {(0, 1), (0, 2)}
+    simulation.run(SECOND)
+    process, answer_by = simulation.processes[0], simulation.now + 60 * MS
+    process.engine.states[b"k"] = KeyState.CLAIMING
+    process.node.claim(b"k", BODY_DIGEST, REQUEST, simulation.now + 20 * SECOND, answer_by)
+    simulation.run(answer_by + MS)
+    assert [answer.kind for answer in simulation.history.answers] == [AnswerKind.FAILED]
+
+
 EXPIRING = Scenario(faults=10, expiry=0.5)
 
 
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -404,6 +404,21 @@
         assert len(old.runs()) == before_handover
 
 
+def test_a_claim_that_the_peer_leaves_open_ends_when_its_caller_stops_waiting() -> None:
+    """Requests with little time left were answered after 250 ms if the other process hung."""
+    pair = ProcessPair()
+    old = pair.worlds[0]
+    old.core.submit(
+        Arrival("k-1", "write", b"x", token="k", budget_ms=60.0, memory_kb=10.0),
+        old,
+        1,
+    )
+    old.wait(61)
+    assert old.verdicts() == [(1, Verdict.REJECTED)]
+    pair.settle()
+    assert not old.runs()
+
+
 def test_a_different_body_under_a_key_of_the_peer_is_rejected() -> None:
     pair = ProcessPair()
     old, new = pair.worlds
