--- a/tests/replaced_runner.py
+++ b/tests/replaced_runner.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import pytest
 from twisted.internet.error import ConnectionDone
 from twisted.python.failure import Failure
 
@@ -254,7 +255,7 @@
         never_started: Ids of the runs that the kernel has not started.
     """
 
-    def __init__(self, monkeypatch: Any) -> None:
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         monkeypatch.setattr(coordinator, "Rendezvous", Rendezvous)
         self.processes: list[Process] = []
         self.connections: list[Connection] = []
@@ -348,3 +349,11 @@
         """Return how often each key ran, in all processes together."""
         started = [str(rid) for process in self.processes for rid in process.harness.runs()]
         return Counter(rid.partition("-")[0] for rid in started if rid not in self.never_started)
+
+
+def started_runner(monkeypatch: pytest.MonkeyPatch) -> ReplacedRunner:
+    """Return a runner whose first process serves."""
+    runner = ReplacedRunner(monkeypatch)
+    runner.start()
+    runner.settle()
+    return runner
--- a/tests/test_key_chains.py
+++ b/tests/test_key_chains.py
@@ -16,7 +16,7 @@
 from moorusher.hot_restart.process_role import State
 from moorusher.time_units import MS
 
-from .replaced_runner import RESULT, Process, ReplacedRunner
+from .replaced_runner import RESULT, Process, ReplacedRunner, started_runner
 
 SMALL_TABLE_MB = 27.0  # the smallest key table: 666 keys
 SMALL_TABLE_KEYS = 666
@@ -25,10 +25,7 @@
 
 @pytest.fixture
 def runner(monkeypatch: pytest.MonkeyPatch) -> ReplacedRunner:
-    runner = ReplacedRunner(monkeypatch)
-    runner.start()
-    runner.settle()
-    return runner
+    return started_runner(monkeypatch)
 
 
 def is_served(answer: object) -> bool:
--- a/tests/test_maintenance_handover.py
+++ b/tests/test_maintenance_handover.py
@@ -4,17 +4,14 @@
 
 import pytest
 
-from .replaced_runner import NS_PER_MS, Process, ReplacedRunner
+from .replaced_runner import NS_PER_MS, Process, ReplacedRunner, started_runner
 
 LATER_MS = 100.0
 
 
 @pytest.fixture
 def runner(monkeypatch: pytest.MonkeyPatch) -> ReplacedRunner:
-    runner = ReplacedRunner(monkeypatch)
-    runner.start()
-    runner.settle()
-    return runner
+    return started_runner(monkeypatch)
 
 
 def reasons(*processes: Process) -> list[str | None]:
--- a/tests/test_replacing.py
+++ b/tests/test_replacing.py
@@ -40,6 +40,13 @@
         await self.start_process(**kernel_options)
         await self.runner.wait_until_healthy()
 
+    async def replace_and_start_another(self) -> None:
+        """Replace the process in service, and start a third one, which waits until the first has exited."""
+        await self.replace()
+        await self.start_process()
+        connected = "another process of this runner connected:"
+        await wait_until(lambda: self.runner.read_log().count(connected) >= 2)
+
     def run_bodies(self) -> list[bytes]:
         """Return the bodies of all runs that any kernel was told to begin."""
         return [body for kernel in self.kernels for _, _, body in kernel.runs]
@@ -293,9 +300,7 @@
     """The console of the waiting process answered 200, and the process was healthy as soon as it had taken over."""
     async with replaceable_runner() as replaceable:
         runner = replaceable.runner
-        await replaceable.replace()
-        await replaceable.start_process()
-        await wait_until(lambda: runner.read_log().count("another process of this runner connected:") >= 2)
+        await replaceable.replace_and_start_another()
         assert await runner.call_console("quiesce") == 200
         runner.processes[0].send_signal(signal.SIGTERM)
         await wait_until(lambda: runner.read_log().count("serves, and the other one finishes") == 2)
@@ -308,9 +313,7 @@
 async def test_a_second_replacement_waits_for_the_first_and_sigterm_without_one_drains() -> None:
     async with replaceable_runner() as replaceable:
         runner = replaceable.runner
-        await replaceable.replace()
-        await replaceable.start_process()
-        await wait_until(lambda: runner.read_log().count("another process of this runner connected:") >= 2)
+        await replaceable.replace_and_start_another()
         assert await runner.call_console("health") == 503
         runner.processes[0].send_signal(signal.SIGTERM)
         await runner.wait_until_healthy()
