--- a/review/8/case.py
+++ b/review/trials-2/namespaces_twice/case.py
@@ -10,7 +10,7 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent))
 from stand_ins_2 import HOST, TOKEN, TROUBLE, CannotRunError, Case, Fleet, FrontEnd, free_port, main, settings, until  # noqa: E402
 
 RULES = 600  # with reasons of 200 characters: a draft of some 160 KB; `bytes` allows 240,000
