Review 2: records named in each script, a build that works without an index

Cause: without a package index build-2.sh failed as a whole, though three of the five cases need nothing beyond the build of the deploy file; the record's path was hidden in the stand-ins; SIGHUP to a script left its processes.

--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -8,6 +8,7 @@
 
 import base64
 import http.client
+import importlib.util
 import json
 import os
 import shutil
@@ -56,10 +57,9 @@
 class Case:
     """The record, the temporary folder and everything that has to be ended."""
 
-    def __init__(self, folder: Path) -> None:
-        self.folder = folder
+    def __init__(self, record: Path) -> None:
         self.tmp = Path(tempfile.mkdtemp(prefix="review2-"))
-        self._record = open(folder / "record.txt", "w")
+        self._record = open(record, "w")
         self._lock = threading.Lock()
         self._t0 = time.monotonic()
         self.processes: list[subprocess.Popen[bytes]] = []
@@ -91,9 +91,9 @@
         self._record.close()
 
 
-def main(play: Callable[[Case], list[str]]) -> None:
-    """Play a case and exit with its result."""
-    case = Case(Path(sys.argv[0]).resolve().parent)
+def main(play: Callable[[Case], list[str]], record: Path) -> None:
+    """Play a case, write its record and exit with its result."""
+    case = Case(record)
 
     def too_long(*_: object) -> None:
         raise CannotRunError("the case took too long")
@@ -102,7 +102,8 @@
         raise SystemExit(2)
 
     signal.signal(signal.SIGALRM, too_long)
-    signal.signal(signal.SIGTERM, ended)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, ended)
     signal.setitimer(signal.ITIMER_REAL, LIMIT_S)
     case.note(f"disruption: {'yes' if TROUBLE else 'no (TROUBLE=0)'}")
     code = 2
@@ -494,6 +495,8 @@
 
     def start(self) -> None:
         """Start all runners, and declare the fleet to be new."""
+        if importlib.util.find_spec("msgspec") is None:
+            raise CannotRunError("a fleet needs msgspec, which the build could not install")
         for runner in self.runners.values():
             runner.start()
         for runner in self.runners.values():
--- a/review/trials-2/little_time_left/case.py
+++ b/review/trials-2/little_time_left/case.py
@@ -45,4 +45,4 @@
     return [f"{len(refused)} of {sum(verdicts.values())} repeats were refused as never run, though they ran"] if refused else []
 
 
-main(play)
+main(play, Path(__file__).resolve().with_name("record.txt"))
--- a/review/trials-2/namespaces_twice/case.py
+++ b/review/trials-2/namespaces_twice/case.py
@@ -122,4 +122,4 @@
     return broken
 
 
-main(play)
+main(play, Path(__file__).resolve().with_name("record.txt"))
--- a/review/trials-2/tenants_listed/case.py
+++ b/review/trials-2/tenants_listed/case.py
@@ -46,4 +46,4 @@
     return []
 
 
-main(play)
+main(play, Path(__file__).resolve().with_name("record.txt"))
